A transaction larger than its share of changes is paid back, not refused

Cause: the leader's share of write_rps, 100 / 5 controllers, is 20 changes and 3 of them stay for users, but a transaction may hold txn_ops, 24. Renting six kinds of machine at once made a transaction of 23. The budget refused it for ever, and with it every later write; without their record machines get no tasks.

Any limit that something must fit into has to be able to grant the largest such thing.

--- a/clients/budget.h
+++ b/clients/budget.h
@@ -16,16 +16,21 @@
   Budget(double per_second, double burst_s)
       : rate_(per_second), most_(per_second * burst_s), tokens_(most_) {}
 
+  // An amount larger than what can be saved up passes when nearly everything
+  // is there, and is paid back afterwards: refused, it would be refused for
+  // ever, as a transaction of `txn_ops` changes was for a leader whose share
+  // of `write_rps` came to less.
   bool Take(Urgency urgency, double amount, net::Time now) {
     tokens_ = std::min(most_, tokens_ + (now - last_) * rate_);
     last_ = now;
     // The less urgent, the more has to stay behind for others.
     constexpr double kReserve = 0.15;
+    constexpr double kNearlyAll = 0.9;
     const double keep =
         urgency == Urgency::kLease
             ? -1e9
             : kReserve * most_ * (static_cast<int>(urgency) - 1);
-    if (tokens_ - amount < keep) return false;
+    if (tokens_ < std::min(keep + amount, kNearlyAll * most_)) return false;
     tokens_ -= amount;
     return true;
   }
