Index where a job's tasks are; make room without a look at every task

Change: Job keeps its presence per machine, changed in one function; Machine keeps sums by priority and of what is leaving; MakeRoom rates each machine once and rules most out by the sums; the review of all tasks of a machine is done twice a report, not at each tick. The simulation behind the scenarios compares every index with a fresh count after each step.

Two gaps closed on the way: a task reported before its job's record was read now holds room and limit, and a job whose late start turns up while its record is being retired stays until that start is gone.

--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -83,6 +83,17 @@
   }
   Job& added = *job;
   jobs_[record.spec->id] = std::move(job);
+  // A worker may have told of the job before its record was read here.
+  for (auto& m : machines_) {
+    for (auto it = m->residents.lower_bound({added.id(), 0, 0});
+         it != m->residents.end() && it->first.job_id == added.id(); ++it) {
+      Resident& r = it->second;
+      if (r.job != nullptr || r.task >= added.size()) continue;
+      r.job = &added;
+      added.ChangePresence(m->index(), 0, 1);
+      if (r.phase != TaskPhase::kExited) Hold(*m, r);
+    }
+  }
   if (!added.live()) RetireIfClear(added);
   quiet_since_ = now;
   Resources& shape = accelerator_shape_;
@@ -161,11 +172,7 @@
     return;
   }
   if (!AllAccounted()) return;  // an unheard machine may hold some
-  for (const auto& m : machines_) {
-    for (const auto& [key, r] : m->residents) {
-      if (r.job == &job && r.phase != TaskPhase::kExited) return;
-    }
-  }
+  if (job.holding() > 0) return;
   QueueWrite({WriteKind::kRetire, job.id(), FinalState::kNone, {}},
              /*lazy=*/true);
 }
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -155,6 +155,9 @@
   uint64_t revision() const { return revision_; }
   bool View(const std::string& id, JobView* out) const;
   bool AllAccounted() const;
+  const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const {
+    return jobs_;
+  }
   const std::vector<std::unique_ptr<Machine>>& machines() const {
     return machines_;
   }
@@ -207,6 +210,11 @@
   bool IsCurrent(const Machine& m, const Resident& r) const;
   void Hold(Machine& m, Resident& r);
   void Release(Machine& m, Resident& r);
+  // Enters an attempt among the machine's residents; Gone takes it out.
+  Resident& Put(Machine& m, Resident r, bool there);
+  void SetStopping(Machine& m, Resident& r, bool stopping);
+  std::vector<std::pair<Machine*, ResidentKey>> ResidentsOf(
+      const Job& job) const;
   void Gone(Machine& m, const ResidentKey& key);
   void LoseAll(Machine& m, const char* why);
   void Expire(Machine& m, Time now);
@@ -263,6 +271,13 @@
   void MakeTeamRoom(Job& job, uint32_t tasks, Time now);
   // Stops a task so that another may run.
   void Preempt(Machine& m, Resident& victim, const JobSpec& for_job, Time now);
+  struct Emptying {
+    Machine* machine = nullptr;
+    double cost = 0;
+    std::vector<ResidentKey> victims;
+  };
+  std::optional<Emptying> PlanEmptying(const Job& job, Machine& m,
+                                       Time now) const;
   // False when there is nothing that could be emptied.
   bool MakeRoom(Job& job, const std::vector<Machine*>& usable, Time now);
   bool MayPreempt(const Job& job, const Resident& victim) const;
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -194,7 +194,6 @@
     r.job = it->second.get();
     Job& job = *r.job;
     if (task.phase != TaskPhase::kExited) {
-      Hold(m, r);
       m.QueueImage(job.spec().image, job.spec().image_gb, now);
     }
     const TaskSlot& slot = job.task(task.task);
@@ -205,8 +204,15 @@
       }
     }
   }
-  Resident& added = m.residents[KeyOf(r)] = std::move(r);
-  UpdateResident(m, added, task, now);
+  const bool there = task.phase != TaskPhase::kExited;
+  UpdateResident(m, Put(m, std::move(r), there), task, now);
+}
+
+Resident& Controller::Put(Machine& m, Resident r, bool there) {
+  if (r.job != nullptr) r.job->ChangePresence(m.index(), 0, 1);
+  Resident& added = m.residents.emplace(KeyOf(r), std::move(r)).first->second;
+  if (added.job != nullptr && there) Hold(m, added);
+  return added;
 }
 
 void Controller::UpdateResident(Machine& m, Resident& r, const TaskReport& task,
@@ -248,25 +254,30 @@
 
 // What a task holds of its machine and of its team's limit.
 void Controller::Hold(Machine& m, Resident& r) {
-  r.need = r.job->spec().need;
+  const JobSpec& spec = r.job->spec();
+  r.need = spec.need;
+  r.holds = true;
   m.used += r.need;
-  if (r.job->spec().kind == JobKind::kService) m.staying += r.need;
+  m.used_by[static_cast<size_t>(spec.priority)] += r.need;
+  if (spec.kind == JobKind::kService) m.staying += r.need;
+  if (r.stopping) m.leaving += r.need;
   if (r.job->team() >= 0) teams_[r.job->team()].used += r.need;
+  r.job->ChangePresence(m.index(), 1, 0);
 }
 
 void Controller::Release(Machine& m, Resident& r) {
+  if (!r.holds) return;
+  const JobSpec& spec = r.job->spec();
   m.used -= r.need;
-  if (r.job != nullptr && r.job->spec().kind == JobKind::kService) {
-    m.staying -= r.need;
-  }
-  if (r.job != nullptr && r.job->team() >= 0) {
-    teams_[r.job->team()].used -= r.need;
-  }
+  m.used_by[static_cast<size_t>(spec.priority)] -= r.need;
+  if (spec.kind == JobKind::kService) m.staying -= r.need;
+  if (r.stopping) m.leaving -= r.need;
+  if (r.job->team() >= 0) teams_[r.job->team()].used -= r.need;
+  r.job->ChangePresence(m.index(), -1, 0);
   r.need = {};
-  if (r.job != nullptr && r.job->spec().priority == Priority::kProduction) {
-    urgent_dirty_ = true;
-  }
-  if (r.job != nullptr && r.phase == TaskPhase::kFetching) {
+  r.holds = false;
+  if (spec.priority == Priority::kProduction) urgent_dirty_ = true;
+  if (r.phase == TaskPhase::kFetching) {
     // The fetch is given up when no task waits for it any more.
     const bool shared =
         std::any_of(m.residents.begin(), m.residents.end(), [&](const auto& e) {
@@ -279,6 +290,17 @@
   dirty_ = true;
 }
 
+void Controller::SetStopping(Machine& m, Resident& r, bool stopping) {
+  if (r.stopping == stopping) return;
+  r.stopping = stopping;
+  if (!r.holds) return;
+  if (stopping) {
+    m.leaving += r.need;
+  } else {
+    m.leaving -= r.need;
+  }
+}
+
 void Controller::OnExit(Machine& m, Resident& r, const TaskReport& task,
                         Time now) {
   Release(m, r);
@@ -368,7 +390,7 @@
   const auto it = m.residents.find(key);
   if (it == m.residents.end()) return;
   Resident& r = it->second;
-  if (r.phase != TaskPhase::kExited) Release(m, r);
+  Release(m, r);
   Job* job = r.job;
   if (job != nullptr && IsCurrent(m, r)) {
     const TaskState state = job->task(r.task).state;
@@ -378,7 +400,10 @@
   }
   std::erase_if(m.queue, [&](const Order& o) { return SameAttempt(o, r); });
   m.residents.erase(it);
-  if (job != nullptr) RetireIfClear(*job);
+  if (job != nullptr) {
+    job->ChangePresence(m.index(), 0, -1);
+    RetireIfClear(*job);
+  }
   dirty_ = true;
 }
 
@@ -396,7 +421,9 @@
   std::vector<ResidentKey> keys;
   for (const auto& [key, r] : m.residents) keys.push_back(key);
   for (const ResidentKey& key : keys) Gone(m, key);
-  m.used = m.staying = {};
+  // Nothing is left of it but what rounding may have left.
+  m.used = m.staying = m.leaving = {};
+  m.used_by = {};
   dirty_ = true;
 }
 
@@ -415,7 +442,7 @@
     Gone(m, KeyOf(r));
     return;
   }
-  r.stopping = true;
+  SetStopping(m, r, true);
   r.stop_grace = grace_s;
   r.stop_sent = now;
   m.queue.push_back({OrderKind::kStop, r.job_id, r.task, r.attempt, grace_s});
@@ -431,36 +458,43 @@
   m.queue.push_back({OrderKind::kForget, r.job_id, r.task, r.attempt, 0});
 }
 
+std::vector<std::pair<Machine*, ResidentKey>> Controller::ResidentsOf(
+    const Job& job) const {
+  std::vector<std::pair<Machine*, ResidentKey>> out;
+  for (const auto& [index, presence] : job.presence()) {
+    Machine* m = machines_[static_cast<size_t>(index)].get();
+    for (auto it = m->residents.lower_bound({job.id(), 0, 0});
+         it != m->residents.end() && it->first.job_id == job.id(); ++it) {
+      out.emplace_back(m, it->first);
+    }
+  }
+  return out;
+}
+
 // Stops every task of the job that is not being stopped already.
 void Controller::StopTasks(Job& job, double grace_s, Time now) {
-  for (auto& m : machines_) {
-    std::vector<ResidentKey> mine;
-    for (const auto& [key, r] : m->residents) {
-      if (r.job == &job && !r.stopping) mine.push_back(key);
-    }
-    for (const ResidentKey& key : mine) {
-      const auto it = m->residents.find(key);
-      if (it != m->residents.end()) QueueStop(*m, it->second, grace_s, now);
+  for (const auto& [m, key] : ResidentsOf(job)) {
+    const auto it = m->residents.find(key);
+    if (it != m->residents.end() && !it->second.stopping) {
+      QueueStop(*m, it->second, grace_s, now);
     }
   }
 }
 
 // The job's end is recorded: its tasks go, its exits are forgotten.
 void Controller::StopJob(Job& job, Time now) {
-  for (auto& m : machines_) {
-    std::vector<ResidentKey> mine;
-    for (const auto& [key, r] : m->residents) {
-      if (r.job == &job) mine.push_back(key);
-    }
-    for (const ResidentKey& key : mine) {
-      Resident& r = m->residents.at(key);
-      if (r.phase == TaskPhase::kExited) {
-        QueueForget(*m, r);
-      } else if (!r.stopping || r.stop_grace > 0) {
-        QueueStop(*m, r, 0, now);
-      }
+  for (const auto& [m, key] : ResidentsOf(job)) {
+    const auto it = m->residents.find(key);
+    if (it == m->residents.end()) continue;
+    Resident& r = it->second;
+    if (r.phase == TaskPhase::kExited) {
+      QueueForget(*m, r);
+    } else if (!r.stopping || r.stop_grace > 0) {
+      QueueStop(*m, r, 0, now);
     }
-    if (!mine.empty()) Pump(*m, now);
+  }
+  for (const auto& [index, presence] : job.presence()) {
+    Pump(*machines_[static_cast<size_t>(index)], now);
   }
 }
 
@@ -523,7 +557,8 @@
             if (o.kind == OrderKind::kStart) continue;
             const auto it = m->residents.find({o.job_id, o.task, o.attempt});
             if (it == m->residents.end()) continue;
-            it->second.stopping = it->second.forgetting = false;
+            SetStopping(*m, it->second, false);
+            it->second.forgetting = false;
           }
         }
         break;
@@ -550,7 +585,8 @@
         for (const Order& o : m->batch->orders) {
           const auto it = m->residents.find({o.job_id, o.task, o.attempt});
           if (it == m->residents.end() || o.kind == OrderKind::kStart) continue;
-          it->second.stopping = it->second.forgetting = false;
+          SetStopping(*m, it->second, false);
+          it->second.forgetting = false;
         }
         RaiseToken(*m);
         Log("orders to " + host + " unanswered, token raised");
@@ -665,6 +701,9 @@
       return;
     }
   }
+  // Looking through all that is there has no hurry: once a report.
+  if (now < m.next_review) return;
+  m.next_review = now + settings_.workers.report_s / 2;
   std::vector<ResidentKey> kept;
   size_t exited = 0;
   for (auto& [key, r] : m.residents) {
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -55,21 +55,17 @@
   Footprint where;
   if (job.spec().spread || job.spec().one_zone ||
       job.spec().kind == JobKind::kService) {
-    for (const auto& m : machines_) {
-      const int n = CountOn(job, *m);
-      if (n > 0) where.Add(m->zone, n);
+    for (const auto& [index, presence] : job.presence()) {
+      if (presence.holding == 0) continue;
+      where.Add(machines_[static_cast<size_t>(index)]->zone, presence.holding);
     }
   }
   return where;
 }
 
 int Controller::CountOn(const Job& job, const Machine& m) const {
-  int n = 0;
-  for (auto it = m.residents.lower_bound({job.id(), 0, 0});
-       it != m.residents.end() && it->first.job_id == job.id(); ++it) {
-    if (it->second.phase != TaskPhase::kExited) ++n;
-  }
-  return n;
+  const auto it = job.presence().find(m.index());
+  return it == job.presence().end() ? 0 : it->second.holding;
 }
 
 // Without deadlines, first come, first served. With them, earliest deadline
@@ -191,11 +187,10 @@
   r.attempt = attempt;
   r.order = StartOrder::kQueued;
   r.started = now;
-  Hold(m, r);
   m.idle_since = 0;
   m.QueueImage(spec.image, spec.image_gb, now);
   m.queue.push_back({OrderKind::kStart, spec.id, task, attempt, 0});
-  m.residents.emplace(ResidentKey{spec.id, task, attempt}, std::move(r));
+  Put(m, std::move(r), /*there=*/true);
   job.Place(task, m.index(), attempt);
   job.ChangeTask(task, TaskState::kStarting);
   DropReservation(&job, &m);
@@ -296,10 +291,7 @@
     return;
   }
   // Zombies of an earlier attempt hold their zone and their place.
-  if (Where(job).total() > 0) return;
-  for (const auto& m : machines_) {
-    if (CountOn(job, *m) > 0) return;
-  }
+  if (job.holding() > 0) return;
   const uint32_t tasks = job.unplaced();
   if (!TeamAllows(job, tasks)) {
     MakeTeamRoom(job, tasks, now);
@@ -437,6 +429,41 @@
   }
 }
 
+// What would have to be stopped on the machine for one more task of the job,
+// besides what is on its way out already; nothing if even all would not do.
+std::optional<Controller::Emptying> Controller::PlanEmptying(const Job& job,
+                                                             Machine& m,
+                                                             Time now) const {
+  const JobSpec& spec = job.spec();
+  Resources room = m.RoomFor(&job, spec.priority) + m.leaving;
+  for (const Reservation& r : m.reservations) {
+    if (r.job == &job) room -= r.need;
+  }
+  // Most machines can be ruled out without a look at each task there.
+  const auto rank = static_cast<size_t>(spec.priority);
+  Resources most = room;
+  for (size_t p = 1; p < kPriorities; ++p) {
+    if (p > rank || job.within_guarantee) most += m.used_by[p];
+  }
+  if (!spec.need.FitsIn(most)) return std::nullopt;
+  Emptying plan{&m, 0, {}};
+  if (spec.need.FitsIn(room)) return plan;
+  std::vector<std::pair<double, ResidentKey>> victims;
+  for (const auto& [key, r] : m.residents) {
+    if (!r.stopping && MayPreempt(job, r)) {
+      victims.emplace_back(PreemptionCost(r, now), key);
+    }
+  }
+  std::sort(victims.begin(), victims.end());
+  for (const auto& [cost, key] : victims) {
+    room += m.residents.at(key).need;
+    plan.cost += cost;
+    plan.victims.push_back(key);
+    if (spec.need.FitsIn(room)) return plan;
+  }
+  return std::nullopt;
+}
+
 // Nothing fits. Picks the machine whose emptying costs least and holds its
 // room for the job: by stopping what may be stopped or, for work that needs
 // much of a machine, by waiting until short work has run off.
@@ -449,6 +476,7 @@
   for (const auto& m : machines_) {
     // Room held where the job can't go any more would only make it wait: the
     // machine has fallen silent, or what came since leaves it no place there.
+    if (m->reservations.empty()) continue;
     const bool good =
         std::find(usable.begin(), usable.end(), m.get()) != usable.end() &&
         Allowed(spec, *m, where);
@@ -459,48 +487,37 @@
     for (const Reservation& r : m->reservations) held += r.job == &job;
   }
   const uint32_t wanted = std::min(job.unplaced(), 40u);
-  while (held < wanted && TeamAllows(job, held + 1)) {
-    Machine* best = nullptr;
-    double best_cost = 0;
-    std::vector<ResidentKey> best_victims;
+  std::vector<Emptying> options;
+  if (held < wanted) {
     for (Machine* m : usable) {
       if (!Allowed(spec, *m, where)) continue;
-      Resources room = m->RoomFor(&job, spec.priority);
-      for (const Reservation& r : m->reservations) {
-        if (r.job == &job) room -= r.need;
-      }
-      std::vector<std::pair<double, ResidentKey>> victims;
-      for (const auto& [key, r] : m->residents) {
-        if (r.stopping) {
-          room += r.need;  // on its way out already
-        } else if (MayPreempt(job, r)) {
-          victims.emplace_back(PreemptionCost(r, now), key);
-        }
-      }
-      std::sort(victims.begin(), victims.end());
-      double cost = 0;
-      std::vector<ResidentKey> chosen;
-      for (const auto& [price, key] : victims) {
-        if (spec.need.FitsIn(room)) break;
-        room += m->residents.at(key).need;
-        cost += price;
-        chosen.push_back(key);
-      }
-      if (!spec.need.FitsIn(room)) continue;
-      if (best == nullptr || cost < best_cost) {
-        best = m;
-        best_cost = cost;
-        best_victims = std::move(chosen);
+      if (auto option = PlanEmptying(job, *m, now)) {
+        options.push_back(std::move(*option));
       }
     }
-    if (best == nullptr) break;
-    best->reservations.push_back({&job, spec.need, spec.priority, now + hold});
-    where.Add(best->zone, 1);
+  }
+  while (held < wanted && TeamAllows(job, held + 1)) {
+    std::erase_if(options, [&](const Emptying& o) {
+      return !Allowed(spec, *o.machine, where);
+    });
+    const auto best = std::min_element(
+        options.begin(), options.end(),
+        [](const Emptying& a, const Emptying& b) { return a.cost < b.cost; });
+    if (best == options.end()) break;
+    Machine& m = *best->machine;
+    m.reservations.push_back({&job, spec.need, spec.priority, now + hold});
+    where.Add(m.zone, 1);
     ++held;
-    for (const ResidentKey& key : best_victims) {
-      const auto it = best->residents.find(key);
-      if (it == best->residents.end()) continue;
-      Preempt(*best, it->second, spec, now);
+    for (const ResidentKey& key : best->victims) {
+      const auto it = m.residents.find(key);
+      // A gang's tasks may have been stopped for their place elsewhere.
+      if (it == m.residents.end() || it->second.stopping) continue;
+      Preempt(m, it->second, spec, now);
+    }
+    if (auto next = PlanEmptying(job, m, now)) {
+      *best = std::move(*next);
+    } else {
+      options.erase(best);
     }
   }
   if (held > 0 || spec.kind != JobKind::kGang) return held > 0;
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -31,12 +31,9 @@
         now - m->rented < tuning_.boot_patience * m->type->boot_s;
     const bool up = m->state() == MachineState::kUp && !Suspect(*m, now);
     if (!coming && !up) continue;
-    Resources free = m->free();
     // Room that is being emptied for a job is as good as there for it.
-    for (const auto& [key, r] : m->residents) {
-      if (r.stopping && r.phase != TaskPhase::kExited) free += r.need;
-    }
-    input.rooms.push_back({{m->type_name, m->zone, m->spot}, free});
+    input.rooms.push_back(
+        {{m->type_name, m->zone, m->spot}, m->free() + m->leaving});
   }
   for (const auto& [name, rental] : rentals_) {
     if (rental.state == RentalState::kSettled) continue;
--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -237,10 +237,13 @@
       }
       const auto it = jobs_.find(op.name);
       if (it == jobs_.end()) break;
+      // A start under way for minutes has turned up since the write was made:
+      // the job goes once that is gone as well.
+      if (it->second->holding() > 0) break;
+      for (const auto& [m, key] : ResidentsOf(*it->second)) {
+        m->residents.at(key).job = nullptr;
+      }
       for (auto& m : machines_) {
-        for (auto& [key, r] : m->residents) {
-          if (r.job == it->second.get()) r.job = nullptr;
-        }
         std::erase_if(m->reservations, [&](const Reservation& r) {
           return r.job == it->second.get();
         });
--- a/core/model/job.cc
+++ b/core/model/job.cc
@@ -99,6 +99,17 @@
   tasks_[i].attempt = attempt;
 }
 
+void Job::ChangePresence(int32_t machine, int holding, int listed) {
+  Presence& here = presence_[machine];
+  here.holding += holding;
+  here.listed += listed;
+  holding_ += holding;
+  if (here.holding < 0 || here.listed < here.holding) {
+    throw IllegalTransition("presence of " + id() + " below what is there");
+  }
+  if (here.listed == 0) presence_.erase(machine);
+}
+
 int64_t Job::PeekPending() {
   while (!pending_.empty()) {
     const uint32_t i = pending_.back();
--- a/core/model/job.h
+++ b/core/model/job.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +16,7 @@
 enum class JobKind : uint8_t { kArray, kGang, kService };
 // In the order of their rank.
 enum class Priority : uint8_t { kProduction, kHigh, kNormal, kLow };
+inline constexpr size_t kPriorities = 4;
 enum class FinalState : uint8_t { kNone, kDone, kAborted };
 
 inline constexpr uint32_t kMaxTasks = 100'000;
@@ -106,6 +108,12 @@
   bool queued = false;  // stands in Job::pending_
 };
 
+// What one machine has of a job.
+struct Presence {
+  int holding = 0;  // attempts that are, or may be, there
+  int listed = 0;   // these, and the exits that the worker still reports
+};
+
 // A job as its leader sees it.
 class Job {
  public:
@@ -133,6 +141,13 @@
   void ChangeTask(uint32_t task, TaskState next);
   void Place(uint32_t task, int32_t machine, uint64_t attempt);
 
+  // Where the job's attempts are, by the index of the machine; kept in step
+  // with the machines' residents, so that nobody has to search them all.
+  const std::map<int32_t, Presence>& presence() const { return presence_; }
+  int holding() const { return holding_; }
+  // The one function for a change of it.
+  void ChangePresence(int32_t machine, int holding, int listed);
+
   // The next task to place, without taking it; -1 when there is none.
   int64_t PeekPending();
   void PopPending();
@@ -151,6 +166,8 @@
   uint32_t done_ = 0;
   uint32_t running_ = 0;
   uint32_t placed_ = 0;
+  std::map<int32_t, Presence> presence_;
+  int holding_ = 0;
 };
 
 }  // namespace oxbow
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -1,6 +1,7 @@
 // Machines, what is on them, and what is known of their images.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -79,6 +80,7 @@
   TaskPhase phase = TaskPhase::kFetching;
   ExitReason reason = ExitReason::kNone;
   Resources need;  // what it holds of the machine; zero once exited
+  bool holds = false;
   Time started = 0;
   Time running_since = 0;
   bool stopping = false;
@@ -166,11 +168,14 @@
   std::map<ResidentKey, Resident> residents;
   Resources used;
   Resources staying;  // the part of it that services hold
+  Resources leaving;  // the part of it that has been told to stop
+  std::array<Resources, kPriorities> used_by;  // by priority
   std::vector<Reservation> reservations;
   std::vector<std::string> failed_jobs;  // distinct jobs that erred here
   Time distrusted_until = 0;
   Time idle_since = 0;
   Time delete_sent = -1e9;
+  Time next_review = 0;
   bool missing_in_list = false;
   double bandwidth = 0;  // measured GB/s; 0 until a fetch was seen
 
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -106,6 +106,7 @@
     Perform();
   }
   CheckRules();
+  CheckIndices();
 }
 
 void Sim::AdvanceWorker(SimWorker& w) {
@@ -497,6 +498,48 @@
   }
 }
 
+void Sim::CheckIndices() {
+  if (!leader_) return;
+  std::map<const Job*, std::map<int32_t, Presence>> jobs;
+  const auto same = [](const Resources& a, const Resources& b) {
+    return a.FitsIn(b) && b.FitsIn(a);
+  };
+  for (const auto& m : leader_->machines()) {
+    Resources used;
+    Resources leaving;
+    std::array<Resources, kPriorities> used_by;
+    for (const auto& [key, r] : m->residents) {
+      if (r.job == nullptr) continue;
+      Presence& here = jobs[r.job][m->index()];
+      ++here.listed;
+      if (r.phase == TaskPhase::kExited) continue;
+      ++here.holding;
+      const Resources& need = r.job->spec().need;
+      used += need;
+      used_by[static_cast<size_t>(r.job->spec().priority)] += need;
+      if (r.stopping) leaving += need;
+    }
+    if (!same(used, m->used) || !same(leaving, m->leaving) ||
+        !std::equal(used_by.begin(), used_by.end(), m->used_by.begin(), same)) {
+      Break("sums of " + m->host());
+    }
+  }
+  for (const auto& [id, job] : leader_->jobs()) {
+    int holding = 0;
+    const auto& fresh = jobs[job.get()];
+    for (const auto& [index, here] : fresh) holding += here.holding;
+    const bool equal =
+        holding == job->holding() &&
+        std::equal(fresh.begin(), fresh.end(), job->presence().begin(),
+                   job->presence().end(), [](const auto& a, const auto& b) {
+                     return a.first == b.first &&
+                            a.second.holding == b.second.holding &&
+                            a.second.listed == b.second.listed;
+                   });
+    if (!equal) Break("presence of " + id);
+  }
+}
+
 void Sim::Break(const std::string& what) { broken_.push_back(what); }
 
 int Sim::CountRunning(const std::string& job) const {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -113,6 +113,8 @@
   void Rent(const RentMachines& rent);
   void After(double seconds, std::function<void()> what);
   void CheckRules();
+  // The leader's indices against a fresh count of what they stand for.
+  void CheckIndices();
   void Break(const std::string& what);
 
   Time now_ = 100;
