Room for a gang is held whole, in one zone, and anew in each pass

Cause: MakeRoom held up to 40 machines for each waiting gang, one by one, and renewed what it held.

Change: MakeGangRoom drops what the gang held and chooses in each pass the zone that can take it whole: by what may be stopped, else by waiting for short work of equal rank to run off. What falls short is kept together for the first gang in turn alone, and nowhere that it can't become whole.

--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -277,11 +277,19 @@
     std::vector<ResidentKey> victims;
   };
   std::optional<Emptying> PlanEmptying(const Job& job, Machine& m,
-                                       Time now) const;
+                                       Resources taken, Time now) const;
+  // Room held on the machine for the job.
+  static Resources HeldFor(const Job& job, const Machine& m);
   // False when there is nothing that could be emptied.
   bool MakeRoom(Job& job, const std::vector<Machine*>& usable, Time now);
+  struct GangSlot {
+    Emptying plan;
+    bool waits = false;  // for short work to run off
+  };
+  bool MakeGangRoom(Job& job, const std::vector<Machine*>& usable, Time now);
   bool MayPreempt(const Job& job, const Resident& victim) const;
   double PreemptionCost(const Resident& victim, Time now) const;
+  // One reservation on the machine; null: all of them, everywhere.
   void DropReservation(const Job* job, Machine* m);
 
   // Order among jobs of one rank: group, then key, least first.
@@ -342,6 +350,7 @@
   uint64_t write_id_ = 0;
   Time writes_not_before_ = 0;
 
+  bool part_is_held_ = false;  // in this pass, for a gang
   bool dirty_ = true;
   bool urgent_dirty_ = true;  // a live service is concerned
   Time next_schedule_ = 0;
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -1,6 +1,7 @@
 // What runs where, on the leader.
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "core/controller/controller.h"
@@ -105,6 +106,7 @@
   const bool accounted = AllAccounted();
   ComputeGuarantees();
   for (Team& team : teams_) team.held = {};
+  part_is_held_ = false;
   std::vector<Job*> order;
   for (auto& [id, job] : jobs_) {
     if (Placeable(*job, now, accounted)) order.push_back(job.get());
@@ -197,13 +199,14 @@
 }
 
 void Controller::DropReservation(const Job* job, Machine* m) {
-  for (auto& other : machines_) {
-    if (m != nullptr && other.get() != m) continue;
-    const auto it =
-        std::find_if(other->reservations.begin(), other->reservations.end(),
-                     [&](const Reservation& r) { return r.job == job; });
-    if (it != other->reservations.end()) other->reservations.erase(it);
+  const auto mine = [&](const Reservation& r) { return r.job == job; };
+  if (m == nullptr) {
+    for (auto& other : machines_) std::erase_if(other->reservations, mine);
+    return;
   }
+  const auto it =
+      std::find_if(m->reservations.begin(), m->reservations.end(), mine);
+  if (it != m->reservations.end()) m->reservations.erase(it);
 }
 
 // How soon the class's tasks are to start; for ever if nobody has said.
@@ -317,7 +320,13 @@
     Footprint where;
     std::vector<Machine*> chosen;
     double fetch = 0;
-    while (chosen.size() < tasks) {
+    // Counted first: choosing is dear, and most zones fall short.
+    uint32_t fits = 0;
+    for (const Machine* m : there) {
+      if (!Allowed(spec, *m, where)) continue;
+      fits += spec.need.TimesIn(m->RoomFor(&job, spec.priority), tasks);
+    }
+    while (fits >= tasks && chosen.size() < tasks) {
       Machine* m = FindPlace(job, there, where, bandwidth);
       if (m == nullptr) break;
       // The gang starts with its slowest fetch.
@@ -333,7 +342,7 @@
     }
   }
   if (best.empty()) {
-    MakeRoom(job, usable, now);
+    MakeGangRoom(job, usable, now);
     return;
   }
   const uint64_t attempt = NextNumber();
@@ -429,16 +438,23 @@
   }
 }
 
+Resources Controller::HeldFor(const Job& job, const Machine& m) {
+  Resources held;
+  for (const Reservation& r : m.reservations) {
+    if (r.job == &job) held += r.need;
+  }
+  return held;
+}
+
 // What would have to be stopped on the machine for one more task of the job,
-// besides what is on its way out already; nothing if even all would not do.
+// when `taken` of its room is spoken for, besides what is on its way out
+// already; nothing if even all would not do.
 std::optional<Controller::Emptying> Controller::PlanEmptying(const Job& job,
                                                              Machine& m,
+                                                             Resources taken,
                                                              Time now) const {
   const JobSpec& spec = job.spec();
-  Resources room = m.RoomFor(&job, spec.priority) + m.leaving;
-  for (const Reservation& r : m.reservations) {
-    if (r.job == &job) room -= r.need;
-  }
+  Resources room = m.RoomFor(&job, spec.priority) + m.leaving - taken;
   // Most machines can be ruled out without a look at each task there.
   const auto rank = static_cast<size_t>(spec.priority);
   Resources most = room;
@@ -464,9 +480,8 @@
   return std::nullopt;
 }
 
-// Nothing fits. Picks the machine whose emptying costs least and holds its
-// room for the job: by stopping what may be stopped or, for work that needs
-// much of a machine, by waiting until short work has run off.
+// Nothing fits. Picks the machines whose emptying costs least and holds their
+// room for the job, by stopping what may be stopped.
 bool Controller::MakeRoom(Job& job, const std::vector<Machine*>& usable,
                           Time now) {
   const JobSpec& spec = job.spec();
@@ -491,7 +506,7 @@
   if (held < wanted) {
     for (Machine* m : usable) {
       if (!Allowed(spec, *m, where)) continue;
-      if (auto option = PlanEmptying(job, *m, now)) {
+      if (auto option = PlanEmptying(job, *m, HeldFor(job, *m), now)) {
         options.push_back(std::move(*option));
       }
     }
@@ -514,37 +529,85 @@
       if (it == m.residents.end() || it->second.stopping) continue;
       Preempt(m, it->second, spec, now);
     }
-    if (auto next = PlanEmptying(job, m, now)) {
+    if (auto next = PlanEmptying(job, m, HeldFor(job, m), now)) {
       *best = std::move(*next);
     } else {
       options.erase(best);
     }
   }
-  if (held > 0 || spec.kind != JobKind::kGang) return held > 0;
-  // Drain: a machine of an allowed type where nothing outlasts short work.
-  Machine* best = nullptr;
-  double best_used = 0;
+  return held > 0;
+}
+
+// Room for a gang is held whole, in one place, and anew in each pass. Gangs
+// that each kept a part of what they needed have waited for one another for
+// ever, with most machines idle.
+bool Controller::MakeGangRoom(Job& job, const std::vector<Machine*>& usable,
+                              Time now) {
+  const JobSpec& spec = job.spec();
+  const uint32_t wanted = job.unplaced();
+  DropReservation(&job, nullptr);
+  std::map<std::string, std::vector<GangSlot>> zones;
+  std::map<std::string, uint32_t> most;  // that could ever be there
   for (Machine* m : usable) {
-    if (!Allowed(spec, *m, where) || !spec.need.FitsIn(m->total()) ||
-        !m->reservations.empty()) {
-      continue;
-    }
-    Resources stays;
+    if (!Allowed(spec, *m, {}) || !spec.need.FitsIn(m->total())) continue;
+    const std::string zone = spec.one_zone ? m->zone : "";
+    std::vector<GangSlot>& slots = zones[zone];
+    most[zone] += spec.need.TimesIn(m->total() - m->staying, wanted);
+    Resources taken;
+    const Resources held = m->free() - m->RoomFor(&job, spec.priority);
+    // Of equal rank, short work is waited for.
+    Resources runs_off = m->total() - held;
     for (const auto& [key, r] : m->residents) {
-      if (r.job != nullptr && r.job->spec().kind != JobKind::kArray) {
-        stays += r.need;
-      }
+      if (r.holds && r.job->spec().kind != JobKind::kArray) runs_off -= r.need;
     }
-    if (!spec.need.FitsIn(m->total() - stays)) continue;
-    if (best == nullptr || m->used.cpus < best_used) {
-      best = m;
-      best_used = m->used.cpus;
+    for (uint32_t n = 0; n < wanted; ++n, taken += spec.need) {
+      if (auto plan = PlanEmptying(job, *m, taken, now)) {
+        slots.push_back({std::move(*plan), false});
+      } else if (spec.need.FitsIn(runs_off - taken)) {
+        slots.push_back({{m, m->used.cpus, {}}, true});
+      } else {
+        break;
+      }
     }
   }
-  if (best != nullptr) {
-    best->reservations.push_back({&job, spec.need, spec.priority, now + hold});
+  std::vector<GangSlot>* best = nullptr;
+  const auto rating = [](const std::vector<GangSlot>& slots) {
+    double cost = 0;
+    size_t waits = 0;
+    for (const GangSlot& slot : slots) {
+      cost += slot.plan.cost;
+      waits += slot.waits;
+    }
+    return std::tuple(slots.size(), -static_cast<double>(waits), -cost);
+  };
+  for (auto& [zone, slots] : zones) {
+    std::sort(slots.begin(), slots.end(),
+              [](const GangSlot& a, const GangSlot& b) {
+                return std::tie(a.waits, a.plan.cost) <
+                       std::tie(b.waits, b.plan.cost);
+              });
+    if (slots.size() > wanted) slots.resize(wanted);
+    // Nothing is kept where the gang can't become whole.
+    if (most[zone] < wanted) continue;
+    if (best == nullptr || rating(slots) > rating(*best)) best = &slots;
+  }
+  if (best == nullptr) return false;
+  const bool whole = best->size() == wanted;
+  // What falls short is kept together for one gang alone, the first in turn.
+  if (!whole && std::exchange(part_is_held_, true)) return false;
+  const bool at_once = whole && !best->back().waits;
+  const double hold = settings_.workers.lease_s;
+  for (const GangSlot& slot : *best) {
+    Machine& m = *slot.plan.machine;
+    m.reservations.push_back({&job, spec.need, spec.priority, now + hold});
+    if (!at_once) continue;
+    for (const ResidentKey& key : slot.plan.victims) {
+      const auto it = m.residents.find(key);
+      if (it == m.residents.end() || it->second.stopping) continue;
+      Preempt(m, it->second, spec, now);
+    }
   }
-  return best != nullptr;
+  return true;
 }
 
 }  // namespace oxbow
--- a/core/model/job.h
+++ b/core/model/job.h
@@ -1,6 +1,7 @@
 // Jobs and their tasks.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -49,6 +50,15 @@
     return cpus <= room.cpus + kEpsilon && gpus <= room.gpus + kEpsilon &&
            memory_gb <= room.memory_gb + kEpsilon;
   }
+  // How many times this much fits, up to `most`.
+  uint32_t TimesIn(const Resources& room, uint32_t most) const {
+    constexpr double kEpsilon = 1e-6;
+    double n = most;
+    if (cpus > 0) n = std::min(n, room.cpus / cpus);
+    if (gpus > 0) n = std::min(n, room.gpus / gpus);
+    if (memory_gb > 0) n = std::min(n, room.memory_gb / memory_gb);
+    return n <= 0 ? 0 : static_cast<uint32_t>(n + kEpsilon);
+  }
 };
 
 struct JobSpec {
--- a/core/provision/provision.cc
+++ b/core/provision/provision.cc
@@ -9,12 +9,7 @@
 namespace {
 
 int TasksThatFit(const Resources& need, const Resources& room) {
-  double n = 1e6;
-  if (need.cpus > 0) n = std::min(n, room.cpus / need.cpus);
-  if (need.gpus > 0) n = std::min(n, room.gpus / need.gpus);
-  if (need.memory_gb > 0) n = std::min(n, room.memory_gb / need.memory_gb);
-  constexpr double kEpsilon = 1e-6;
-  return static_cast<int>(std::max(0.0, std::floor(n + kEpsilon)));
+  return static_cast<int>(need.TimesIn(room, kMaxTasks));
 }
 
 bool KindAllowed(const JobSpec& spec, const SupplyKey& kind) {
