In a calm replicas gather on few machines, a hundredth at a time

Two replicas stand beside each gang's room, which costs nothing while gangs run; after the last gang sixty accelerator machines stayed rented for them for 300 of 808 s. Consolidate emptied one machine in 15 s, and the headroom exception sent the moved replicas beside the next empty room.

Ruled out: idle machines (returned after 40 s), spot prices.

--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -310,7 +310,12 @@
 
   // supply.cc
   void PlanSupply(Time now);
+  // No job has come or waited for so long that room kept for the next one
+  // costs more than it saves.
+  bool Calm(Time now) const;
   void Consolidate(Time now);
+  // Whether replicas may gather on the machine in a calm.
+  bool Gathers(const Machine& m) const;
   bool CanMoveAll(const Machine& from, const std::vector<Machine*>& usable,
                   double spare_cpus) const;
   void Request(const std::string& name, Time now);
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -260,8 +260,13 @@
   // long, and one too many on a machine keeps accelerator work off it all
   // that time. Rather than spoil one, it takes the room of short work.
   std::vector<Machine*> sparing;
+  const bool calm = Calm(now);
   for (Machine* m : usable) {
-    if (!Spoils(spec, *m, accelerator_shape_)) sparing.push_back(m);
+    // In a calm replicas gather where they spoil nothing any more. Two beside
+    // every gang's room had kept sixty machines rented after the last gang.
+    if (calm ? Gathers(*m) : !Spoils(spec, *m, accelerator_shape_)) {
+      sparing.push_back(m);
+    }
   }
   Machine* best = FindPlace(job, sparing, where, bandwidth);
   if (best == nullptr) {
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -121,26 +121,35 @@
       AskDelete(*m, now, "idle");
     }
   }
-  if (now - quiet_since_ > hold && now >= next_consolidation_) Consolidate(now);
+  if (Calm(now) && now >= next_consolidation_) Consolidate(now);
 }
 
-// Empties a dear machine that only replicas still use, when all of them find
+bool Controller::Calm(Time now) const {
+  return now - quiet_since_ >
+         tuning_.idle_return_leases * settings_.workers.lease_s;
+}
+
+bool Controller::Gathers(const Machine& m) const {
+  return m.total().gpus <= 0 || Spoilt(m, accelerator_shape_);
+}
+
+// Empties dear machines that only replicas still use, when all of them find
 // room and their image elsewhere, and so much stays free that the loss of any
-// one machine could still be made good. One machine at a time.
+// one machine could still be made good. Every move is a short gap for its
+// users, so only a small share of all replicas moves at a time.
 void Controller::Consolidate(Time now) {
   std::vector<Machine*> usable;
   double most_staying = 0;
+  size_t replicas = 0;
   for (auto& m : machines_) {
-    if (m->state() == MachineState::kDraining ||
-        m->state() == MachineState::kDeleting) {
-      return;
-    }
+    if (m->state() == MachineState::kDraining) return;
     if (!Usable(*m, now)) continue;
     usable.push_back(m.get());
     most_staying = std::max(most_staying, m->staying.cpus);
+    replicas += m->residents.size();
   }
   const double settled = 3 * settings_.workers.lease_s;
-  Machine* best = nullptr;
+  std::vector<Machine*> emptied;
   for (Machine* m : usable) {
     if (m->staying.cpus <= 0 || m->batch || !m->queue.empty()) continue;
     const bool only_settled_replicas = std::all_of(
@@ -151,21 +160,28 @@
                   r.job->spec().kind == JobKind::kService &&
                   now - r.running_since > settled);
         });
-    if (!only_settled_replicas) continue;
-    const auto dearer = [](const Machine& a, const Machine& b) {
-      const double pa = a.type->price;
-      const double pb = b.type->price;
-      return pa != pb ? pa > pb : a.staying.cpus < b.staying.cpus;
-    };
-    if ((best == nullptr || dearer(*m, *best)) &&
-        CanMoveAll(*m, usable, most_staying)) {
-      best = m;
-    }
+    if (only_settled_replicas) emptied.push_back(m);
+  }
+  std::sort(emptied.begin(), emptied.end(),
+            [](const Machine* a, const Machine* b) {
+              const double pa = a->type->price;
+              const double pb = b->type->price;
+              if (pa != pb) return pa > pb;
+              return a->staying.cpus != b->staying.cpus
+                         ? a->staying.cpus < b->staying.cpus
+                         : a->index() < b->index();
+            });
+  constexpr double kMovedAtOnce = 0.01;
+  size_t moved = 0;
+  for (Machine* m : emptied) {
+    const auto more = moved + m->residents.size();
+    if (moved > 0 && more > kMovedAtOnce * replicas) break;
+    if (!CanMoveAll(*m, usable, most_staying)) continue;
+    moved = more;
+    std::erase(usable, m);
+    next_consolidation_ = now + settings_.workers.lease_s;
+    Drain(*m, now, "its replicas have room elsewhere");
   }
-  if (best == nullptr) return;
-  // Every move is a short gap for its users: a few at a time.
-  next_consolidation_ = now + 1.5 * settings_.workers.lease_s;
-  Drain(*best, now, "its replicas have room elsewhere");
 }
 
 bool Controller::CanMoveAll(const Machine& from,
@@ -179,12 +195,15 @@
     where.Add(from.zone, -1);
     const Machine* to = nullptr;
     for (const Machine* m : usable) {
-      if (m != &from && m->HasImage(spec.image) && Allowed(spec, *m, where) &&
-          spec.need.FitsIn(m->RoomFor(r.job, spec.priority) - taken[m]) &&
-          m->type->price <= from.type->price) {
-        to = m;
-        break;
+      if (m == &from || !m->HasImage(spec.image) || !Allowed(spec, *m, where) ||
+          !spec.need.FitsIn(m->RoomFor(r.job, spec.priority) - taken[m]) ||
+          m->type->price > from.type->price ||
+          // From the emptier to the fuller, or two would change for ever.
+          (m->type->price == from.type->price &&
+           m->staying.cpus < from.staying.cpus)) {
+        continue;
       }
+      if (to == nullptr || (Gathers(*m) && !Gathers(*to))) to = m;
     }
     if (to == nullptr) return false;
     taken[to] += spec.need;
--- a/core/placement/placement.cc
+++ b/core/placement/placement.cc
@@ -84,6 +84,11 @@
   return need.FitsIn(room) && !need.FitsIn(room - spec.need);
 }
 
+bool Spoilt(const Machine& machine, const Resources& shape) {
+  const Resources& need = shape.gpus > 0 ? shape : machine.total();
+  return !need.FitsIn(machine.total() - machine.staying);
+}
+
 Machine* Placer::Choose(const Job& job, std::span<Machine* const> fitting,
                         const Footprint& where, const CountOn& on_machine,
                         double mean_bandwidth) {
--- a/core/placement/placement.h
+++ b/core/placement/placement.h
@@ -47,6 +47,9 @@
 bool Spoils(const JobSpec& spec, const Machine& machine,
             const Resources& shape);
 
+// Whether long stays have taken that room already.
+bool Spoilt(const Machine& machine, const Resources& shape);
+
 class Placer {
  public:
   Placer(const Tuning& tuning, uint64_t seed)
