Relay users' requests when this controller alone can't reach the state

Change: what can't be answered here is relayed once to another controller, which does all of it: its own conditional write accepts, its own fresh read denies. If that one can't either, the next is asked after a pause, so a shared outage is still said at once. Loopback test with two whole controllers.

Ruled out: turning not ready, which in an outage would close every door.

--- a/app/node.cc
+++ b/app/node.cc
@@ -51,6 +51,37 @@
   return state == FinalState::kDone ? "done" : "aborted";
 }
 
+PeerMessage RelayOf(PeerKind kind, std::string id) {
+  PeerMessage message;
+  message.kind = kind;
+  message.job_id = std::move(id);
+  return message;
+}
+
+api::Status StatusOf(const PeerMessage& answer) {
+  api::Status status;
+  if (answer.answer == PeerAnswer::kUnknownJob) {
+    status.found = api::Status::Found::kNo;
+  } else if (answer.answer == PeerAnswer::kYes) {
+    status.found = api::Status::Found::kYes;
+    status.status = answer.text;
+    status.done = answer.done;
+    status.running = answer.running;
+  }
+  return status;
+}
+
+void FillAnswer(const api::Status& status, PeerMessage* reply) {
+  if (status.found == api::Status::Found::kNo) {
+    reply->answer = PeerAnswer::kUnknownJob;
+  } else if (status.found == api::Status::Found::kYes) {
+    reply->answer = PeerAnswer::kYes;
+    reply->text = status.status;
+    reply->done = status.done;
+    reply->running = status.running;
+  }
+}
+
 }  // namespace
 
 Node::Node(net::Loop& loop, const Settings& settings, const Tuning& tuning)
@@ -595,7 +626,61 @@
   co_return status;
 }
 
+// One that alone is cut off from the state service keeps its users for as long
+// as its sockets are good: half a minute of 503 for a fifth of all requests,
+// while four others could have answered. Nothing is accepted, and nothing
+// denied, but by the one who has written or read it.
+net::Task<PeerMessage> Node::Relay(PeerMessage message) {
+  PeerMessage none;
+  if (peers_.empty() || loop_.Now() < relay_not_before_) co_return none;
+  message.node = settings_.node;
+  clients::PeerClient& peer = *peers_[relay_to_ % peers_.size()];
+  const double ratio = message.kind == PeerKind::kRelayCancel
+                           ? kCancelWaitRatio + 2 * kProxyTimeoutRatio
+                           : kProxyTimeoutRatio;
+  const auto answer =
+      co_await peer.Ask(std::move(message), ratio * settings_.workers.lease_s);
+  if (answer.ok && answer.message.answer != PeerAnswer::kNo) {
+    co_return answer.message;
+  }
+  // It is no better off, or not there: in an outage that all share, asking
+  // around for each request would only add to the load.
+  ++relay_to_;
+  relay_not_before_ =
+      loop_.Now() + settings_.workers.report_s / (2.0 * settings_.nodes);
+  co_return none;
+}
+
 net::Task<api::Status> Node::Poll(std::string id) {
+  const api::Status status = co_await PollHere(id);
+  if (status.found != api::Status::Found::kCannotTell) co_return status;
+  co_return StatusOf(co_await Relay(RelayOf(PeerKind::kRelayPoll, id)));
+}
+
+net::Task<api::Status> Node::Cancel(std::string id) {
+  const api::Status status = co_await CancelOrPass(id);
+  if (status.found != api::Status::Found::kCannotTell) co_return status;
+  co_return StatusOf(co_await Relay(RelayOf(PeerKind::kRelayCancel, id)));
+}
+
+net::Task<api::Submitted> Node::Submit(std::shared_ptr<const JobSpec> spec) {
+  using Result = api::Submitted::Result;
+  const api::Submitted here = co_await SubmitHere(spec);
+  if (here.result != Result::kTryLater) co_return here;
+  PeerMessage relay = RelayOf(PeerKind::kRelaySubmit, spec->id);
+  relay.text = clients::EncodeRecord(
+      JobRecord{spec, net::WallNow(), FinalState::kNone, 0});
+  const PeerMessage answer = co_await Relay(std::move(relay));
+  if (answer.answer == PeerAnswer::kYes) {
+    co_return api::Submitted{Result::kAccepted};
+  }
+  if (answer.answer == PeerAnswer::kKnownJob) {
+    co_return api::Submitted{Result::kKnown};
+  }
+  co_return here;
+}
+
+net::Task<api::Status> Node::PollHere(std::string id) {
   api::Status status;
   if (FinalKnown(id, &status) || ViewHere(id, &status)) co_return status;
   clients::PeerClient* leader = LeaderPeer();
@@ -617,7 +702,8 @@
   co_return co_await FreshRead(std::move(id));
 }
 
-net::Task<api::Submitted> Node::Submit(std::shared_ptr<const JobSpec> spec) {
+net::Task<api::Submitted> Node::SubmitHere(
+    std::shared_ptr<const JobSpec> spec) {
   using Result = api::Submitted::Result;
   size_t tasks = spec->tasks;
   for (const auto& [id, job] : catalog_.jobs()) {
@@ -684,7 +770,7 @@
   co_return waiter->state;
 }
 
-net::Task<api::Status> Node::Cancel(std::string id) {
+net::Task<api::Status> Node::CancelOrPass(std::string id) {
   api::Status status;
   if (FinalKnown(id, &status)) co_return status;
   if (!KnownHere(id)) {
@@ -781,6 +867,35 @@
       }
       break;
     }
+    case PeerKind::kRelayPoll:
+      FillAnswer(co_await PollHere(message.job_id), &reply);
+      break;
+    case PeerKind::kRelayCancel:
+      FillAnswer(co_await CancelOrPass(message.job_id), &reply);
+      break;
+    case PeerKind::kRelaySubmit: {
+      rapidjson::Document doc;
+      Record record;
+      doc.Parse(message.text.data(), message.text.size());
+      if (doc.HasParseError() ||
+          !clients::DecodeRecord(keys::Of(keys::kJob, message.job_id), doc,
+                                 &record)) {
+        break;
+      }
+      const auto* job = std::get_if<JobRecord>(&record);
+      if (job == nullptr) break;
+      if (KnownHere(message.job_id)) {
+        reply.answer = PeerAnswer::kKnownJob;
+        break;
+      }
+      const api::Submitted submitted = co_await SubmitHere(job->spec);
+      if (submitted.result == api::Submitted::Result::kAccepted) {
+        reply.answer = PeerAnswer::kYes;
+      } else if (submitted.result == api::Submitted::Result::kKnown) {
+        reply.answer = PeerAnswer::kKnownJob;
+      }
+      break;
+    }
     default:
       break;
   }
--- a/app/node.h
+++ b/app/node.h
@@ -80,6 +80,12 @@
   net::Task<void> DoDelete(std::vector<std::string> hosts, uint64_t revision);
 
   net::Task<clients::PeerMessage> OnPeer(clients::PeerMessage message);
+  // Hands a user's request to another controller, once and no further, when
+  // this one cannot reach the state service.
+  net::Task<clients::PeerMessage> Relay(clients::PeerMessage message);
+  net::Task<api::Status> PollHere(std::string id);
+  net::Task<api::Status> CancelOrPass(std::string id);
+  net::Task<api::Submitted> SubmitHere(std::shared_ptr<const JobSpec> spec);
   net::Task<FinalState> CancelHere(std::string id);
   // Reads the job afresh; brings the catalog up to date.
   net::Task<api::Status> FreshRead(std::string id);
@@ -106,6 +112,8 @@
   bool renewing_ = false;
   bool probing_ = false;
   bool performing_ = false;
+  size_t relay_to_ = 0;  // the peer that takes what is relayed
+  net::Time relay_not_before_ = 0;
   net::Time next_renewal_ = 0;
   net::Time next_promise_ = 0;
   net::Time started_;
--- a/clients/peer.h
+++ b/clients/peer.h
@@ -21,9 +21,13 @@
   kPromise,  // do not seek leadership for a while
   kHint,     // a job was accepted here
   kReply,
+  // A user's request, for one who cannot reach the state service.
+  kRelayPoll,
+  kRelayCancel,
+  kRelaySubmit,
 };
 
-enum class PeerAnswer : uint8_t { kNo, kYes, kUnknownJob };
+enum class PeerAnswer : uint8_t { kNo, kYes, kUnknownJob, kKnownJob };
 
 inline constexpr uint32_t kMaxFrame = 64 * 1024;
 
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -370,5 +370,59 @@
   }(this));
 }
 
+// Two controllers; the second never reaches the state service.
+class CutOffNode : public WholeNode {
+ public:
+  CutOffNode() {
+    cut_off_ = settings_;
+    cut_off_.node = "b";
+    cut_off_.listen = Local(FreePort()).ToString();
+    cut_off_.peer_listen = Local(FreePort()).ToString();
+    cut_off_.state_address = Local(FreePort()).ToString();
+    cut_off_.peers = {{"a", "a", settings_.peer_listen}};
+    cut_off_.nodes = 2;
+    other_ = std::make_unique<app::Node>(loop_, cut_off_, tuning_);
+    other_->Start();
+    net::Address address;
+    net::ParseAddress(cut_off_.listen, &address);
+    near_ = std::move(client_);
+    client_ = std::make_unique<net::HttpClient>(loop_, address, 100'000);
+  }
+
+  Task<void> UntilBothAreUp() {
+    for (int i = 0; i < 300; ++i) {
+      const auto r = co_await near_->Request("GET", "/ready", "", 1);
+      if (r.ok() && other_->Types() != nullptr) co_return;
+      co_await loop_.Sleep(0.02);
+    }
+    ADD_FAILURE() << "never up";
+  }
+
+  Settings cut_off_;
+  std::unique_ptr<app::Node> other_;
+  std::unique_ptr<net::HttpClient> near_;
+};
+
+TEST_F(CutOffNode, RelaysToOneThatReachesTheStateService) {
+  RunToEnd(loop_, [](CutOffNode* t) -> Task<void> {
+    co_await t->UntilBothAreUp();
+    const std::string jobs = "/v2/runs";
+    EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 201);
+    EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000001", ""), 200);
+    EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 200);
+    // Denied only because the other one has read it afresh.
+    EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000002", ""), 404);
+    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000001/cancel"), 200);
+    EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000001", ""), 200);
+    EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
+    // An outage that both share is said at once.
+    t->state_.down = true;
+    const double asked = t->loop_.Now();
+    EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000003")), 503);
+    EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000004", ""), 503);
+    EXPECT_LT(t->loop_.Now() - asked, 1);
+  }(this));
+}
+
 }  // namespace
 }  // namespace oxbow
