Room kept in part for a gang is lent to lower ranks meanwhile

Change: a reservation that does not make a gang whole binds equal rank only; what ranks lower may use the room and makes way when the time comes.

--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -636,7 +636,8 @@
   const double hold = settings_.workers.lease_s;
   for (const GangSlot& slot : *best) {
     Machine& m = *slot.plan.machine;
-    m.reservations.push_back({&job, spec.need, spec.priority, now + hold});
+    m.reservations.push_back(
+        {&job, spec.need, spec.priority, now + hold, !whole});
     if (!at_once) continue;
     for (const ResidentKey& key : slot.plan.victims) {
       const auto it = m.residents.find(key);
--- a/core/model/machine.cc
+++ b/core/model/machine.cc
@@ -35,7 +35,8 @@
 Resources Machine::RoomFor(const Job* job, Priority priority) const {
   Resources room = free();
   for (const Reservation& r : reservations) {
-    if (r.job != job && r.priority <= priority) room -= r.need;
+    const bool binds = r.part ? r.priority == priority : r.priority <= priority;
+    if (r.job != job && binds) room -= r.need;
   }
   return room;
 }
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -112,6 +112,9 @@
   Resources need;
   Priority priority = Priority::kNormal;
   Time until = 0;
+  // Kept for a job that can't start yet. Work of lower rank may use the room
+  // meanwhile, since it makes way when the time comes.
+  bool part = false;
 };
 
 class Machine {
