--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -179,9 +179,15 @@
     if (!CanMoveAll(*m, usable, most_staying)) continue;
     moved = more;
     std::erase(usable, m);
-    next_consolidation_ = now + settings_.workers.lease_s;
     Drain(*m, now, "its replicas have room elsewhere");
   }
+  if (moved == 0) return;
+  // Where one machine alone holds more than that share, the next one waits.
+  constexpr double kLongestPause = 3;
+  const double share = static_cast<double>(moved) / replicas;
+  next_consolidation_ =
+      now + settings_.workers.lease_s *
+                std::clamp(share / kMovedAtOnce, 1.0, kLongestPause);
 }
 
 bool Controller::CanMoveAll(const Machine& from,
