A new leader gives up machines that it has never heard

Known machines that fall silent are deleted after 4.5 s.

Change: an unheard machine is given up like a silent one, counted from the takeover, at which every machine is asked; the cloud's confirmation is the certainty. Still not when many are silent.

Failed in between: asking unheard machines again twice a report.

--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -685,9 +685,13 @@
   // A silent machine is deleted before its lease ends: the confirmation frees
   // its tasks sooner. Not when many are silent at once, for then it is the
   // network, and they will be back.
-  if (m.reported && m.recorded_up &&
-      now - m.last_heard > tuning_.give_up_ratio * lease &&
-      now - started_ > lease && !m.residents.empty()) {
+  // One that a new leader has never heard counts from its takeover, in which
+  // every machine was asked: what it may hold keeps all old jobs waiting.
+  const bool matters = m.reported
+                           ? !m.residents.empty() && now - started_ > lease
+                           : !m.residents.empty() || silence < lease;
+  if (m.recorded_up && matters &&
+      now - std::max(m.last_heard, started_) > tuning_.give_up_ratio * lease) {
     int up = 0;
     int silent = 0;
     for (const auto& other : machines_) {
