What lasts on a machine is a kept sum; MakeGangRoom looks at no task

Change: Machine::lasting, kept by Hold and Release, compared with a fresh count in every scenario, like staying, which was not compared before.

--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -260,6 +260,7 @@
   m.used += r.need;
   m.used_by[static_cast<size_t>(spec.priority)] += r.need;
   if (spec.kind == JobKind::kService) m.staying += r.need;
+  if (spec.kind != JobKind::kArray) m.lasting += r.need;
   if (r.stopping) m.leaving += r.need;
   if (r.job->team() >= 0) teams_[r.job->team()].used += r.need;
   r.job->ChangePresence(m.index(), 1, 0);
@@ -271,6 +272,7 @@
   m.used -= r.need;
   m.used_by[static_cast<size_t>(spec.priority)] -= r.need;
   if (spec.kind == JobKind::kService) m.staying -= r.need;
+  if (spec.kind != JobKind::kArray) m.lasting -= r.need;
   if (r.stopping) m.leaving -= r.need;
   if (r.job->team() >= 0) teams_[r.job->team()].used -= r.need;
   r.job->ChangePresence(m.index(), -1, 0);
@@ -422,7 +424,7 @@
   for (const auto& [key, r] : m.residents) keys.push_back(key);
   for (const ResidentKey& key : keys) Gone(m, key);
   // Nothing is left of it but what rounding may have left.
-  m.used = m.staying = m.leaving = {};
+  m.used = m.staying = m.lasting = m.leaving = {};
   m.used_by = {};
   dirty_ = true;
 }
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -593,10 +593,7 @@
     Resources taken;
     const Resources held = m->free() - m->RoomFor(&job, spec.priority);
     // Of equal rank, short work is waited for.
-    Resources runs_off = m->total() - held;
-    for (const auto& [key, r] : m->residents) {
-      if (r.holds && r.job->spec().kind != JobKind::kArray) runs_off -= r.need;
-    }
+    const Resources runs_off = m->total() - held - m->lasting;
     for (uint32_t n = 0; n < wanted; ++n, taken += spec.need) {
       if (auto plan = PlanEmptying(job, *m, taken, now)) {
         slots.push_back({std::move(*plan), false});
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -171,6 +171,7 @@
   std::map<ResidentKey, Resident> residents;
   Resources used;
   Resources staying;  // the part of it that services hold
+  Resources lasting;  // the part of it that is no short work
   Resources leaving;  // the part of it that has been told to stop
   std::array<Resources, kPriorities> used_by;  // by priority
   std::vector<Reservation> reservations;
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -506,6 +506,8 @@
   };
   for (const auto& m : leader_->machines()) {
     Resources used;
+    Resources staying;
+    Resources lasting;
     Resources leaving;
     std::array<Resources, kPriorities> used_by;
     for (const auto& [key, r] : m->residents) {
@@ -518,8 +520,12 @@
       used += need;
       used_by[static_cast<size_t>(r.job->spec().priority)] += need;
       if (r.stopping) leaving += need;
+      const JobKind kind = r.job->spec().kind;
+      if (kind == JobKind::kService) staying += need;
+      if (kind != JobKind::kArray) lasting += need;
     }
     if (!same(used, m->used) || !same(leaving, m->leaving) ||
+        !same(staying, m->staying) || !same(lasting, m->lasting) ||
         !std::equal(used_by.begin(), used_by.end(), m->used_by.begin(), same)) {
       Break("sums of " + m->host());
     }
