--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -172,10 +172,11 @@
                          : a->index() < b->index();
             });
   constexpr double kMovedAtOnce = 0.01;
+  const double at_once = kMovedAtOnce * static_cast<double>(replicas);
   size_t moved = 0;
   for (Machine* m : emptied) {
     const auto more = moved + m->residents.size();
-    if (moved > 0 && more > kMovedAtOnce * replicas) break;
+    if (moved > 0 && static_cast<double>(more) > at_once) break;
     if (!CanMoveAll(*m, usable, most_staying)) continue;
     moved = more;
     std::erase(usable, m);
@@ -184,10 +185,10 @@
   if (moved == 0) return;
   // Where one machine alone holds more than that share, the next one waits.
   constexpr double kLongestPause = 3;
-  const double share = static_cast<double>(moved) / replicas;
   next_consolidation_ =
-      now + settings_.workers.lease_s *
-                std::clamp(share / kMovedAtOnce, 1.0, kLongestPause);
+      now +
+      settings_.workers.lease_s *
+          std::clamp(static_cast<double>(moved) / at_once, 1.0, kLongestPause);
 }
 
 bool Controller::CanMoveAll(const Machine& from,
