Reread: one function stops a plan's victims, Spoils asks Spoilt

MakeRoom and MakeGangRoom each had the loop that stops what a plan names, and Spoils and Spoilt the same two lines; behaviour as it was.

--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -285,6 +285,7 @@
   };
   std::optional<Emptying> PlanEmptying(const Job& job, Machine& m,
                                        Resources taken, Time now) const;
+  void CarryOut(const Emptying& plan, const JobSpec& for_job, Time now);
   // Room held on the machine for the job.
   static Resources HeldFor(const Job& job, const Machine& m);
   // False when there is nothing that could be emptied.
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -517,6 +517,17 @@
   return std::nullopt;
 }
 
+void Controller::CarryOut(const Emptying& plan, const JobSpec& for_job,
+                          Time now) {
+  Machine& m = *plan.machine;
+  for (const ResidentKey& key : plan.victims) {
+    const auto it = m.residents.find(key);
+    // A gang's tasks may have been stopped for their place elsewhere.
+    if (it == m.residents.end() || it->second.stopping) continue;
+    Preempt(m, it->second, for_job, now);
+  }
+}
+
 // Nothing fits. Picks the machines whose emptying costs least and holds their
 // room for the job, by stopping what may be stopped.
 bool Controller::MakeRoom(Job& job, const std::vector<Machine*>& usable,
@@ -560,12 +571,7 @@
     m.reservations.push_back({&job, spec.need, spec.priority, now + hold});
     where.Add(m.zone, 1);
     ++held;
-    for (const ResidentKey& key : best->victims) {
-      const auto it = m.residents.find(key);
-      // A gang's tasks may have been stopped for their place elsewhere.
-      if (it == m.residents.end() || it->second.stopping) continue;
-      Preempt(m, it->second, spec, now);
-    }
+    CarryOut(*best, spec, now);
     if (auto next = PlanEmptying(job, m, HeldFor(job, m), now)) {
       *best = std::move(*next);
     } else {
@@ -635,12 +641,7 @@
     Machine& m = *slot.plan.machine;
     m.reservations.push_back(
         {&job, spec.need, spec.priority, now + hold, !whole});
-    if (!at_once) continue;
-    for (const ResidentKey& key : slot.plan.victims) {
-      const auto it = m.residents.find(key);
-      if (it == m.residents.end() || it->second.stopping) continue;
-      Preempt(m, it->second, spec, now);
-    }
+    if (at_once) CarryOut(slot.plan, spec, now);
   }
   return true;
 }
--- a/core/placement/placement.cc
+++ b/core/placement/placement.cc
@@ -78,15 +78,14 @@
       machine.total().gpus <= 0) {
     return false;
   }
-  // Until the first such task is seen, it may need all there is.
-  const Resources& need = shape.gpus > 0 ? shape : machine.total();
-  const Resources room = machine.total() - machine.staying;
-  return need.FitsIn(room) && !need.FitsIn(room - spec.need);
+  return !Spoilt(machine, shape) && Spoilt(machine, shape, spec.need);
 }
 
-bool Spoilt(const Machine& machine, const Resources& shape) {
+bool Spoilt(const Machine& machine, const Resources& shape,
+            const Resources& more) {
+  // Until the first such task is seen, it may need all there is.
   const Resources& need = shape.gpus > 0 ? shape : machine.total();
-  return !need.FitsIn(machine.total() - machine.staying);
+  return !need.FitsIn(machine.total() - machine.staying - more);
 }
 
 Machine* Placer::Choose(const Job& job, std::span<Machine* const> fitting,
--- a/core/placement/placement.h
+++ b/core/placement/placement.h
@@ -47,8 +47,9 @@
 bool Spoils(const JobSpec& spec, const Machine& machine,
             const Resources& shape);
 
-// Whether long stays have taken that room already.
-bool Spoilt(const Machine& machine, const Resources& shape);
+// Whether long stays, and `more` beside them, take that room.
+bool Spoilt(const Machine& machine, const Resources& shape,
+            const Resources& more = {});
 
 class Placer {
  public:
