A peer that goes away no longer breaks the heap of the others

Three controllers run as processes under ASan ended when one was killed: in PeerServer::Serve the handler was a lambda temporary inside a co_await, and GCC 12 releases what such a temporary has captured twice. Each peer connection that closed counted the connection's references down once too often.

The handler is named before it is awaited. Ruled out: a flag of the compiler (there is none) and passing a raw pointer (the connection would have no owner while answers are on their way). The other awaits were looked through.

The stand-ins of the loopback tests become a library of their own (stand_ins): the state service's leases end now, workers report, run instances and answer health checks on cue.

--- a/clients/peer.cc
+++ b/clients/peer.cc
@@ -166,11 +166,14 @@
 
 net::Task<void> PeerServer::Serve(std::shared_ptr<PeerConnection> connection) {
   ++open_;
-  co_await connection->Read(
+  // Named, not a temporary of the await: what a temporary lambda there has
+  // captured is released twice by GCC 12, and each peer that went away took a
+  // piece of the heap with it.
+  const std::function<void(PeerMessage)> on_message =
       [this, connection](PeerMessage message) {
         net::Spawn(Answer(connection, std::move(message)));
-      },
-      kIdle);
+      };
+  co_await connection->Read(on_message, kIdle);
   --open_;
 }
 
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -10,6 +10,7 @@
 #include "clients/json.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "tests/stand_ins.h"
 
 // Servers run until their process ends, so a test that stops its loop leaves
 // their suspended coroutines behind.
@@ -24,6 +25,10 @@
 using net::HttpResponse;
 using net::Loop;
 using net::Task;
+using test::FakeCloud;
+using test::FakeState;
+using test::FreePort;
+using test::Local;
 
 // Runs one coroutine to its end, with a limit so that no test hangs.
 void RunToEnd(Loop& loop, Task<void> body) {
@@ -38,8 +43,6 @@
   EXPECT_TRUE(ended) << "timed out";
 }
 
-net::Address Local(uint16_t port) { return {"127.0.0.1", port}; }
-
 Task<HttpResponse> Echo(HttpRequest request) {
   HttpResponse response;
   response.body =
@@ -121,143 +124,6 @@
            }(client, nobody));
 }
 
-// The state service: keys with revisions, transactions, watches.
-class FakeState {
- public:
-  bool down = false;
-
-  explicit FakeState(Loop& loop)
-      : loop_(loop), server_(loop, Local(0), {}, [this](HttpRequest r) {
-          return Handle(std::move(r));
-        }) {
-    net::Spawn(server_.Run());
-  }
-  uint16_t port() const { return server_.port(); }
-
- private:
-  struct Change {
-    std::string key;
-    std::string value;  // empty: deleted
-    uint64_t stamp;
-  };
-
-  static std::string Item(const std::string& key, const Change& c) {
-    return "{\"key\":\"" + key + "\",\"v\":" + c.value +
-           ",\"stamp\":" + std::to_string(c.stamp) + "}";
-  }
-  std::string Ledger() const {
-    return "\"ledger_no\":" + std::to_string(revision_);
-  }
-
-  Task<HttpResponse> Handle(HttpRequest request) {
-    HttpResponse response;
-    const std::string path(request.path());
-    const std::string prefix(request.query("prefix"));
-    if (path == "/follow") {
-      const auto after = std::stoull(std::string(request.query("after")));
-      for (int i = 0; i < 200 && (revision_ <= after || down); ++i) {
-        co_await loop_.Sleep(0.01);
-      }
-      std::string log;
-      for (const Change& c : log_) {
-        if (c.stamp <= after || !c.key.starts_with(prefix)) continue;
-        if (!log.empty()) log += ",";
-        log += c.value.empty() ? "{\"delete\":\"" + c.key + "\""
-                               : "{\"set\":\"" + c.key + "\",\"v\":" + c.value;
-        log += ",\"stamp\":" + std::to_string(c.stamp) + "}";
-      }
-      response.body = "{" + Ledger() + ",\"log\":[" + log + "]}";
-      co_return response;
-    }
-    if (down) {
-      response.status = 503;
-      co_return response;
-    }
-    if (path == "/kv") {
-      std::string items;
-      for (const auto& [key, c] : keys_) {
-        if (!key.starts_with(prefix)) continue;
-        if (!items.empty()) items += ",";
-        items += Item(key, c);
-      }
-      response.body =
-          "{\"pairs\":[" + items + "],\"has_next\":false," + Ledger() + "}";
-    } else if (path.starts_with("/kv/")) {
-      const auto it = keys_.find(path.substr(4));
-      response.status = it == keys_.end() ? 404 : 200;
-      response.body = it == keys_.end() ? "{" + Ledger() + "}"
-                                        : Item(it->first, it->second);
-    } else if (path == "/txn") {
-      Transaction(request.body, &response);
-    } else {
-      response.body = "{\"permit\":1}";
-    }
-    co_return response;
-  }
-
-  void Transaction(const std::string& body, HttpResponse* response) {
-    rapidjson::Document doc;
-    doc.Parse(body.c_str());
-    std::string failed;
-    for (const auto& c : doc["if"].GetArray()) {
-      const auto it = keys_.find(c["key"].GetString());
-      if ((it == keys_.end() ? 0 : it->second.stamp) !=
-          c["stamp"].GetUint64()) {
-        failed = "\"" + std::string(c["key"].GetString()) + "\"";
-      }
-    }
-    if (!failed.empty()) {
-      response->status = 409;
-      response->body = "{\"failed\":[" + failed + "]," + Ledger() + "}";
-      return;
-    }
-    ++revision_;
-    for (const auto& c : doc["then"].GetArray()) {
-      Change change{"", "", revision_};
-      if (c.HasMember("set")) {
-        rapidjson::StringBuffer buffer;
-        rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
-        c["v"].Accept(w);
-        change.key = c["set"].GetString();
-        change.value = buffer.GetString();
-        keys_[change.key] = change;
-      } else {
-        change.key = c["delete"].GetString();
-        keys_.erase(change.key);
-      }
-      log_.push_back(change);
-    }
-    response->body = "{" + Ledger() + "}";
-  }
-
-  Loop& loop_;
-  std::map<std::string, Change> keys_;
-  std::vector<Change> log_;
-  uint64_t revision_ = 5;
-  net::HttpServer server_;
-};
-
-Task<HttpResponse> FakeCloud(HttpRequest request) {
-  HttpResponse response;
-  if (request.path() == "/flavors") {
-    response.body =
-        R"({"fleets":[{"name":"g8","cores":8,"accelerators":0,"memory_gb":64,
-        "cache_gb":50,"fetch_gb_per_s":1.0,"hourly":1.0,"low_price":0.5,
-        "startup_s":5,"yards":["a"]}]})";
-  } else if (request.path() == "/machines" && request.method == "GET") {
-    response.body = R"({"hosts":[],"has_next":false})";
-  } else {
-    response.status = 503;
-    response.body = R"({"error":"no capacity"})";
-  }
-  co_return response;
-}
-
-uint16_t FreePort() {
-  Loop loop;
-  return net::Listener(loop, Local(0)).port();
-}
-
 std::string JobJson(const std::string& id, const std::string& crew = "t") {
   return R"({"id":")" + id + R"(","duty":"d","crew":")" + crew +
          R"(","form":"batch","standing":"standard","legs":2,"cores":1.0,
@@ -266,10 +132,34 @@
          "bookmark_s":0.0,"stow_s":0.0})";
 }
 
+TEST(Loopback, APeerThatGoesAwayTakesNothingWithIt) {
+  Loop loop;
+  clients::PeerServer server(
+      loop, Local(0), [](clients::PeerMessage m) -> Task<clients::PeerMessage> {
+        co_return m;
+      });
+  net::Spawn(server.Run());
+  RunToEnd(loop, [](Loop& l, uint16_t port) -> Task<void> {
+    clients::PeerMessage ask;
+    ask.job_id = "job-000001";
+    const std::string frame = clients::EncodeFrame(ask);
+    for (int i = 0; i < 20; ++i) {
+      const net::Address address = Local(port);
+      auto socket = co_await net::Socket::Connect(l, address, l.Now() + 1);
+      co_await socket->Write(frame, l.Now() + 1);
+      std::array<char, 256> buffer;
+      const ssize_t n =
+          co_await socket->Read(buffer.data(), buffer.size(), l.Now() + 2);
+      EXPECT_GT(n, 0);
+      socket.reset();
+      co_await l.Sleep(0.005);
+    }
+  }(loop, server.port()));
+}
+
 class WholeNode : public testing::Test {
  public:
-  WholeNode() : state_(loop_), cloud_(loop_, Local(0), {}, FakeCloud) {
-    net::Spawn(cloud_.Run());
+  WholeNode() : state_(loop_), cloud_(loop_) {
     settings_.node = "a";
     settings_.zone = "a";
     settings_.listen = Local(FreePort()).ToString();
@@ -313,7 +203,7 @@
 
   Loop loop_;
   FakeState state_;
-  net::HttpServer cloud_;
+  FakeCloud cloud_;
   Settings settings_;
   Tuning tuning_;
   std::unique_ptr<app::Node> node_;
--- /dev/null
+++ b/tests/stand_ins.h
@@ -0,0 +1,147 @@
+// Stand-ins on loopback for what a controller talks to: the state service, the
+// cloud, and workers whose instances answer health checks on cue. They follow
+// the published protocol and keep their own account of what is there.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/loop.h"
+
+namespace oxbow::test {
+
+inline net::Address Local(uint16_t port) { return {"127.0.0.1", port}; }
+uint16_t FreePort();
+
+// Keys with revisions, transactions, watches, leases that end.
+class FakeState {
+ public:
+  bool down = false;
+
+  explicit FakeState(net::Loop& loop);
+  uint16_t port() const { return server_.port(); }
+  // The value of a key, as JSON; empty when it does not exist.
+  std::string Value(const std::string& key) const;
+
+ private:
+  struct Change {
+    std::string key;
+    std::string value;  // empty: deleted
+    uint64_t stamp = 0;
+    uint64_t lease = 0;
+  };
+  struct Lease {
+    double ttl_s = 0;
+    double until = 0;
+  };
+
+  net::Task<net::HttpResponse> Handle(net::HttpRequest request);
+  net::Task<net::HttpResponse> Follow(const net::HttpRequest& request);
+  void Transaction(const std::string& body, net::HttpResponse* response);
+  void Leases(const net::HttpRequest& request, net::HttpResponse* response);
+  void Delete(const std::string& key);
+  net::Task<void> EndLeases();
+  std::string Ledger() const;
+
+  net::Loop& loop_;
+  std::map<std::string, Change> keys_;
+  std::vector<Change> log_;
+  std::map<uint64_t, Lease> leases_;
+  uint64_t next_lease_ = 1;
+  uint64_t revision_ = 5;
+  net::HttpServer server_;
+};
+
+// One machine type in two zones; never has a machine to rent.
+class FakeCloud {
+ public:
+  explicit FakeCloud(net::Loop& loop);
+  uint16_t port() const { return server_.port(); }
+  // What is listed, in the protocol's words.
+  std::function<std::string()> listed = [] { return std::string(); };
+  std::function<void(const std::string& host)> on_delete;
+
+ private:
+  net::Task<net::HttpResponse> Handle(net::HttpRequest request);
+
+  net::HttpServer server_;
+};
+
+// How the instances of a job answer.
+struct Cue {
+  double sick_after = 1e18;  // s of running
+  double flap_s = 0;
+  enum class Way { kError, kEmpty, kSilent } way = Way::kError;
+};
+
+// A worker at an address of its own in 127.0.0.0/8. Its instances answer at
+// the port for health of that address, under /health/JOB/TASK.
+class FakeWorker {
+ public:
+  struct Timing {
+    double report_s = 0.2;
+    double lease_s = 2;
+    uint16_t health_port = 0;
+  };
+
+  FakeWorker(net::Loop& loop, std::string host, std::string ip,
+             std::string zone, Timing timing,
+             std::vector<std::pair<std::string, net::Address>> controllers,
+             const std::map<std::string, Cue>& cues);
+  void Start();
+  // Gone with all that is on it.
+  void Die() { dead_ = true; }
+  bool dead() const { return dead_; }
+  void Notice(double seconds) { notice_ = seconds; }
+  bool noticed() const { return notice_ > 0; }
+  const std::string& host() const { return host_; }
+  std::string ListItem() const;
+  // Instances of the job that are well, by the worker's own account.
+  int Well(const std::string& job) const;
+  int Present(const std::string& job) const;
+
+ private:
+  struct Instance {
+    std::string job;
+    uint32_t task = 0;
+    uint64_t attempt = 0;
+    bool exited = false;
+    double running_from = 0;
+  };
+
+  net::Task<void> Live();
+  net::Task<bool> Report();
+  net::Task<net::HttpResponse> Handle(net::HttpRequest request);
+  net::Task<net::HttpResponse> Health(net::HttpRequest request);
+  std::string Message();
+  void Execute(const std::string& body);
+  bool IsWell(const Instance& i) const;
+
+  net::Loop& loop_;
+  std::string host_;
+  std::string ip_;
+  std::string zone_;
+  Timing timing_;
+  std::vector<std::pair<std::string, net::Address>> controllers_;
+  const std::map<std::string, Cue>& cues_;
+  std::vector<std::unique_ptr<net::HttpClient>> clients_;
+  size_t at_ = 0;  // the controller it reports to
+  net::HttpServer orders_;
+  net::HttpServer health_;
+  std::map<std::string, Instance> instances_;
+  uint64_t session_ = 1;
+  uint64_t seq_ = 0;
+  uint64_t token_ = 0;
+  double lease_from_ = 0;
+  double notice_ = 0;
+  bool changed_ = false;
+  bool dead_ = false;
+};
+
+}  // namespace oxbow::test
