--- a/api/api.cc
+++ b/api/api.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "api/answers.h"
 #include "api/job_json.h"
 #include "clients/json.h"
 #include "clients/worker.h"
@@ -13,33 +14,6 @@
 
 constexpr std::string_view kJobs = "/v2/runs";
 constexpr std::string_view kCancelEnd = "/cancel";
-constexpr int kRetryAfter = 1;
-
-net::HttpResponse Error(int status, std::string_view text) {
-  rapidjson::StringBuffer buffer;
-  json::Writer w(buffer);
-  w.StartObject();
-  json::Field(w, "error", text);
-  w.EndObject();
-  net::HttpResponse response;
-  response.status = status;
-  response.body = json::Text(buffer);
-  return response;
-}
-
-// At once, with the time to come back: a request is never held back so that
-// its user does not ask again.
-net::HttpResponse TryLater(std::string_view why) {
-  net::HttpResponse response = Error(503, why);
-  response.retry_after_s = kRetryAfter;
-  return response;
-}
-
-net::HttpResponse WrongMethod(std::string_view allowed) {
-  net::HttpResponse response = Error(405, "method not allowed");
-  response.allow = allowed;
-  return response;
-}
 
 std::string JobBody(const std::string& id, std::string_view status) {
   rapidjson::StringBuffer buffer;
@@ -68,6 +42,9 @@
     response.body = "{}";
     co_return response;
   }
+  if (rollouts_ != nullptr && rollouts_->Takes(path)) {
+    co_return co_await rollouts_->Handle(std::move(request));
+  }
   if (path == kJobs) {
     if (!post) co_return WrongMethod("POST");
     co_return co_await Submit(std::move(request.body));
--- a/api/api.h
+++ b/api/api.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "api/rollout_routes.h"
 #include "core/controller/controller.h"
 #include "core/model/job.h"
 #include "net/http.h"
@@ -50,7 +51,9 @@
 
 class Api {
  public:
-  explicit Api(Service& service) : service_(service) {}
+  // `rollouts` may be null.
+  explicit Api(Service& service, RolloutRoutes* rollouts = nullptr)
+      : service_(service), rollouts_(rollouts) {}
   net::Task<net::HttpResponse> Handle(net::HttpRequest request);
 
  private:
@@ -62,6 +65,7 @@
   net::HttpResponse Report(const std::string& body);
 
   Service& service_;
+  RolloutRoutes* rollouts_;
 };
 
 }  // namespace oxbow::api
--- /dev/null
+++ b/api/field_reader.h
@@ -0,0 +1,107 @@
+// Takes the fields of a JSON object one by one and names the first that is
+// wrong.
+#pragma once
+
+#include <rapidjson/document.h>
+
+#include <cmath>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "api/wire_names.h"
+#include "clients/json.h"
+
+namespace oxbow::api {
+
+// Takes fields out of a description and remembers the first that is wrong.
+class FieldReader {
+ public:
+  explicit FieldReader(const rapidjson::Value& object) : object_(object) {}
+
+  const std::string& error() const { return error_; }
+
+  void String(const char* key, std::string* out) {
+    const auto* v = json::Find(object_, key);
+    if (v == nullptr || !v->IsString() || v->GetStringLength() == 0) {
+      return Fail(key);
+    }
+    *out = std::string(json::View(*v));
+  }
+  void OptionalString(const char* key, std::optional<std::string>* out) {
+    const auto* v = json::Find(object_, key);
+    if (v == nullptr) return;
+    if (!v->IsString()) return Fail(key);
+    *out = std::string(json::View(*v));
+  }
+  void Amount(const char* key, double least, double* out) {
+    const auto* v = json::Find(object_, key);
+    if (v == nullptr || !v->IsNumber()) return Fail(key);
+    *out = v->GetDouble();
+    if (!std::isfinite(*out) || *out < least || *out > kMostAmount) Fail(key);
+  }
+  void OptionalAmount(const char* key, std::optional<double>* out) {
+    if (json::Find(object_, key) == nullptr) return;
+    double value = 0;
+    Amount(key, 0, &value);
+    *out = value;
+  }
+  // Left as it is when absent.
+  void AmountIfGiven(const char* key, double least, double* out) {
+    if (json::Find(object_, key) != nullptr) Amount(key, least, out);
+  }
+  void CountIfGiven(const char* key, uint32_t least, uint32_t most,
+                    uint32_t* out) {
+    if (json::Find(object_, key) != nullptr) Count(key, least, most, out);
+  }
+  void StringIfGiven(const char* key, std::string* out) {
+    if (json::Find(object_, key) != nullptr) String(key, out);
+  }
+  void BoolIfGiven(const char* key, bool* out) {
+    if (json::Find(object_, key) != nullptr) Bool(key, out);
+  }
+  void Bool(const char* key, bool* out) {
+    const auto* v = json::Find(object_, key);
+    if (v == nullptr || !v->IsBool()) return Fail(key);
+    *out = v->GetBool();
+  }
+  void Count(const char* key, uint32_t least, uint32_t most, uint32_t* out) {
+    const auto* v = json::Find(object_, key);
+    if (v == nullptr || !v->IsUint() || v->GetUint() < least ||
+        v->GetUint() > most) {
+      return Fail(key);
+    }
+    *out = v->GetUint();
+  }
+  template <typename Names, typename Term>
+  void Word(const char* key, const Names& names, Term* out) {
+    const auto* v = json::Find(object_, key);
+    if (v == nullptr || !v->IsString() ||
+        !wire::TermOf(names, json::View(*v), out)) {
+      Fail(key);
+    }
+  }
+  void OptionalStrings(const char* key,
+                       std::optional<std::vector<std::string>>* out) {
+    const auto* v = json::Find(object_, key);
+    if (v == nullptr) return;
+    if (!v->IsArray()) return Fail(key);
+    out->emplace();
+    for (const auto& item : v->GetArray()) {
+      if (!item.IsString()) return Fail(key);
+      (*out)->emplace_back(json::View(item));
+    }
+  }
+
+ private:
+  static constexpr double kMostAmount = 1e12;
+
+  void Fail(const char* key) {
+    if (error_.empty()) error_ = std::string("field ") + key;
+  }
+
+  const rapidjson::Value& object_;
+  std::string error_;
+};
+
+}  // namespace oxbow::api
--- /dev/null
+++ b/api/rollout_json.cc
@@ -0,0 +1,143 @@
+#include "api/rollout_json.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include "api/field_reader.h"
+#include "api/job_json.h"
+#include "script/verdict.h"
+
+namespace oxbow::api {
+namespace {
+
+constexpr size_t kMostText = 1024;  // of an expression or a path
+
+std::string ReadCheck(const rapidjson::Value& value, HealthCheck* out) {
+  FieldReader read(value);
+  uint32_t port = 0;
+  read.Count("port", 1, 65'535, &port);
+  out->port = static_cast<uint16_t>(port);
+  read.BoolIfGiven("port_per_task", &out->port_per_task);
+  read.StringIfGiven("path", &out->path);
+  read.AmountIfGiven("interval_s", 0.05, &out->interval_s);
+  read.AmountIfGiven("timeout_s", 0.01, &out->timeout_s);
+  read.CountIfGiven("good_in_row", 1, 1000, &out->good_in_row);
+  read.CountIfGiven("bad_in_row", 1, 1000, &out->bad_in_row);
+  read.StringIfGiven("verdict", &out->verdict);
+  read.AmountIfGiven("slow_ratio", 0, &out->slow_ratio);
+  if (!read.error().empty()) return "check, " + read.error();
+  const bool plain =
+      std::all_of(out->path.begin(), out->path.end(),
+                  [](unsigned char c) { return c > ' ' && c < 0x7f; });
+  if (out->path.front() != '/' || out->path.size() > kMostText || !plain) {
+    return "check, field path";
+  }
+  if (out->verdict.size() > kMostText) return "check, field verdict";
+  return {};
+}
+
+}  // namespace
+
+bool ValidRolloutId(std::string_view id) {
+  constexpr std::string_view kPrefix = "ro-";
+  constexpr size_t kMost = 60;
+  if (!id.starts_with(kPrefix)) return false;
+  id.remove_prefix(kPrefix.size());
+  return !id.empty() && id.size() <= kMost &&
+         std::all_of(id.begin(), id.end(), [](unsigned char c) {
+           return std::isalnum(c) || c == '.' || c == '-' || c == '_';
+         });
+}
+
+std::string ReadRolloutSpec(const rapidjson::Value& value, RolloutSpec* out) {
+  if (!value.IsObject()) return "not an object";
+  FieldReader read(value);
+  read.String("id", &out->id);
+  read.String("from", &out->from);
+  read.String("to", &out->to);
+  read.Count("floor", 0, kMaxTasks, &out->floor);
+  read.CountIfGiven("surge", 0, kMaxTasks, &out->surge);
+  read.AmountIfGiven("start_s", 0, &out->start_s);
+  read.AmountIfGiven("bake_s", 0, &out->bake_s);
+  read.AmountIfGiven("watch_s", 0, &out->watch_s);
+  if (!read.error().empty()) return read.error();
+  if (!ValidRolloutId(out->id)) return "field id";
+  if (!ValidJobId(out->from)) return "field from";
+  if (!ValidJobId(out->to) || out->to == out->from) return "field to";
+  const auto* check = json::Find(value, "check");
+  if (check == nullptr || !check->IsObject()) return "field check";
+  return ReadCheck(*check, &out->check);
+}
+
+void WriteRolloutSpec(json::Writer& w, const RolloutSpec& spec) {
+  const auto number = [&](const char* key, double value) {
+    w.Key(key);
+    w.Double(value);
+  };
+  const auto count = [&](const char* key, uint32_t value) {
+    w.Key(key);
+    w.Uint(value);
+  };
+  json::Field(w, "id", spec.id);
+  json::Field(w, "from", spec.from);
+  json::Field(w, "to", spec.to);
+  count("floor", spec.floor);
+  count("surge", spec.surge);
+  number("start_s", spec.start_s);
+  number("bake_s", spec.bake_s);
+  number("watch_s", spec.watch_s);
+  w.Key("check");
+  w.StartObject();
+  count("port", spec.check.port);
+  w.Key("port_per_task");
+  w.Bool(spec.check.port_per_task);
+  json::Field(w, "path", spec.check.path);
+  number("interval_s", spec.check.interval_s);
+  number("timeout_s", spec.check.timeout_s);
+  count("good_in_row", spec.check.good_in_row);
+  count("bad_in_row", spec.check.bad_in_row);
+  json::Field(w, "verdict", spec.check.verdict);
+  number("slow_ratio", spec.check.slow_ratio);
+  w.EndObject();
+}
+
+std::string WhyNoRollout(const RolloutSpec& spec, uint32_t from_tasks) {
+  if (spec.floor > from_tasks) {
+    return "the floor is above the " + std::to_string(from_tasks) +
+           " replicas of " + spec.from;
+  }
+  if (spec.surge == 0 && spec.floor == from_tasks) {
+    return "with a floor of all replicas and no surge nothing could ever move";
+  }
+  const std::string wrong = script::Verdict::WhatIsWrong(spec.check.verdict);
+  if (!wrong.empty()) return "the verdict can't be used: " + wrong;
+  return {};
+}
+
+std::string RolloutBody(const RolloutRecord& record,
+                        const RolloutCounts* counts) {
+  rapidjson::StringBuffer buffer;
+  json::Writer w(buffer);
+  w.StartObject();
+  WriteRolloutSpec(w, *record.spec);
+  json::Field(w, "step", wire::NameOf(wire::kRolloutStepNames, record.step));
+  if (!record.reason.empty()) json::Field(w, "reason", record.reason);
+  if (record.wish != RolloutWish::kNone) {
+    json::Field(w, "wish", wire::NameOf(wire::kRolloutWishes, record.wish));
+  }
+  if (counts != nullptr) {
+    const auto count = [&](const char* key, uint32_t value) {
+      w.Key(key);
+      w.Uint(value);
+    };
+    count("old", counts->old_there);
+    count("old_healthy", counts->old_healthy);
+    count("new", counts->new_there);
+    count("new_healthy", counts->new_healthy);
+    count("new_baked", counts->new_baked);
+  }
+  w.EndObject();
+  return json::Text(buffer);
+}
+
+}  // namespace oxbow::api
--- a/api/wire_names.h
+++ b/api/wire_names.h
@@ -7,6 +7,7 @@
 
 #include "core/model/job.h"
 #include "core/model/report.h"
+#include "core/rollout/rollout.h"
 
 namespace oxbow::wire {
 
@@ -69,4 +70,21 @@
 inline constexpr std::array kFinals = {Final{FinalState::kDone, "done"},
                                        Final{FinalState::kAborted, "aborted"}};
 
+using Step = std::pair<RolloutStep, std::string_view>;
+inline constexpr std::array kRolloutStepNames = {
+    Step{RolloutStep::kDeclared, "declared"},
+    Step{RolloutStep::kAdvancing, "advancing"},
+    Step{RolloutStep::kBaking, "baking"},
+    Step{RolloutStep::kWatching, "watching"},
+    Step{RolloutStep::kPaused, "paused"},
+    Step{RolloutStep::kRollingBack, "rolling_back"},
+    Step{RolloutStep::kDone, "done"},
+    Step{RolloutStep::kRolledBack, "rolled_back"},
+    Step{RolloutStep::kFailed, "failed"}};
+
+using Wish = std::pair<RolloutWish, std::string_view>;
+inline constexpr std::array kRolloutWishes = {
+    Wish{RolloutWish::kNone, "none"}, Wish{RolloutWish::kPause, "pause"},
+    Wish{RolloutWish::kResume, "resume"}, Wish{RolloutWish::kAbort, "abort"}};
+
 }  // namespace oxbow::wire
--- a/app/main.cc
+++ b/app/main.cc
@@ -10,6 +10,7 @@
 
 #include "app/node.h"
 #include "app/options.h"
+#include "app/rollout_cli.h"
 #include "app/settings.h"
 #include "net/http_client.h"
 #include "net/loop.h"
@@ -102,7 +103,30 @@
       cli.add_subcommand("check-config", "check the settings and end"));
   with_config(
       cli.add_subcommand("status", "ask the controller if it is ready"));
+  RolloutCommand rollout;
+  CLI::App* rollouts =
+      cli.add_subcommand("rollout", "replace a service, held to a floor");
+  rollouts->require_subcommand(1);
+  const auto add = [&](const char* verb, const char* help, const char* subject,
+                       bool required) {
+    CLI::App* sub = rollouts->add_subcommand(verb, help);
+    sub->add_option("--address", rollout.address, "any controller, IP:PORT")
+        ->required();
+    sub->add_flag("--json", rollout.json, "print answers as they came");
+    CLI::Option* option =
+        sub->add_option(subject, rollout.subject, "the roll-out's id");
+    if (std::string(subject) == "file") option->description("a declaration");
+    if (required) option->required();
+    sub->callback([&rollout, verb] { rollout.verb = verb; });
+  };
+  add("start", "declare a roll-out", "file", true);
+  add("status", "show one or all", "id", false);
+  add("watch", "follow one to its end", "id", true);
+  add("pause", "hold one where it is", "id", true);
+  add("resume", "let a paused one go on", "id", true);
+  add("abort", "take one back", "id", true);
   CLI11_PARSE(cli, argc, argv);
+  if (rollouts->parsed()) return RunRollout(rollout);
   if (!SetUpLog()) return kBadSettings;
   Settings settings;
   Tuning tuning;
--- a/app/node.cc
+++ b/app/node.cc
@@ -92,7 +92,15 @@
       state_(loop, AddressOf(settings.state_address), settings),
       cloud_(loop, AddressOf(settings.cloud_address), settings),
       workers_(loop, kOrderTimeoutRatio * settings.workers.lease_s),
-      api_(*this),
+      health_(loop),
+      rollout_desk_(settings, tuning, catalog_, state_,
+                    {[this](const std::string& key, const Record& record,
+                            uint64_t stamp) { Apply(key, record, stamp); },
+                     [this] { return ever_synced_; },
+                     [this] { return Leads() ? controller_.get() : nullptr; },
+                     [this] { return loop_.Now(); }}),
+      rollout_routes_(rollout_desk_),
+      api_(*this, &rollout_routes_),
       leadership_(PeerNames(settings),
                   tuning.leader_lease_ratio * settings.workers.lease_s,
                   kPromiseRatio * settings.workers.lease_s, loop.Now()),
@@ -142,6 +150,11 @@
       c.OnJobRecord(key.substr(keys::kJob.size()), loop_.Now());
     });
   }
+  if (controller_ && key.starts_with(keys::kRollout)) {
+    Tell(controller_->revision(), [&](Controller& c) {
+      c.OnRolloutRecord(key.substr(keys::kRollout.size()), loop_.Now());
+    });
+  }
 }
 
 net::Task<bool> Node::Resync() {
@@ -372,6 +385,7 @@
   leadership_.Retire();
   controller_.reset();
   workers_.Clear();
+  health_.Clear();
   net::Spawn([](Node* self, uint64_t lease) -> net::Task<void> {
     co_await self->state_.EndLease(lease);
   }(this, leadership_.lease_id()));
@@ -452,6 +466,8 @@
         net::Spawn(DoRead(std::move(*read), revision));
       } else if (auto* rent = std::get_if<RentMachines>(&action)) {
         net::Spawn(DoRent(std::move(*rent), revision));
+      } else if (auto* check = std::get_if<CheckInstance>(&action)) {
+        net::Spawn(DoCheck(std::move(*check), revision));
       } else if (auto* gone = std::get_if<DeleteMachines>(&action)) {
         to_delete.insert(to_delete.end(), gone->hosts.begin(),
                          gone->hosts.end());
@@ -505,6 +521,14 @@
        [&](Controller& c) { c.OnProbeAnswer(answer.report, loop_.Now()); });
 }
 
+net::Task<void> Node::DoCheck(CheckInstance check, uint64_t revision) {
+  const std::string rollout = check.rollout;
+  const ResidentKey key = check.key;
+  const CheckOutcome outcome = co_await health_.Check(std::move(check));
+  Tell(revision,
+       [&](Controller& c) { c.OnHealth(rollout, key, outcome, loop_.Now()); });
+}
+
 net::Task<void> Node::DoWrite(WriteTransaction txn, uint64_t revision) {
   const uint64_t id = txn.id;
   const StateResult result = co_await state_.Write(
--- a/app/node.h
+++ b/app/node.h
@@ -9,7 +9,9 @@
 #include <vector>
 
 #include "api/api.h"
+#include "app/rollout_desk.h"
 #include "clients/cloud.h"
+#include "clients/health.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "clients/worker.h"
@@ -77,6 +79,7 @@
   net::Task<void> DoWrite(WriteTransaction txn, uint64_t revision);
   net::Task<void> DoRead(ReadKeys read, uint64_t revision);
   net::Task<void> DoRent(RentMachines rent, uint64_t revision);
+  net::Task<void> DoCheck(CheckInstance check, uint64_t revision);
   net::Task<void> DoDelete(std::vector<std::string> hosts, uint64_t revision);
 
   net::Task<clients::PeerMessage> OnPeer(clients::PeerMessage message);
@@ -100,6 +103,9 @@
   clients::StateClient state_;
   clients::CloudClient cloud_;
   clients::WorkerClients workers_;
+  clients::HealthClient health_;
+  RolloutDesk rollout_desk_;
+  api::RolloutRoutes rollout_routes_;
   std::vector<std::unique_ptr<clients::PeerClient>> peers_;
   std::unique_ptr<clients::PeerServer> peer_server_;
   api::Api api_;
--- a/app/options.cc
+++ b/app/options.cc
@@ -32,6 +32,8 @@
     Entry{"machines", "idle_return_leases", &Tuning::idle_return_leases, 1,
           1e6},
     Entry{"machines", "boot_patience", &Tuning::boot_patience, 1, 100},
+    Entry{"rollouts", "at_once", &Tuning::rollouts_at_once, 0, 64},
+    Entry{"rollouts", "check_share", &Tuning::rollout_check_share, 0.001, 0.5},
 };
 
 std::string* g_error = nullptr;  // libConfuse's callback carries no context
@@ -47,8 +49,9 @@
 }  // namespace
 
 std::string LoadTuning(const std::string& path, Tuning* out) {
-  std::array<std::array<cfg_opt_t, 8>, 3> blocks;
-  constexpr std::array kBlocks = {"placement", "leadership", "machines"};
+  std::array<std::array<cfg_opt_t, 8>, 4> blocks;
+  constexpr std::array kBlocks = {"placement", "leadership", "machines",
+                                  "rollouts"};
   for (size_t b = 0; b < kBlocks.size(); ++b) {
     size_t n = 0;
     for (const Entry& e : kEntries) {
@@ -62,6 +65,7 @@
   cfg_opt_t options[] = {CFG_SEC("placement", blocks[0].data(), CFGF_NONE),
                          CFG_SEC("leadership", blocks[1].data(), CFGF_NONE),
                          CFG_SEC("machines", blocks[2].data(), CFGF_NONE),
+                         CFG_SEC("rollouts", blocks[3].data(), CFGF_NONE),
                          CFG_END()};
   const std::unique_ptr<cfg_t, decltype(&cfg_free)> cfg(
       cfg_init(options, CFGF_NONE), &cfg_free);
--- /dev/null
+++ b/app/rollout_cli.cc
@@ -0,0 +1,166 @@
+#include "app/rollout_cli.h"
+
+#include <rapidjson/document.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+
+#include "api/rollout_routes.h"
+#include "clients/json.h"
+#include "net/http_client.h"
+#include "net/loop.h"
+
+namespace oxbow::app {
+namespace {
+
+constexpr net::Time kTimeout = 5;
+constexpr net::Time kPause = 1;  // between two tries or two looks
+constexpr int kTries = 30;
+constexpr size_t kLimit = 1024 * 1024;
+
+unsigned Count(const rapidjson::Value& value, const char* key) {
+  return static_cast<unsigned>(json::GetUint(value, key));
+}
+
+void PrintLine(const rapidjson::Value& value) {
+  std::printf("%s: %s, %s to %s, floor %u",
+              json::GetString(value, "id").c_str(),
+              json::GetString(value, "step").c_str(),
+              json::GetString(value, "from").c_str(),
+              json::GetString(value, "to").c_str(), Count(value, "floor"));
+  if (json::Find(value, "old") != nullptr) {
+    std::printf("; old %u (%u healthy), new %u (%u healthy, %u baked)",
+                Count(value, "old"), Count(value, "old_healthy"),
+                Count(value, "new"), Count(value, "new_healthy"),
+                Count(value, "new_baked"));
+  }
+  const std::string reason = json::GetString(value, "reason");
+  if (!reason.empty()) std::printf("; %s", reason.c_str());
+  std::printf("\n");
+}
+
+void Print(const std::string& body, bool as_json) {
+  rapidjson::Document doc;
+  if (as_json || !json::Parse(body, &doc) || !doc.IsObject()) {
+    std::printf("%s\n", body.c_str());
+    return;
+  }
+  const auto* many = json::Find(doc, "rollouts");
+  if (many == nullptr || !many->IsArray()) {
+    PrintLine(doc);
+    return;
+  }
+  for (const auto& one : many->GetArray()) PrintLine(one);
+  if (many->Empty()) std::printf("no roll-out is under way\n");
+}
+
+class Session {
+ public:
+  Session(net::Loop& loop, const RolloutCommand& command,
+          const net::Address& address)
+      : loop_(loop), command_(command), http_(loop, address, kLimit) {}
+
+  net::Task<void> Run(int* exit) {
+    *exit = co_await Go();
+    loop_.Stop();
+  }
+
+ private:
+  net::Task<int> Go() {
+    const std::string base(api::RolloutRoutes::kPath);
+    if (command_.verb == "start") {
+      std::ifstream file(command_.subject);
+      const std::string body{std::istreambuf_iterator<char>(file), {}};
+      if (!file || body.empty()) {
+        std::fprintf(stderr, "cannot read %s\n", command_.subject.c_str());
+        co_return kRolloutBadUse;
+      }
+      co_return co_await Ask("POST", base, body);
+    }
+    if (command_.verb == "watch") co_return co_await Watch();
+    if (command_.verb == "status") {
+      co_return co_await Ask(
+          "GET",
+          command_.subject.empty() ? base : base + "/" + command_.subject, "");
+    }
+    co_return co_await Ask(
+        "POST", base + "/" + command_.subject + "/" + command_.verb, "");
+  }
+
+  // Repeats what could not be taken, as a user of the protocol does.
+  net::Task<net::ClientResult> Patiently(std::string method, std::string path,
+                                         std::string body) {
+    net::ClientResult answer;
+    for (int i = 0; i < kTries; ++i) {
+      answer = co_await http_.Request(method, path, body, kTimeout);
+      const bool later = answer.outcome != net::Outcome::kAnswered ||
+                         answer.status == 503 || answer.status == 429;
+      if (!later) break;
+      co_await loop_.Sleep(std::max<net::Time>(kPause, answer.retry_after_s));
+    }
+    co_return answer;
+  }
+
+  net::Task<int> Ask(std::string method, std::string path, std::string body) {
+    const net::ClientResult answer = co_await Patiently(method, path, body);
+    if (answer.outcome != net::Outcome::kAnswered) {
+      std::fprintf(stderr, "%s: no answer\n", command_.address.c_str());
+      co_return kRolloutRefused;
+    }
+    if (answer.status != 200 && answer.status != 201) {
+      rapidjson::Document doc;
+      std::string why;
+      if (json::Parse(answer.body, &doc)) why = json::GetString(doc, "error");
+      std::fprintf(stderr, "refused (%d): %s\n", answer.status, why.c_str());
+      co_return kRolloutRefused;
+    }
+    Print(answer.body, command_.json);
+    co_return kRolloutOk;
+  }
+
+  net::Task<int> Watch() {
+    const std::string path =
+        std::string(api::RolloutRoutes::kPath) + "/" + command_.subject;
+    std::string last;
+    for (;;) {
+      const net::ClientResult answer = co_await Patiently("GET", path, "");
+      if (!answer.ok()) {
+        std::fprintf(stderr, "%s: no answer\n", command_.address.c_str());
+        co_return kRolloutRefused;
+      }
+      if (answer.body != last) Print(answer.body, command_.json);
+      last = answer.body;
+      std::fflush(stdout);
+      rapidjson::Document doc;
+      json::Parse(answer.body, &doc);
+      const std::string step = json::GetString(doc, "step");
+      if (step == "done") co_return kRolloutOk;
+      if (step == "rolled_back" || step == "failed") co_return kRolloutNotDone;
+      co_await loop_.Sleep(kPause);
+    }
+  }
+
+  net::Loop& loop_;
+  const RolloutCommand& command_;
+  net::HttpClient http_;
+};
+
+}  // namespace
+
+int RunRollout(const RolloutCommand& command) {
+  net::Address address;
+  if (!net::ParseAddress(command.address, &address)) {
+    std::fprintf(stderr, "--address: %s is not IPv4 and a port\n",
+                 command.address.c_str());
+    return kRolloutBadUse;
+  }
+  net::Loop loop;
+  int exit = kRolloutRefused;
+  Session session(loop, command, address);
+  net::Spawn(session.Run(&exit));
+  loop.Run();
+  return exit;
+}
+
+}  // namespace oxbow::app
--- /dev/null
+++ b/app/rollout_cli.h
@@ -0,0 +1,24 @@
+// `oxbowbank rollout ...`: what operators and users say to a deployment.
+#pragma once
+
+#include <string>
+
+namespace oxbow::app {
+
+struct RolloutCommand {
+  std::string verb;     // start, status, watch, pause, resume, abort
+  std::string address;  // of any controller
+  std::string
+      subject;  // a file for start, else the id; may be empty for status
+  bool json = false;
+};
+
+// Exit codes of the command.
+inline constexpr int kRolloutOk = 0;
+inline constexpr int kRolloutRefused = 1;  // or no answer in time
+inline constexpr int kRolloutBadUse = 2;
+inline constexpr int kRolloutNotDone = 3;  // watch: rolled back or failed
+
+int RunRollout(const RolloutCommand& command);
+
+}  // namespace oxbow::app
--- /dev/null
+++ b/app/rollout_desk.h
@@ -0,0 +1,48 @@
+// What a controller does for users' roll-outs: declarations and wishes go into
+// the state service by its own conditional writes; the leader sees them there.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "api/rollout_routes.h"
+#include "clients/state.h"
+#include "core/controller/controller.h"
+
+namespace oxbow::app {
+
+class RolloutDesk : public api::RolloutService {
+ public:
+  struct Seams {
+    // Takes a record that was read or written into the picture.
+    std::function<void(const std::string& key, const Record&, uint64_t stamp)>
+        apply;
+    std::function<bool()> synced;
+    // The leader's brain, where this controller leads; null elsewhere.
+    std::function<const Controller*()> leader;
+    std::function<double()> now;
+  };
+
+  RolloutDesk(const Settings& settings, const Tuning& tuning,
+              const Catalog& catalog, clients::StateClient& state, Seams seams);
+
+  bool Enabled() const override { return tuning_.rollouts_at_once >= 1; }
+  net::Task<api::RolloutAnswer> Declare(
+      std::shared_ptr<const RolloutSpec> spec) override;
+  net::Task<api::RolloutAnswer> Get(std::string id) override;
+  net::Task<api::RolloutAnswer> Wish(std::string id, RolloutWish wish) override;
+  std::optional<std::vector<api::RolloutState>> List() override;
+
+ private:
+  // Reads live, then ended; says not found only after both.
+  net::Task<api::RolloutAnswer> FreshRead(std::string id);
+  api::RolloutState StateOf(const RolloutRecord& record) const;
+
+  const Settings& settings_;
+  const Tuning& tuning_;
+  const Catalog& catalog_;
+  clients::StateClient& state_;
+  Seams seams_;
+};
+
+}  // namespace oxbow::app
--- /dev/null
+++ b/clients/health.cc
@@ -0,0 +1,63 @@
+#include "clients/health.h"
+
+#include <utility>
+
+#include "net/http_client.h"
+
+namespace oxbow::clients {
+namespace {
+
+constexpr size_t kBodyLimit = 64 * 1024;
+constexpr size_t kVerdictsKept = 64;
+
+// {job} and {task} in a path, for machines where one agent answers for all.
+std::string PathOf(const std::string& pattern, const ResidentKey& key) {
+  std::string path = pattern;
+  const auto put = [&path](std::string_view name, const std::string& value) {
+    for (size_t at = path.find(name); at != std::string::npos;
+         at = path.find(name, at + value.size())) {
+      path.replace(at, name.size(), value);
+    }
+  };
+  put("{job}", key.job_id);
+  put("{task}", std::to_string(key.task));
+  return path;
+}
+
+}  // namespace
+
+script::Verdict& HealthClient::VerdictOf(const CheckInstance& check) {
+  if (verdicts_.size() > kVerdictsKept) verdicts_.clear();
+  Entry& entry = verdicts_[check.rollout];
+  const std::string& text = check.spec->check.verdict;
+  if (!entry.verdict || entry.text != text) {
+    entry = {text, std::make_unique<script::Verdict>(text)};
+  }
+  return *entry.verdict;
+}
+
+net::Task<CheckOutcome> HealthClient::Check(CheckInstance check) {
+  CheckOutcome out;
+  net::Address address;
+  if (!net::ParseAddress(check.endpoint, &address)) co_return out;
+  const HealthCheck& how = check.spec->check;
+  const uint64_t port =
+      how.port + (how.port_per_task ? uint64_t{check.key.task} : 0);
+  if (port > UINT16_MAX) co_return out;
+  address.port = static_cast<uint16_t>(port);
+  const net::Time sent = loop_.Now();
+  // A connection for each check: kept ones would hold a socket for each
+  // instance, and a service that takes no new connections is not well.
+  net::HttpClient http(loop_, address, kBodyLimit, 0);
+  const net::ClientResult answer = co_await http.Request(
+      "GET", PathOf(how.path, check.key), "", how.timeout_s);
+  if (answer.outcome != net::Outcome::kAnswered) co_return out;
+  out.answered = true;
+  out.latency_s = loop_.Now() - sent;
+  const script::Verdict::Answer seen{answer.status, answer.body,
+                                     out.latency_s * 1000};
+  out.good = VerdictOf(check).Judge(seen) == script::Verdict::Result::kGood;
+  co_return out;
+}
+
+}  // namespace oxbow::clients
--- a/clients/records.cc
+++ b/clients/records.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "api/job_json.h"
+#include "api/rollout_json.h"
 #include "api/wire_names.h"
 #include "clients/json.h"
 
@@ -51,6 +52,18 @@
     Key(w, "tasks");
     w.Uint(r.tasks);
   }
+  void operator()(const RolloutRecord& r) const {
+    Key(w, "spec");
+    w.StartObject();
+    api::WriteRolloutSpec(w, *r.spec);
+    w.EndObject();
+    Field(w, "step", wire::NameOf(wire::kRolloutStepNames, r.step));
+    Field(w, "paused_in", wire::NameOf(wire::kRolloutStepNames, r.paused_in));
+    Field(w, "wish", wire::NameOf(wire::kRolloutWishes, r.wish));
+    Field(w, "reason", r.reason);
+    Key(w, "t");
+    w.Double(r.declared_wall);
+  }
 };
 
 }  // namespace
@@ -92,6 +105,24 @@
                         json::GetString(value, "zone"),
                         json::GetBool(value, "spot"),
                         static_cast<int>(json::GetUint(value, "count")), 0};
+  } else if (key.starts_with(keys::kRollout) ||
+             key.starts_with(keys::kRolloutEnd)) {
+    const auto* spec = json::Find(value, "spec");
+    auto parsed = std::make_shared<RolloutSpec>();
+    RolloutRecord record;
+    if (spec == nullptr || !api::ReadRolloutSpec(*spec, parsed.get()).empty() ||
+        !wire::TermOf(wire::kRolloutStepNames, json::GetString(value, "step"),
+                      &record.step) ||
+        !wire::TermOf(wire::kRolloutStepNames,
+                      json::GetString(value, "paused_in"), &record.paused_in) ||
+        !wire::TermOf(wire::kRolloutWishes, json::GetString(value, "wish"),
+                      &record.wish)) {
+      return false;
+    }
+    record.spec = std::move(parsed);
+    record.reason = json::GetString(value, "reason");
+    record.declared_wall = json::GetDouble(value, "t");
+    *out = std::move(record);
   } else if (key.starts_with(keys::kFinal)) {
     *out = FinalRecord{final_state(),
                        static_cast<uint32_t>(json::GetUint(value, "tasks")), 0};
--- a/core/controller/catalog.cc
+++ b/core/controller/catalog.cc
@@ -29,6 +29,10 @@
     const auto* r = Find(rentals_, key, keys::kRental);
     return r ? r->stamp : 0;
   }
+  if (key.starts_with(keys::kRollout)) {
+    const auto* r = Find(rollouts_, key, keys::kRollout);
+    return r ? r->stamp : 0;
+  }
   return 0;
 }
 
@@ -58,6 +62,10 @@
     RentalRecord& entry = rentals_[key.substr(keys::kRental.size())];
     entry = *rental;
     entry.stamp = stamp;
+  } else if (const auto* rollout = std::get_if<RolloutRecord>(&record)) {
+    RolloutRecord& entry = rollouts_[key.substr(keys::kRollout.size())];
+    entry = *rollout;
+    entry.stamp = stamp;
   }
   return true;
 }
@@ -73,6 +81,8 @@
     machines_.erase(key.substr(keys::kMachine.size()));
   } else if (key.starts_with(keys::kRental)) {
     rentals_.erase(key.substr(keys::kRental.size()));
+  } else if (key.starts_with(keys::kRollout)) {
+    rollouts_.erase(key.substr(keys::kRollout.size()));
   }
   return true;
 }
@@ -91,6 +101,7 @@
   collect(jobs_, keys::kJob);
   collect(machines_, keys::kMachine);
   collect(rentals_, keys::kRental);
+  collect(rollouts_, keys::kRollout);
   const std::string leader(keys::kLeader);
   if (leader_.stamp > 0 && leader_.stamp <= revision &&
       !listed.contains(leader)) {
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -14,6 +14,7 @@
 
 #include "core/model/job.h"
 #include "core/model/machine.h"
+#include "core/rollout/rollout.h"
 
 namespace oxbow {
 
@@ -25,7 +26,9 @@
 inline constexpr std::string_view kJob = "ob/live/j/";
 inline constexpr std::string_view kMachine = "ob/live/m/";
 inline constexpr std::string_view kRental = "ob/live/r/";
+inline constexpr std::string_view kRollout = "ob/live/o/";
 inline constexpr std::string_view kFinal = "ob/final/";
+inline constexpr std::string_view kRolloutEnd = "ob/ended/o/";
 
 inline std::string Of(std::string_view prefix, std::string_view name) {
   std::string out(prefix);
@@ -47,8 +50,9 @@
 };
 
 // monostate: the key does not exist.
-using Record = std::variant<std::monostate, LeaderRecord, JobRecord,
-                            MachineRecord, RentalRecord, FinalRecord>;
+using Record =
+    std::variant<std::monostate, LeaderRecord, JobRecord, MachineRecord,
+                 RentalRecord, FinalRecord, RolloutRecord>;
 
 class Catalog {
  public:
@@ -75,6 +79,9 @@
   const std::unordered_map<std::string, RentalRecord>& rentals() const {
     return rentals_;
   }
+  const std::unordered_map<std::string, RolloutRecord>& rollouts() const {
+    return rollouts_;
+  }
   const LeaderRecord& leader() const { return leader_; }
   const JobRecord* FindJob(const std::string& id) const;
   // End of a job, from its record or remembered; kNone if unknown.
@@ -90,6 +97,7 @@
   std::unordered_map<std::string, JobRecord> jobs_;
   std::unordered_map<std::string, MachineRecord> machines_;
   std::unordered_map<std::string, RentalRecord> rentals_;
+  std::unordered_map<std::string, RolloutRecord> rollouts_;
   LeaderRecord leader_;
   uint64_t followed_ = 0;
   // Bounded: an older one is read from the state service again.
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -59,6 +59,12 @@
     rental.record = record;
     rental.Change(kRequesting);
   }
+  std::vector<std::pair<uint64_t, std::string>> rollouts;
+  for (const auto& [id, record] : catalog.rollouts()) {
+    rollouts.emplace_back(record.stamp, id);
+  }
+  std::sort(rollouts.begin(), rollouts.end());
+  for (const auto& [stamp, id] : rollouts) OnRolloutRecord(id, now);
   Log("leading under revision " + std::to_string(revision) + ": " +
       std::to_string(jobs_.size()) + " jobs, " +
       std::to_string(machines_.size()) + " machines, " +
@@ -231,6 +237,7 @@
       Request(name, now);
     }
   }
+  TickRollouts(now);
   std::erase_if(refused_until_,
                 [now](const auto& e) { return e.second <= now; });
   if (now >= next_supply_) {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -22,6 +22,7 @@
 #include "core/model/settings.h"
 #include "core/placement/placement.h"
 #include "core/provision/provision.h"
+#include "core/rollout/rollout.h"
 
 namespace oxbow {
 
@@ -76,6 +77,14 @@
   FinalState state = FinalState::kNone;
 };
 
+// Ask an instance of a roll-out whether it is well.
+struct CheckInstance {
+  std::string rollout;
+  ResidentKey key;
+  std::string endpoint;  // of its machine's worker: the address counts
+  std::shared_ptr<const RolloutSpec> spec;
+};
+
 struct Resign {
   std::string reason;
 };
@@ -87,7 +96,7 @@
 
 using Action =
     std::variant<SendOrders, Probe, WriteTransaction, ReadKeys, RentMachines,
-                 DeleteMachines, JobFinal, Resign, Note>;
+                 DeleteMachines, JobFinal, CheckInstance, Resign, Note>;
 
 // --- answers
 
@@ -140,6 +149,9 @@
   // A whole listing of the cloud's machines, asked for at `asked`.
   void OnMachineList(const std::vector<ListedMachine>& list, Time asked,
                      Time now);
+  void OnRolloutRecord(const std::string& id, Time now);
+  void OnHealth(const std::string& rollout, const ResidentKey& key,
+                const CheckOutcome& outcome, Time now);
   // Asks for the job to be cancelled; a JobFinal follows. False: unknown job.
   bool Cancel(const std::string& id, Time now);
   void Tick(Time now);
@@ -155,6 +167,7 @@
   uint64_t revision() const { return revision_; }
   bool View(const std::string& id, JobView* out) const;
   bool AllAccounted() const;
+  const Rollout* FindRollout(const std::string& id) const;
   const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const {
     return jobs_;
   }
@@ -178,12 +191,17 @@
     kMachineForget,
     kRental,
     kRentalSettle,
+    kRollout,
   };
   struct WriteOp {
     WriteKind kind;
     std::string name;
     FinalState final_state = FinalState::kNone;
-    std::vector<std::string> hosts;
+    std::vector<std::string> hosts = {};
+    // Of a roll-out: the step to record, why, and the wish that it fulfils.
+    RolloutStep step = RolloutStep::kDeclared;
+    std::string reason = {};
+    RolloutWish wish = RolloutWish::kNone;
   };
   enum class WritePhase { kIdle, kWriting, kReading };
   struct Rental {
@@ -234,6 +252,8 @@
   void RaiseToken(Machine& m);
   void TickMachine(Machine& m, Time now);
   void Drain(Machine& m, Time now, const char* why);
+  // Stops what has to leave a machine that is being emptied and may now.
+  void StopLeaving(Machine& m, Time now);
   void AskDelete(Machine& m, Time now, const char* why);
   bool Usable(const Machine& m, Time now) const;
   bool Suspect(const Machine& m, Time now) const;
@@ -253,6 +273,24 @@
     if (log_detail) actions_.push_back(Note{text(), true});
   }
 
+  // rollouts.cc
+  void TickRollouts(Time now);
+  RolloutView ViewOf(const Rollout& rollout, Time now) const;
+  // The roll-out that the job is a part of; null for none.
+  const Rollout* RolloutOf(const Job& job) const;
+  // Replicas that may be started beyond those placed.
+  uint32_t Wanted(const Job& job) const;
+  // Whether a roll-out's floor lets the task be stopped. Everything that stops
+  // tasks for another reason than their user's wish asks here.
+  bool FloorAllows(const ResidentKey& key, const Job& job, Time now) const;
+  // The record once the op's step stands.
+  static RolloutRecord AfterOp(const RolloutRecord& record, const WriteOp& op);
+  bool BuildRolloutOp(const WriteOp& op, WriteTransaction* txn) const;
+  void RolloutOpDone(const WriteOp& op, uint64_t revision, Time now);
+  // A roll-out that restricts the job may have been recorded before it, and
+  // not be known here yet.
+  bool MayBeRestricted(const Job& job) const;
+
   // schedule.cc
   void ComputeGuarantees();
   bool Placeable(const Job& job, Time now, bool accounted) const;
@@ -296,7 +334,7 @@
     bool waits = false;  // for short work to run off
   };
   bool MakeGangRoom(Job& job, const std::vector<Machine*>& usable, Time now);
-  bool MayPreempt(const Job& job, const Resident& victim) const;
+  bool MayPreempt(const Job& job, const Resident& victim, Time now) const;
   double PreemptionCost(const Resident& victim, Time now) const;
   // One reservation on the machine; null: all of them, everywhere.
   void DropReservation(const Job* job, Machine* m);
@@ -349,6 +387,10 @@
   std::map<std::string, ClassAims> aims_;  // by class
   std::map<std::string, Rental> rentals_;
   std::map<SupplyKey, Time> refused_until_;
+  std::map<std::string, Rollout> rollouts_;                  // by id
+  std::unordered_map<std::string, std::string> in_rollout_;  // by job id
+  int checks_in_flight_ = 0;
+  Time next_rollouts_ = 0;
   Time next_supply_ = 0;
   Time next_consolidation_ = 0;
   Time quiet_since_ = 1e18;  // no job has come or waited since
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -25,8 +25,6 @@
   return TaskState::kPending;
 }
 
-ResidentKey KeyOf(const Resident& r) { return {r.job_id, r.task, r.attempt}; }
-
 bool SameAttempt(const Order& o, const Resident& r) {
   return o.task == r.task && o.attempt == r.attempt && o.job_id == r.job_id;
 }
@@ -289,6 +287,11 @@
 void Controller::SetStopping(Machine& m, Resident& r, bool stopping) {
   if (r.stopping == stopping) return;
   r.stopping = stopping;
+  if (stopping && r.job != nullptr && !in_rollout_.empty()) {
+    const auto it = in_rollout_.find(r.job_id);
+    if (it != in_rollout_.end())
+      rollouts_.at(it->second).NoteStopping(KeyOf(r));
+  }
   if (!r.holds) return;
   if (stopping) {
     m.leaving += r.need;
@@ -626,6 +629,10 @@
   if (m.state() != MachineState::kUp) return;
   m.Change(MachineState::kDraining);
   Log("machine " + m.host() + " draining: " + why);
+  StopLeaving(m, now);
+}
+
+void Controller::StopLeaving(Machine& m, Time now) {
   std::vector<ResidentKey> all;
   for (const auto& [key, r] : m.residents) all.push_back(key);
   for (const ResidentKey& key : all) {
@@ -637,6 +644,7 @@
     const JobSpec& spec = r.job->spec();
     const double left = m.notice_until ? *m.notice_until - now : 0;
     if (spec.kind == JobKind::kArray && spec.checkpoint_s <= 0) continue;
+    if (!FloorAllows(key, *r.job, now)) continue;  // asked again
     // Services move at once, work that can save does so while there is time.
     // What can't save is left: it may yet end before the machine goes.
     if (spec.kind == JobKind::kService || spec.checkpoint_s > 0) {
@@ -718,6 +726,7 @@
   // Looking through all that is there has no hurry: once a report.
   if (now < m.next_review) return;
   m.next_review = now + settings_.workers.report_s / 2;
+  if (m.state() == MachineState::kDraining) StopLeaving(m, now);
   std::vector<ResidentKey> kept;
   size_t exited = 0;
   for (auto& [key, r] : m.residents) {
--- /dev/null
+++ b/core/controller/rollouts.cc
@@ -0,0 +1,263 @@
+// Roll-outs on the leader: what they see, what they hold back, what they stop,
+// and how their steps are recorded.
+
+#include <algorithm>
+#include <utility>
+
+#include "core/controller/controller.h"
+
+namespace oxbow {
+namespace {
+
+std::string_view NameOf(RolloutStep step) {
+  constexpr std::array<std::string_view, kRolloutSteps> kNames = {
+      "declared",     "advancing", "baking",      "watching", "paused",
+      "rolling back", "done",      "rolled back", "failed"};
+  return kNames[static_cast<size_t>(step)];
+}
+
+}  // namespace
+
+const Rollout* Controller::FindRollout(const std::string& id) const {
+  const auto it = rollouts_.find(id);
+  return it == rollouts_.end() ? nullptr : &it->second;
+}
+
+const Rollout* Controller::RolloutOf(const Job& job) const {
+  if (in_rollout_.empty()) return nullptr;
+  const auto it = in_rollout_.find(job.id());
+  return it == in_rollout_.end() ? nullptr : FindRollout(it->second);
+}
+
+uint32_t Controller::Wanted(const Job& job) const {
+  const Rollout* rollout = RolloutOf(job);
+  if (rollout == nullptr) return job.unplaced();
+  const uint32_t most = rollout->spec().to == job.id() ? rollout->MostOfNew()
+                                                       : rollout->MostOfOld();
+  const uint32_t left = most > job.placed() ? most - job.placed() : 0;
+  return std::min(job.unplaced(), left);
+}
+
+bool Controller::FloorAllows(const ResidentKey& key, const Job& job,
+                             Time now) const {
+  const Rollout* rollout = RolloutOf(job);
+  return rollout == nullptr || !job.live() || rollout->MayStop(key, now);
+}
+
+// A controller that has just accepted a job tells the leader of it ahead of the
+// watch. The roll-out that was declared before the job comes by the watch, so
+// until that has caught up the job could start whole.
+bool Controller::MayBeRestricted(const Job& job) const {
+  if (tuning_.rollouts_at_once < 1 || job.spec().kind != JobKind::kService) {
+    return false;
+  }
+  const JobRecord* record = catalog_.FindJob(job.id());
+  return record != nullptr && record->stamp > catalog_.followed();
+}
+
+void Controller::OnRolloutRecord(const std::string& id, Time now) {
+  const auto known = catalog_.rollouts().find(id);
+  if (known == catalog_.rollouts().end()) return;
+  const RolloutRecord& record = known->second;
+  const auto it = rollouts_.find(id);
+  if (it != rollouts_.end()) {
+    it->second.OnRecord(record, now);
+  } else if (in_rollout_.contains(record.spec->from) ||
+             in_rollout_.contains(record.spec->to)) {
+    // Two were declared for one job on two controllers at the same time.
+    WriteOp op{WriteKind::kRollout, id};
+    op.step = RolloutStep::kFailed;
+    op.reason = "one of its jobs is part of another roll-out";
+    QueueWrite(std::move(op));
+  } else if (!Ended(record.step)) {
+    rollouts_.emplace(id, Rollout(record, now));
+    in_rollout_[record.spec->from] = id;
+    in_rollout_[record.spec->to] = id;
+    Log("roll-out " + id + ": " + record.spec->from + " to " + record.spec->to +
+        ", " + std::string(NameOf(record.step)));
+  }
+  dirty_ = true;
+}
+
+void Controller::OnHealth(const std::string& rollout, const ResidentKey& key,
+                          const CheckOutcome& outcome, Time now) {
+  --checks_in_flight_;
+  const auto it = rollouts_.find(rollout);
+  if (it != rollouts_.end()) it->second.OnCheck(key, outcome, now);
+}
+
+RolloutView Controller::ViewOf(const Rollout& rollout, Time now) const {
+  RolloutView view;
+  const RolloutSpec& spec = rollout.spec();
+  for (const bool is_new : {false, true}) {
+    const std::string& id = is_new ? spec.to : spec.from;
+    const auto it = jobs_.find(id);
+    const bool ended = catalog_.FindFinal(id) != FinalState::kNone;
+    if (it == jobs_.end()) {
+      if (is_new) view.to_known = ended;
+      continue;
+    }
+    const Job& job = *it->second;
+    (is_new ? view.to_live : view.from_live) = job.live();
+    (is_new ? view.to_tasks : view.from_tasks) = job.size();
+    if (is_new) view.to_known = true;
+    for (const auto& [m, key] : ResidentsOf(job)) {
+      const Resident& r = m->residents.at(key);
+      if (r.phase == TaskPhase::kExited || !IsCurrent(*m, r)) continue;
+      InstanceView seen;
+      seen.key = key;
+      seen.is_new = is_new;
+      seen.running = r.phase == TaskPhase::kRunning;
+      seen.stopping = r.stopping;
+      seen.heard = !Suspect(*m, now);
+      seen.leaving = m->state() != MachineState::kUp;
+      seen.zone = m->zone;
+      view.instances.push_back(std::move(seen));
+    }
+  }
+  return view;
+}
+
+void Controller::TickRollouts(Time now) {
+  if (rollouts_.empty() || now < next_rollouts_) return;
+  next_rollouts_ = now + settings_.workers.report_s / 4;
+  // A picture with holes would take unheard instances for missing ones.
+  if (!AllAccounted()) return;
+  const int most_checks =
+      std::max(1, static_cast<int>(tuning_.rollout_check_share *
+                                   settings_.limits.max_connections));
+  for (auto& [id, rollout] : rollouts_) {
+    const uint32_t old_before = rollout.MostOfOld();
+    const uint32_t new_before = rollout.MostOfNew();
+    const RolloutPlan plan = rollout.Review(ViewOf(rollout, now), now);
+    if (plan.next) {
+      QueueWrite({WriteKind::kRollout,
+                  id,
+                  FinalState::kNone,
+                  {},
+                  *plan.next,
+                  plan.reason,
+                  rollout.record().wish});
+    }
+    for (const ResidentKey& key : plan.stop) {
+      const auto job = jobs_.find(key.job_id);
+      if (job == jobs_.end()) continue;
+      const int32_t index = job->second->task(key.task).machine;
+      if (index < 0) continue;
+      Machine& m = *machines_[static_cast<size_t>(index)];
+      const auto it = m.residents.find(key);
+      if (it == m.residents.end() || it->second.stopping) continue;
+      LogDetail([&] {
+        return "roll-out " + id + " stops " + key.job_id + "/" +
+               std::to_string(key.task) + " on " + m.host();
+      });
+      QueueStop(m, it->second, 0, now);
+    }
+    if (rollout.MostOfOld() != old_before ||
+        rollout.MostOfNew() != new_before) {
+      dirty_ = urgent_dirty_ = true;
+    }
+    const int room = most_checks - checks_in_flight_;
+    if (room <= 0) continue;
+    for (const ResidentKey& key :
+         rollout.TakeDue(static_cast<size_t>(room), now)) {
+      const auto job = jobs_.find(key.job_id);
+      const int32_t index =
+          job == jobs_.end() ? -1 : job->second->task(key.task).machine;
+      if (index < 0) {
+        rollout.OnCheck(key, {}, now);
+        continue;
+      }
+      ++checks_in_flight_;
+      actions_.push_back(CheckInstance{
+          id, key, machines_[static_cast<size_t>(index)]->endpoint,
+          rollout.record().spec});
+    }
+  }
+}
+
+RolloutRecord Controller::AfterOp(const RolloutRecord& record,
+                                  const WriteOp& op) {
+  RolloutRecord next = record;
+  if (op.step == RolloutStep::kPaused) next.paused_in = next.step;
+  next.step = op.step;
+  next.reason = op.reason;
+  // A wish that came while the step was being written stands.
+  if (next.wish == op.wish) next.wish = RolloutWish::kNone;
+  return next;
+}
+
+// The end of a roll-out and of the job that it replaces, or takes back, stand
+// in one transaction: the declaration was made by the user of both, and nobody
+// is told of one without the other.
+bool Controller::BuildRolloutOp(const WriteOp& op,
+                                WriteTransaction* txn) const {
+  const auto known = catalog_.rollouts().find(op.name);
+  if (known == catalog_.rollouts().end() || known->second.step == op.step) {
+    return false;
+  }
+  const RolloutRecord next = AfterOp(known->second, op);
+  const std::string key = keys::Of(keys::kRollout, op.name);
+  txn->conditions.push_back({key, known->second.stamp});
+  if (!Ended(op.step)) {
+    txn->changes.push_back({key, next});
+    return true;
+  }
+  txn->changes.push_back({keys::Of(keys::kRolloutEnd, op.name), next});
+  txn->changes.push_back({key, {}});
+  const std::string* ends = op.step == RolloutStep::kDone ? &next.spec->from
+                            : op.step == RolloutStep::kRolledBack
+                                ? &next.spec->to
+                                : nullptr;
+  const JobRecord* job = ends ? catalog_.FindJob(*ends) : nullptr;
+  if (job != nullptr && job->final_state == FinalState::kNone) {
+    JobRecord ended = *job;
+    ended.final_state = FinalState::kAborted;
+    const std::string job_key = keys::Of(keys::kJob, *ends);
+    txn->conditions.push_back({job_key, job->stamp});
+    txn->changes.push_back({job_key, ended});
+  }
+  return true;
+}
+
+void Controller::RolloutOpDone(const WriteOp& op, uint64_t revision, Time now) {
+  const auto it = rollouts_.find(op.name);
+  if (revision > 0) {
+    const auto known = catalog_.rollouts().find(op.name);
+    if (known != catalog_.rollouts().end()) {
+      const RolloutRecord next = AfterOp(known->second, op);
+      const std::string key = keys::Of(keys::kRollout, op.name);
+      if (Ended(op.step)) {
+        catalog_.Erase(key, revision);
+      } else {
+        catalog_.Put(key, next, revision);
+        OnRolloutRecord(op.name, now);
+      }
+    }
+  }
+  Log("roll-out " + op.name + ": " + std::string(NameOf(op.step)) +
+      (op.reason.empty() ? "" : ", " + op.reason));
+  if (!Ended(op.step) || it == rollouts_.end()) return;
+  const std::string from = it->second.spec().from;
+  const std::string to = it->second.spec().to;
+  rollouts_.erase(it);
+  in_rollout_.erase(from);
+  in_rollout_.erase(to);
+  const std::string& ends = op.step == RolloutStep::kDone ? from : to;
+  const auto job = jobs_.find(ends);
+  if (op.step != RolloutStep::kFailed && job != jobs_.end() &&
+      job->second->live()) {
+    if (revision > 0) {
+      if (const JobRecord* record = catalog_.FindJob(ends)) {
+        JobRecord ended = *record;
+        ended.final_state = FinalState::kAborted;
+        catalog_.Put(keys::Of(keys::kJob, ends), ended, revision);
+      }
+    }
+    job->second->Change(JobState::kRecordingAbort);
+    OnFinalRecorded(ends, FinalState::kAborted, now);
+  }
+  dirty_ = urgent_dirty_ = true;
+}
+
+}  // namespace oxbow
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -32,7 +32,8 @@
 }
 
 bool Controller::Placeable(const Job& job, Time now, bool accounted) const {
-  if (!job.live() || job.unplaced() == 0 || now < job.not_before) return false;
+  if (!job.live() || Wanted(job) == 0 || now < job.not_before) return false;
+  if (MayBeRestricted(job)) return false;
   if (accounted) return true;
   // Tasks of a job accepted under this leader are nowhere else. In a capped
   // team, unheard machines may hold what fills the limit.
@@ -174,7 +175,7 @@
   std::vector<Machine*> alive;
   for (auto& m : machines_) {
     std::erase_if(m->reservations, [&](const Reservation& r) {
-      return now > r.until || !r.job->live() || r.job->unplaced() == 0;
+      return now > r.until || !r.job->live() || Wanted(*r.job) == 0;
     });
     if (m->state() == MachineState::kGone) continue;
     alive.push_back(m.get());
@@ -292,10 +293,10 @@
                           double bandwidth, Time now) {
   Footprint where = Where(job);
   int64_t task;
-  while ((task = job.PeekPending()) >= 0) {
+  while (Wanted(job) > 0 && (task = job.PeekPending()) >= 0) {
     if (!TeamAllows(job, 1)) {
       if (job.spec().kind == JobKind::kService) {
-        MakeTeamRoom(job, job.unplaced(), now);
+        MakeTeamRoom(job, Wanted(job), now);
       }
       return;
     }
@@ -391,12 +392,14 @@
   }
 }
 
-bool Controller::MayPreempt(const Job& job, const Resident& victim) const {
+bool Controller::MayPreempt(const Job& job, const Resident& victim,
+                            Time now) const {
   if (victim.job == nullptr || victim.job == &job ||
       victim.phase == TaskPhase::kExited) {
     return false;
   }
   const Job& other = *victim.job;
+  if (!FloorAllows(KeyOf(victim), other, now)) return false;
   if (other.spec().priority > job.spec().priority) return true;
   // Borrowed room goes back to a team that is within its guarantee.
   if (!job.within_guarantee || other.team() < 0 || other.team() == job.team() ||
@@ -446,7 +449,8 @@
       if (r.stopping) {
         room += r.need;
       } else if (r.phase != TaskPhase::kExited &&
-                 r.job->spec().priority > job.spec().priority) {
+                 r.job->spec().priority > job.spec().priority &&
+                 FloorAllows(key, *r.job, now)) {
         victims.push_back({PreemptionCost(r, now), {m.get(), key}});
       }
     }
@@ -471,7 +475,9 @@
   if (!enough) return;
   for (const auto& [m, key] : chosen) {
     const auto it = m->residents.find(key);
-    if (it != m->residents.end()) Preempt(*m, it->second, job.spec(), now);
+    if (it != m->residents.end() && FloorAllows(key, *it->second.job, now)) {
+      Preempt(*m, it->second, job.spec(), now);
+    }
   }
 }
 
@@ -503,7 +509,7 @@
   if (spec.need.FitsIn(room)) return plan;
   std::vector<std::pair<double, ResidentKey>> victims;
   for (const auto& [key, r] : m.residents) {
-    if (!r.stopping && MayPreempt(job, r)) {
+    if (!r.stopping && MayPreempt(job, r, now)) {
       victims.emplace_back(PreemptionCost(r, now), key);
     }
   }
@@ -522,8 +528,12 @@
   Machine& m = *plan.machine;
   for (const ResidentKey& key : plan.victims) {
     const auto it = m.residents.find(key);
-    // A gang's tasks may have been stopped for their place elsewhere.
-    if (it == m.residents.end() || it->second.stopping) continue;
+    // A gang's tasks may have been stopped for their place elsewhere, and the
+    // victims before this one may have used up what a floor allows.
+    if (it == m.residents.end() || it->second.stopping ||
+        !FloorAllows(key, *it->second.job, now)) {
+      continue;
+    }
     Preempt(m, it->second, for_job, now);
   }
 }
@@ -549,7 +559,7 @@
     }
     for (const Reservation& r : m->reservations) held += r.job == &job;
   }
-  const uint32_t wanted = std::min(job.unplaced(), 40u);
+  const uint32_t wanted = std::min(Wanted(job), 40u);
   std::vector<Emptying> options;
   if (held < wanted) {
     for (Machine* m : usable) {
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -68,7 +68,7 @@
   for (const Job* job : waiting) {
     SupplyDemand demand;
     demand.spec = &job->spec();
-    double tasks = job->unplaced();
+    double tasks = Wanted(*job);
     if (job->spec().kind == JobKind::kArray) {
       // Short tasks follow one another on the same room: count as many as
       // would keep the backlog shorter than a machine takes to come up.
--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -16,6 +16,10 @@
   size_t bytes = 0;
   for (const KeyChange& change : txn.changes) {
     bytes += 512;
+    if (const auto* rollout = std::get_if<RolloutRecord>(&change.record)) {
+      bytes += 2 * (rollout->spec->check.verdict.size() +
+                    rollout->spec->check.path.size() + rollout->reason.size());
+    }
     if (const auto* job = std::get_if<JobRecord>(&change.record)) {
       bytes += job->spec->image.size() * 2;
       if (job->spec->types) {
@@ -35,6 +39,12 @@
   const auto same = [&](const WriteOp& o) {
     return o.kind == op.kind && o.name == op.name;
   };
+  // What a roll-out wants may change while the state service is out.
+  const auto waits = std::find_if(queue.begin(), queue.end(), same);
+  if (op.kind == WriteKind::kRollout && waits != queue.end()) {
+    *waits = std::move(op);
+    return;
+  }
   if (std::any_of(queue.begin(), queue.end(), same) ||
       std::any_of(in_flight_.begin(), in_flight_.end(), same)) {
     return;
@@ -121,6 +131,8 @@
       }
       return true;
     }
+    case WriteKind::kRollout:
+      return BuildRolloutOp(op, txn);
   }
   return false;
 }
@@ -152,7 +164,7 @@
   if (in_flight_.empty()) return;
   in_flight_keys_.clear();
   for (const KeyChange& change : txn.changes) {
-    if (!change.key.starts_with(keys::kFinal)) {
+    if (change.key.starts_with(keys::kLive)) {
       in_flight_keys_.push_back(change.key);
     }
   }
@@ -295,6 +307,9 @@
       rentals_.erase(op.name);
       break;
     }
+    case WriteKind::kRollout:
+      RolloutOpDone(op, revision, now);
+      break;
   }
 }
 
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -98,6 +98,10 @@
   auto operator<=>(const ResidentKey&) const = default;
 };
 
+inline ResidentKey KeyOf(const Resident& r) {
+  return {r.job_id, r.task, r.attempt};
+}
+
 // Orders under way to a worker. One batch at a time: then every message of the
 // worker either came before the batch or shows its effect.
 struct Batch {
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -98,6 +98,10 @@
   // A machine still booting after this many times its nominal boot time is
   // replaced.
   double boot_patience = 2.5;
+  // Roll-outs at the same time; 0 turns the subsystem off.
+  double rollouts_at_once = 0;
+  // Health checks under way, as a share of the sockets.
+  double rollout_check_share = 0.05;
 };
 
 // Two steady clocks may drift apart by 0.05%; twice that is allowed for.
--- /dev/null
+++ b/tests/cluster_test.cc
@@ -0,0 +1,419 @@
+// Roll-outs on loopback: real controllers as processes, killed and started
+// again, against stand-ins for everything else. The workers count healthy
+// instances themselves.
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidjson/document.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <random>
+
+#include "clients/json.h"
+#include "tests/stand_ins.h"
+
+// Servers run until their process ends, so a test that stops its loop leaves
+// their suspended coroutines behind.
+extern "C" const char* __lsan_default_suppressions() {
+  return "leak:oxbow::net::\nleak:oxbow::test::\nleak:oxbow::clients::\n";
+}
+
+namespace oxbow::test {
+namespace {
+
+using net::Loop;
+using net::Task;
+
+constexpr int kControllers = 3;
+constexpr double kLease = 6;     // s
+constexpr double kReport = 0.3;  // s
+
+class Cluster {
+ public:
+  explicit Cluster(uint64_t seed) : random(seed), state_(loop), cloud_(loop) {
+    cloud_.listed = [this] {
+      std::string all;
+      for (const auto& w : workers) {
+        if (!all.empty()) all += ",";
+        all += w->ListItem();
+      }
+      return all;
+    };
+    cloud_.on_delete = [this](const std::string& host) {
+      for (const auto& w : workers) {
+        if (w->host() == host) w->Die();
+      }
+      std::erase_if(workers, [&](const auto& w) {
+        if (w->host() != host) return false;
+        buried_.push_back(w);
+        return true;
+      });
+    };
+    for (int i = 0; i < kControllers; ++i) {
+      listen_.push_back(Local(FreePort()));
+      back_.push_back(Local(FreePort()));
+    }
+    for (int i = 0; i < kControllers; ++i) {
+      WriteSettings(i);
+      pids_.push_back(-1);
+      Launch(i);
+      clients_.push_back(
+          std::make_unique<net::HttpClient>(loop, listen_[i], 100'000, 1));
+    }
+    for (int i = 0; i < 6; ++i) AddWorker();
+  }
+  ~Cluster() {
+    for (int i = 0; i < kControllers; ++i) Kill(i);
+  }
+
+  void AddWorker() {
+    ++added_;
+    std::vector<std::pair<std::string, net::Address>> controllers;
+    for (int i = 0; i < kControllers; ++i) {
+      controllers.emplace_back(Name(i), listen_[i]);
+    }
+    workers.push_back(std::make_shared<FakeWorker>(
+        loop, fmt::format("n-{:06}", added_),
+        fmt::format("127.0.{}.{}", 1 + added_ / 200, 1 + added_ % 200),
+        added_ % 2 ? "a" : "b",
+        FakeWorker::Timing{kReport, kLease, health_port},
+        std::move(controllers), cues));
+    workers.back()->Start();
+  }
+
+  static std::string Name(int i) { return fmt::format("c-{}", i); }
+  int Leader() const {
+    rapidjson::Document doc;
+    doc.Parse(state_.Value("ob/live/leader").c_str());
+    for (int i = 0; i < kControllers; ++i) {
+      if (json::GetString(doc, "node") == Name(i)) return i;
+    }
+    return -1;
+  }
+  void Kill(int i) {
+    if (pids_[i] <= 0) return;
+    kill(pids_[i], SIGKILL);
+    waitpid(pids_[i], nullptr, 0);
+    pids_[i] = -1;
+  }
+  void Launch(int i) {
+    const std::string config = ConfigOf(i);
+    const std::string log = config + ".log";
+    const pid_t pid = fork();
+    ASSERT_GE(pid, 0);
+    if (pid == 0) {
+      // Whatever becomes of the test, no controller stays behind.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+      dup2(fd, STDERR_FILENO);
+      execl(OXBOW_PROGRAM, OXBOW_PROGRAM, "serve", "--config", config.c_str(),
+            "--tuning", OXBOW_DEPLOY "/rollouts.conf", nullptr);
+      _exit(127);
+    }
+    pids_[i] = pid;
+  }
+  // Whether a controller has ended that nobody has killed.
+  bool AnyDied() {
+    for (pid_t& pid : pids_) {
+      if (pid > 0 && waitpid(pid, nullptr, WNOHANG) == pid) {
+        pid = -1;
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // As users do: another controller, a little later, until it is answered.
+  Task<net::ClientResult> Ask(std::string method, std::string path,
+                              std::string body) {
+    net::ClientResult answer;
+    for (int i = 0; i < 300; ++i) {
+      answer = co_await clients_[next_++ % kControllers]->Request(method, path,
+                                                                  body, 3);
+      if (answer.outcome == net::Outcome::kAnswered && answer.status != 503 &&
+          answer.status != 429 && answer.status != 504) {
+        break;
+      }
+      co_await loop.Sleep(0.1);
+    }
+    co_return answer;
+  }
+
+  int Well(const std::string& job) const {
+    int n = 0;
+    for (const auto& w : workers) n += w->Well(job);
+    return n;
+  }
+  int Present(const std::string& job) const {
+    int n = 0;
+    for (const auto& w : workers) n += w->Present(job);
+    return n;
+  }
+
+  Loop loop;
+  // Free on one address, so hardly taken on another of this machine.
+  const uint16_t health_port = FreePort();
+  std::mt19937_64 random;
+  std::map<std::string, Cue> cues;
+  std::vector<std::shared_ptr<FakeWorker>> workers;
+  FakeState& state() { return state_; }
+
+ private:
+  std::string ConfigOf(int i) const {
+    return testing::TempDir() +
+           fmt::format("oxbow-{}-{}.json", getpid(), Name(i));
+  }
+  void WriteSettings(int i) {
+    std::string known;
+    for (int other = 0; other < kControllers; ++other) {
+      if (other == i) continue;
+      if (!known.empty()) known += ",";
+      known += fmt::format(R"({{"host_name":"{}","site":"a","address":"{}"}})",
+                           Name(other), back_[other].ToString());
+    }
+    std::ofstream(ConfigOf(i)) << fmt::format(
+        R"({{"host_name":"{}","site":"a","public_addr":"{}","back":"{}",
+        "known":[{}],"outside":{{"cloud":"{}","state":"{}"}},
+        "cluster":{{"count":{},"zones":["a","b"],
+        "teams":[{{"name":"t","cpus":0.0,"cpus_max":0.0,"gpus":0.0,
+        "gpus_max":0.0}}],"objectives":[],
+        "workers":{{"report_s":{},"lease_s":{},"gang_wait_s":40.0,
+        "gang_peer_s":4.0,"cancel_s":40.0}},
+        "state":{{"rps":2000.0,"write_rps":1000.0,"value_kb":8.0,
+        "txn_ops":16}},"cloud":{{"rps":20.0,"list_lag_s":1.0}},
+        "quota":{{"cpu":0.5,"mem_mb":256.0,"max_sockets":700}},
+        "clock_error_ms":25.0}}}})",
+        Name(i), listen_[i].ToString(), back_[i].ToString(), known,
+        Local(cloud_.port()).ToString(), Local(state_.port()).ToString(),
+        kControllers, kReport, kLease);
+  }
+
+  FakeState state_;
+  FakeCloud cloud_;
+  std::vector<net::Address> listen_;
+  std::vector<net::Address> back_;
+  std::vector<pid_t> pids_;
+  std::vector<std::unique_ptr<net::HttpClient>> clients_;
+  std::vector<std::shared_ptr<FakeWorker>> buried_;
+  size_t next_ = 0;
+  int added_ = 0;
+};
+
+enum class Kind { kGood, kError, kEmpty, kSilent, kLater, kFlapping };
+constexpr std::array kKindNames = {"good",   "errors", "empty results",
+                                   "silent", "later",  "flapping"};
+constexpr int kTasks = 3;
+
+class Trial {
+ public:
+  Trial(Cluster& cluster, int rollouts)
+      : c_(cluster), rollouts_(rollouts), count_(kKindNames.size()) {}
+
+  Task<void> Run() {
+    net::Spawn(WatchFloors());
+    net::Spawn(Trouble());
+    constexpr int kAtOnce = 4;
+    for (int i = 0; i < kAtOnce; ++i) net::Spawn(Line());
+    while (finished_ < kAtOnce) co_await c_.loop.Sleep(0.05);
+    over_ = true;
+    c_.loop.Stop();
+  }
+  void Print() const {
+    std::printf("%-14s %9s %6s %12s %s\n", "build", "roll-outs", "done",
+                "rolled back", "healthy above the floor, least");
+    for (size_t k = 0; k < count_.size(); ++k) {
+      const Row& row = count_[k];
+      if (row.all == 0) continue;
+      std::printf("%-14s %9d %6d %12d %d\n", kKindNames[k], row.all, row.done,
+                  row.back, row.least);
+    }
+    std::printf("leaders killed %d, outages %d, machines emptied %d\n", kills_,
+                outages_, drains_);
+  }
+
+ private:
+  struct Row {
+    int all = 0;
+    int done = 0;
+    int back = 0;
+    int least = 1000;
+  };
+  struct Watched {
+    std::string from;
+    std::string to;
+    int floor = 0;
+    Kind kind = Kind::kGood;
+  };
+
+  double Between(double least, double most) {
+    return std::uniform_real_distribution<double>(least, most)(c_.random);
+  }
+
+  Task<void> Line() {
+    while (begun_ < rollouts_) co_await One(begun_++);
+    ++finished_;
+  }
+
+  static std::string JobJson(const std::string& id) {
+    return fmt::format(
+        R"({{"id":"{}","duty":"web","crew":"t","form":"service",
+        "standing":"production","legs":{},"cores":1.0,"accelerators":0.0,
+        "memory_gb":1.0,"build":"i","size_gb":0.1,"together":false,
+        "scatter":true,"loaner":false,"reckon_s":0.0,"bookmark_s":0.0,
+        "stow_s":0.0}})",
+        id, kTasks);
+  }
+
+  Task<void> One(int n) {
+    const auto kind =
+        static_cast<Kind>(n % static_cast<int>(kKindNames.size()));
+    const std::string from = fmt::format("job-{:06}", 100'000 + 2 * n);
+    const std::string to = fmt::format("job-{:06}", 100'001 + 2 * n);
+    const std::string id = fmt::format("ro-{}", n);
+    const double bake = 2.5;
+    Cue cue;
+    if (kind == Kind::kError || kind == Kind::kEmpty || kind == Kind::kSilent) {
+      cue.sick_after = 0;
+    } else if (kind == Kind::kLater) {
+      cue.sick_after = Between(0.5, bake - 0.7);
+    } else if (kind == Kind::kFlapping) {
+      cue.flap_s = Between(0.5, 1.2);
+    }
+    cue.way = kind == Kind::kEmpty    ? Cue::Way::kEmpty
+              : kind == Kind::kSilent ? Cue::Way::kSilent
+                                      : Cue::Way::kError;
+    c_.cues[to] = cue;
+    const auto submitted = co_await c_.Ask("POST", "/v2/runs", JobJson(from));
+    EXPECT_TRUE(submitted.status == 201 || submitted.status == 200);
+    for (int i = 0; i < 1200 && c_.Well(from) < kTasks; ++i) {
+      co_await c_.loop.Sleep(0.05);
+    }
+    EXPECT_EQ(c_.Well(from), kTasks) << from << " never came up";
+    const int floor = kTasks - n % 2;
+    const auto declared = co_await c_.Ask(
+        "POST", "/v2/rollouts",
+        fmt::format(
+            R"({{"id":"{}","from":"{}","to":"{}","floor":{},"surge":1,
+            "start_s":4,"bake_s":{},"watch_s":1.5,"check":{{"port":{},
+            "path":"/health/{{job}}/{{task}}","interval_s":0.25,
+            "timeout_s":1.0,"good_in_row":2,"bad_in_row":2,
+            "verdict":"status == 200 and count('/chargers') > 0"}}}})",
+            id, from, to, floor, bake, c_.health_port));
+    EXPECT_TRUE(declared.status == 201 || declared.status == 200)
+        << declared.status << " " << declared.body;
+    watched_[id] = {from, to, floor, kind};
+    const auto second = co_await c_.Ask("POST", "/v2/runs", JobJson(to));
+    EXPECT_TRUE(second.status == 201 || second.status == 200);
+    std::string step;
+    std::string last;
+    const double limit = c_.loop.Now() + 120;
+    while (c_.loop.Now() < limit) {
+      const auto answer = co_await c_.Ask("GET", "/v2/rollouts/" + id, "");
+      rapidjson::Document doc;
+      json::Parse(answer.body, &doc);
+      last = answer.body;
+      step = json::GetString(doc, "step");
+      if (step == "done" || step == "rolled_back" || step == "failed") break;
+      // One that paused by itself: somebody looks, and lets it go on.
+      if (step == "paused") {
+        co_await c_.Ask("POST", "/v2/rollouts/" + id + "/resume", "");
+      }
+      co_await c_.loop.Sleep(0.1);
+    }
+    watched_.erase(id);
+    Row& row = count_[static_cast<size_t>(kind)];
+    ++row.all;
+    row.done += step == "done";
+    row.back += step == "rolled_back";
+    EXPECT_EQ(step, kind == Kind::kGood ? "done" : "rolled_back")
+        << id << " with a build that is "
+        << kKindNames[static_cast<size_t>(kind)] << ": " << last;
+    const std::string& ended = kind == Kind::kGood ? from : to;
+    const std::string& stays = kind == Kind::kGood ? to : from;
+    const auto poll = co_await c_.Ask("GET", "/v2/runs/" + ended, "");
+    EXPECT_NE(poll.body.find("aborted"), std::string::npos) << poll.body;
+    EXPECT_EQ(c_.Present(ended), 0);
+    const auto stop =
+        co_await c_.Ask("POST", "/v2/runs/" + stays + "/cancel", "");
+    EXPECT_EQ(stop.status, 200);
+  }
+
+  Task<void> WatchFloors() {
+    while (!over_) {
+      for (const auto& [id, w] : watched_) {
+        const int above = c_.Well(w.from) + c_.Well(w.to) - w.floor;
+        Row& row = count_[static_cast<size_t>(w.kind)];
+        row.least = std::min(row.least, above);
+        EXPECT_GE(above, 0) << id << " fell below its floor of " << w.floor;
+      }
+      EXPECT_FALSE(c_.AnyDied()) << "a controller ended by itself";
+      co_await c_.loop.Sleep(0.01);
+    }
+  }
+
+  Task<void> Trouble() {
+    co_await c_.loop.Sleep(3);
+    while (!over_) {
+      co_await c_.loop.Sleep(Between(2, 5));
+      const double what = Between(0, 1);
+      if (what < 0.45) {
+        const int leader = c_.Leader();
+        if (leader < 0) continue;
+        ++kills_;
+        c_.Kill(leader);
+        co_await c_.loop.Sleep(Between(0.3, 1.5));
+        c_.Launch(leader);
+        co_await c_.loop.Sleep(1);
+      } else if (what < 0.75) {
+        ++outages_;
+        c_.state().down = true;
+        co_await c_.loop.Sleep(Between(0.3, 1.5));
+        c_.state().down = false;
+      } else {
+        for (const auto& w : c_.workers) {
+          if (w->noticed()) continue;
+          ++drains_;
+          c_.AddWorker();
+          w->Notice(300);
+          break;
+        }
+      }
+    }
+  }
+
+  Cluster& c_;
+  int rollouts_;
+  int begun_ = 0;
+  int finished_ = 0;
+  bool over_ = false;
+  std::map<std::string, Watched> watched_;
+  std::vector<Row> count_;
+  int kills_ = 0;
+  int outages_ = 0;
+  int drains_ = 0;
+};
+
+// A short form; OXBOW_ROLLOUTS asks for more.
+TEST(Cluster, FloorsHoldThroughKillsOutagesAndDrains) {
+  const char* text = std::getenv("OXBOW_ROLLOUTS");
+  const char* seed = std::getenv("OXBOW_SEED");
+  const int rollouts = text == nullptr ? 12 : std::atoi(text);
+  Cluster cluster(seed == nullptr ? 1 : std::strtoull(seed, nullptr, 10));
+  Trial trial(cluster, rollouts);
+  net::Spawn(trial.Run());
+  cluster.loop.At(cluster.loop.Now() + 120 + 15 * rollouts, [&] {
+    ADD_FAILURE() << "timed out";
+    cluster.loop.Stop();
+  });
+  cluster.loop.Run();
+  trial.Print();
+}
+
+}  // namespace
+}  // namespace oxbow::test
--- /dev/null
+++ b/tests/rollout_test.cc
@@ -0,0 +1,426 @@
+// Roll-outs under random trouble, the verdict's expressions, the latencies.
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidjson/document.h>
+
+#include <cstdlib>
+
+#include "api/rollout_json.h"
+#include "core/rollout/latency.h"
+#include "script/verdict.h"
+#include "tests/sim.h"
+
+namespace oxbow::test {
+namespace {
+
+enum class Build { kGood, kBadAtOnce, kBadLater, kFlapping, kMute };
+constexpr int kBuilds = 5;
+
+struct Tally {
+  int good = 0;
+  int bad = 0;
+};
+
+// One roll-out, with leaders killed, machines emptied, the state service out
+// and writes late at random times from a seed.
+class TroubledRollout {
+ public:
+  explicit TroubledRollout(uint64_t seed) : random_(seed) {
+    build_ = static_cast<Build>(seed % kBuilds);
+    sim_.tuning.rollouts_at_once = 4;
+    sim_.settings.teams.push_back({"t", 0, 0, 0, 0});
+    MachineType type;
+    type.name = "small";
+    type.total = {4, 0, 64};
+    type.cache_gb = 100;
+    type.boot_s = 3;
+    type.zones = {"a", "b"};
+    sim_.types["small"] = type;
+    for (int i = 1; i <= 4; ++i) {
+      sim_.AddWorker(fmt::format("n-{}", i), "small", i % 2 ? "a" : "b", false);
+    }
+    sim_.Lead();
+    sim_.Run(2);
+    tasks_ = static_cast<uint32_t>(2 + seed % 4);
+    Submit("job-000001");
+    sim_.Run(4);
+    RolloutSpec spec;
+    spec.id = "ro-1";
+    spec.from = "job-000001";
+    spec.to = "job-000002";
+    spec.floor = tasks_ - static_cast<uint32_t>(Happens(0.5));
+    spec.surge = static_cast<uint32_t>(Between(1, 3));
+    spec.start_s = 5;
+    spec.bake_s = Between(4, 8);
+    spec.watch_s = 5;
+    spec.check.interval_s = 0.5;
+    spec.check.timeout_s = 0.5;
+    sim_.floor = static_cast<int>(spec.floor);
+    sim_.floor_jobs = {spec.from, spec.to};
+    Illness ill;
+    ill.mute = build_ == Build::kMute;
+    switch (build_) {
+      case Build::kGood:
+        break;
+      case Build::kBadAtOnce:
+      case Build::kMute:
+        ill.sick_after = 0;
+        break;
+      case Build::kBadLater:
+        ill.sick_after = Between(1, spec.bake_s - 1);
+        break;
+      case Build::kFlapping:
+        ill.flap_s = Between(0.8, 3);
+        break;
+    }
+    sim_.illness[spec.to] = ill;
+    sim_.Declare(spec);
+    Submit("job-000002");
+  }
+
+  // What went wrong; empty for nothing.
+  std::string Play(Tally* tally) {
+    constexpr double kStep = 0.05;
+    constexpr double kMost = 600;
+    for (double t = 0; t < kMost; t += kStep) {
+      const auto now = sim_.RolloutOf("ro-1");
+      if (now && Ended(now->step)) return Judge(*now, tally);
+      if (t < 60) Trouble(kStep);
+      if (sim_.leader() == nullptr && sim_.now() >= lead_at_) sim_.Lead();
+      sim_.state_down = sim_.now() < state_until_;
+      sim_.Run(kStep);
+      if (!sim_.broken().empty()) return sim_.broken().front();
+    }
+    return "never ended, " + sim_.RolloutOf("ro-1")->reason;
+  }
+
+ private:
+  double Between(double least, double most) {
+    return std::uniform_real_distribution<double>(least, most)(random_);
+  }
+  bool Happens(double share) {
+    return std::bernoulli_distribution(share)(random_);
+  }
+
+  std::string Judge(const RolloutRecord& end, Tally* tally) {
+    const bool good = build_ == Build::kGood;
+    (good ? tally->good : tally->bad)++;
+    if (good && end.step != RolloutStep::kDone) {
+      return "a good build was not finished: " + end.reason;
+    }
+    if (!good && end.step != RolloutStep::kRolledBack) {
+      return "a bad build was not rolled back";
+    }
+    // Afterwards one of the two runs whole, the other is gone.
+    sim_.state_down = false;
+    sim_.Run(30);
+    if (sim_.leader() == nullptr) sim_.Lead();
+    sim_.Run(60);
+    const std::string& stays = good ? sim_.floor_jobs[1] : sim_.floor_jobs[0];
+    const std::string& goes = good ? sim_.floor_jobs[0] : sim_.floor_jobs[1];
+    if (sim_.CountRunning(stays) != static_cast<int>(tasks_)) {
+      return stays + " is not whole afterwards";
+    }
+    if (sim_.CountPresent(goes) != 0) return goes + " is still there";
+    return sim_.broken().empty() ? "" : sim_.broken().front();
+  }
+
+  void Submit(const std::string& id) {
+    JobSpec spec;
+    spec.id = id;
+    spec.job_class = "web";
+    spec.team = "t";
+    spec.kind = JobKind::kService;
+    spec.priority = Priority::kProduction;
+    spec.tasks = tasks_;
+    spec.need = {1, 0, 1};
+    spec.image = "img";
+    spec.image_gb = 0.2;
+    spec.spread = tasks_ > 2;
+    sim_.Submit(spec);
+  }
+
+  void Trouble(double step) {
+    const auto every = [&](double seconds) { return Happens(step / seconds); };
+    const double now = sim_.now();
+    if (sim_.leader() != nullptr && every(15)) {
+      sim_.Crash();
+      lead_at_ = now + Between(0, 3);
+    }
+    if (every(20)) state_until_ = now + Between(1, 8);
+    if (every(20)) {
+      sim_.next_write = Happens(0.5) ? Fate::kLate : Fate::kLostAnswer;
+    }
+    // With notice enough to move: one that leaves without is no drain.
+    if (notices_ < 3 && every(6)) {
+      const int n = static_cast<int>(Between(1, 4.999));
+      const auto it = sim_.workers().find(fmt::format("n-{}", n));
+      if (it != sim_.workers().end() && !it->second.notice) {
+        it->second.notice = 500;
+        ++notices_;
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+  Sim sim_;
+  Build build_;
+  uint32_t tasks_ = 0;
+  double lead_at_ = 0;
+  double state_until_ = 0;
+  int notices_ = 0;
+};
+
+TEST(Rollouts, FloorHoldsBadBuildsGoBackGoodOnesFinish) {
+  constexpr int kSeeds = 300;
+  Tally tally;
+  const char* only = std::getenv("OXBOW_SEED");
+  for (uint64_t seed = 0; seed < kSeeds; ++seed) {
+    if (only != nullptr && std::to_string(seed) != only) continue;
+    TroubledRollout one(seed);
+    ASSERT_EQ(one.Play(&tally), "") << "seed " << seed;
+  }
+  if (only != nullptr) return;
+  EXPECT_EQ(tally.good, kSeeds / kBuilds);
+  EXPECT_EQ(tally.bad, kSeeds - kSeeds / kBuilds);
+}
+
+// Two old instances and one new, all on machines that are heard.
+class Picture {
+ public:
+  Picture() {
+    spec.id = "ro-1";
+    spec.from = "job-000001";
+    spec.to = "job-000002";
+    spec.floor = 2;
+    spec.bake_s = 10;
+    spec.check.good_in_row = 1;
+    spec.check.bad_in_row = 2;
+    view.from_live = view.to_known = view.to_live = true;
+    view.from_tasks = view.to_tasks = 2;
+    Add(0, false);
+    Add(1, false);
+    Add(0, true);
+  }
+  Rollout Begin(RolloutStep step) const {
+    RolloutRecord record;
+    record.spec = std::make_shared<RolloutSpec>(spec);
+    record.step = step;
+    record.stamp = 1;
+    return {record, 100};
+  }
+  void Add(uint32_t task, bool is_new) {
+    InstanceView i;
+    i.key = {is_new ? spec.to : spec.from, task, 7};
+    i.is_new = is_new;
+    i.running = i.heard = true;
+    i.zone = "a";
+    view.instances.push_back(i);
+  }
+  void AllGood(Rollout* rollout, Time now) const {
+    for (const InstanceView& i : view.instances) {
+      rollout->OnCheck(i.key, {true, true, 0.01}, now);
+    }
+  }
+  ResidentKey Old() const { return view.instances[0].key; }
+  ResidentKey New() const { return view.instances[2].key; }
+
+  RolloutSpec spec;
+  RolloutView view;
+};
+
+TEST(Rollouts, ANewLeaderStopsNothingThatItHasNotSeenWell) {
+  Picture p;
+  Rollout rollout = p.Begin(RolloutStep::kAdvancing);
+  EXPECT_FALSE(rollout.MayStop(p.Old(), 100));
+  EXPECT_TRUE(rollout.Review(p.view, 100).stop.empty());
+  EXPECT_FALSE(rollout.MayStop(p.Old(), 100));
+}
+
+TEST(Rollouts, HealthSeenLongAgoCarriesNoFloor) {
+  Picture p;
+  p.spec.floor = 1;
+  Rollout rollout = p.Begin(RolloutStep::kAdvancing);
+  rollout.Review(p.view, 100);
+  p.AllGood(&rollout, 100);
+  EXPECT_TRUE(rollout.MayStop(p.Old(), 101));
+  EXPECT_FALSE(rollout.MayStop(p.Old(), 130));
+}
+
+TEST(Rollouts, ANewInstanceCarriesTheFloorOnceItHasBaked) {
+  Picture p;
+  Rollout rollout = p.Begin(RolloutStep::kAdvancing);
+  rollout.Review(p.view, 100);
+  p.AllGood(&rollout, 100);
+  p.AllGood(&rollout, 105);
+  EXPECT_FALSE(rollout.MayStop(p.Old(), 105));
+  p.AllGood(&rollout, 110);
+  EXPECT_TRUE(rollout.MayStop(p.Old(), 110));
+  // Only one of them: what is stopped carries nothing any more.
+  rollout.NoteStopping(p.Old());
+  EXPECT_FALSE(rollout.MayStop(p.view.instances[1].key, 110));
+  // A single bad answer begins the baking anew.
+  rollout.OnCheck(p.New(), {true, false, 0.01}, 111);
+  p.AllGood(&rollout, 112);
+  EXPECT_EQ(rollout.Count(112).new_baked, 0U);
+}
+
+TEST(Rollouts, ABuildTakenBackCarriesNoOldInstance) {
+  Picture p;
+  p.Add(1, true);
+  Rollout rollout = p.Begin(RolloutStep::kRollingBack);
+  rollout.Review(p.view, 100);
+  p.AllGood(&rollout, 100);
+  p.AllGood(&rollout, 110);
+  EXPECT_EQ(rollout.Count(110).new_baked, 2U);
+  EXPECT_FALSE(rollout.MayStop(p.Old(), 110));
+  EXPECT_TRUE(rollout.MayStop(p.New(), 110));
+}
+
+TEST(Rollouts, OneThatNeverStaysHealthyGoesBack) {
+  Picture p;
+  p.spec.start_s = 5;
+  Rollout rollout = p.Begin(RolloutStep::kAdvancing);
+  RolloutPlan plan;
+  Time now = 100;
+  for (; now < 150 && !plan.next; ++now) {
+    p.AllGood(&rollout, now);
+    if (static_cast<int>(now) % 4 == 0) {
+      rollout.OnCheck(p.New(), {true, false, 0.01}, now);
+    }
+    plan = rollout.Review(p.view, now);
+  }
+  EXPECT_EQ(plan.next, RolloutStep::kRollingBack);
+  EXPECT_NE(plan.reason.find("does not stay healthy"), std::string::npos);
+  EXPECT_GT(now, 100 + p.spec.start_s + 3 * p.spec.bake_s);
+}
+
+TEST(Rollouts, ASilentMachineIsNoFaultOfTheBuild) {
+  Picture p;
+  Rollout rollout = p.Begin(RolloutStep::kAdvancing);
+  rollout.Review(p.view, 100);
+  p.AllGood(&rollout, 100);
+  p.view.instances[2].heard = false;
+  for (int i = 1; i < 5; ++i) rollout.OnCheck(p.New(), {}, 100 + i);
+  rollout.OnCheck(p.Old(), {true, true, 0.01}, 104);
+  EXPECT_FALSE(rollout.Review(p.view, 105).next);
+  p.view.instances[2].heard = true;
+  EXPECT_EQ(rollout.Review(p.view, 105).next, RolloutStep::kRollingBack);
+}
+
+TEST(Rollouts, SlowerByMoreThanAllowedGoesBack) {
+  Picture p;
+  p.spec.check.slow_ratio = 3;
+  Rollout rollout = p.Begin(RolloutStep::kAdvancing);
+  rollout.Review(p.view, 100);
+  for (int i = 0; i < 200; ++i) {
+    rollout.OnCheck(p.Old(), {true, true, 0.010}, 100 + i * 0.01);
+    rollout.OnCheck(p.view.instances[1].key, {true, true, 0.012}, 102);
+    rollout.OnCheck(p.New(), {true, true, 0.060}, 102);
+  }
+  const RolloutPlan plan = rollout.Review(p.view, 102);
+  EXPECT_EQ(plan.next, RolloutStep::kRollingBack);
+  EXPECT_NE(plan.reason.find("slowly"), std::string::npos);
+}
+
+using script::Verdict;
+
+Verdict::Result JudgeOnce(const std::string& expression, int status,
+                          std::string_view body, double ms = 1) {
+  Verdict verdict(expression);
+  EXPECT_EQ(verdict.error(), "");
+  return verdict.Judge({status, body, ms});
+}
+
+TEST(Verdicts, SeeTheAnswer) {
+  using enum Verdict::Result;
+  EXPECT_EQ(JudgeOnce("status == 200", 200, ""), kGood);
+  EXPECT_EQ(JudgeOnce("status == 200", 503, ""), kBad);
+  // 200, but with empty results: what the users fear.
+  const std::string found = "status == 200 and count('/chargers') > 0";
+  EXPECT_EQ(JudgeOnce(found, 200, R"({"chargers":[{"id":1}]})"), kGood);
+  EXPECT_EQ(JudgeOnce(found, 200, R"({"chargers":[]})"), kBad);
+  EXPECT_EQ(JudgeOnce(found, 200, R"({"error":"none"})"), kBad);
+  EXPECT_EQ(JudgeOnce(found, 200, "no JSON"), kBad);
+  EXPECT_EQ(JudgeOnce("value('/a/b') == 'ok' and has('ok')", 200,
+                      R"({"a":{"b":"ok"}})"),
+            kGood);
+  EXPECT_EQ(JudgeOnce("latency_ms < 50", 200, "", 80), kBad);
+  EXPECT_EQ(JudgeOnce("true", 200, ""), kGood);
+}
+
+TEST(Verdicts, WhatIsNotTrueOrFalseIsAnError) {
+  using enum Verdict::Result;
+  EXPECT_EQ(JudgeOnce("status", 200, ""), kError);
+  EXPECT_EQ(JudgeOnce("nothing.at.all", 200, ""), kError);
+  EXPECT_EQ(JudgeOnce("count()", 200, ""), kError);
+  EXPECT_NE(Verdict::WhatIsWrong("status =="), "");
+  EXPECT_NE(Verdict::WhatIsWrong(std::string("\x1bLua")), "");
+}
+
+TEST(Verdicts, AreBoundedAndReachNothing) {
+  using enum Verdict::Result;
+  EXPECT_EQ(JudgeOnce("(function() while true do end end)()", 200, ""), kError);
+  EXPECT_EQ(JudgeOnce("(function() local s = body while true do s = s .. s "
+                      "end end)()",
+                      200, std::string(1000, 'x')),
+            kError);
+  for (const char* name : {"os", "io", "require", "load", "string", "pcall",
+                           "setmetatable", "debug", "coroutine", "_G"}) {
+    EXPECT_EQ(JudgeOnce(std::string(name) + " == nil", 200, ""), kGood) << name;
+  }
+  // One that has run into a limit is as good as new for the next answer, and
+  // nothing is carried from one to the next.
+  Verdict verdict(
+      "(function() if has('loop') then while true do end end "
+      "local seen = kept kept = 1 return seen == nil end)()");
+  EXPECT_EQ(verdict.Judge({200, "loop", 1}), kError);
+  EXPECT_EQ(verdict.Judge({200, "", 1}), kGood);
+  EXPECT_EQ(verdict.Judge({200, "", 1}), kGood);
+  // A body of nothing but brackets does not use up the stack.
+  EXPECT_EQ(JudgeOnce("count('') == -1", 200, std::string(60'000, '[')), kGood);
+}
+
+TEST(Latencies, QuantilesComeFromTheBins) {
+  LatencyHistogram latencies;
+  EXPECT_EQ(latencies.Quantile(0.9), 0);
+  for (int i = 1; i <= 1000; ++i) latencies.Add(i * 1e-3);
+  EXPECT_NEAR(latencies.Quantile(0.5), 0.5, 0.15);
+  EXPECT_NEAR(latencies.Quantile(0.9), 0.9, 0.25);
+}
+
+std::string WhatIsWrongWith(const std::string& text) {
+  rapidjson::Document doc;
+  doc.Parse(text.c_str());
+  EXPECT_FALSE(doc.HasParseError()) << text;
+  RolloutSpec spec;
+  const std::string malformed = api::ReadRolloutSpec(doc, &spec);
+  return malformed.empty() ? api::WhyNoRollout(spec, 4) : malformed;
+}
+
+TEST(Declarations, AreCheckedInWords) {
+  const std::string head =
+      R"({"id":"ro-7","from":"job-000001","to":"job-000002",)";
+  const std::string check = R"("check":{"port":8080}})";
+  EXPECT_EQ(WhatIsWrongWith(head + R"("floor":3,)" + check), "");
+  EXPECT_EQ(WhatIsWrongWith(head + check), "field floor");
+  EXPECT_EQ(WhatIsWrongWith(head + R"("floor":3})"), "field check");
+  EXPECT_EQ(WhatIsWrongWith(head + R"("floor":3,"check":{"port":0}})"),
+            "check, field port");
+  EXPECT_EQ(
+      WhatIsWrongWith(head + R"("floor":3,"check":{"port":1,"path":"a b"}})"),
+      "check, field path");
+  EXPECT_NE(WhatIsWrongWith(head + R"("floor":5,)" + check), "");
+  EXPECT_NE(WhatIsWrongWith(head + R"("floor":4,"surge":0,)" + check), "");
+  EXPECT_NE(WhatIsWrongWith(head +
+                            R"("floor":3,"check":{"port":1,"verdict":"1 +"}})"),
+            "");
+  EXPECT_EQ(WhatIsWrongWith(
+                R"({"id":"ro-7","from":"job-000001","to":"job-000001",
+                "floor":1,"check":{"port":1}})"),
+            "field to");
+}
+
+}  // namespace
+}  // namespace oxbow::test
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "api/wire_names.h"
 #include "tests/sim.h"
 
 namespace oxbow::test {
@@ -87,6 +88,8 @@
       words >> name >> word;
       if (name == "idle_return_leases") {
         sim_.tuning.idle_return_leases = std::stod(word);
+      } else if (name == "rollouts_at_once") {
+        sim_.tuning.rollouts_at_once = std::stod(word);
       } else if (name == "give_up_ratio") {
         sim_.tuning.give_up_ratio = std::stod(word);
       } else {
@@ -154,6 +157,38 @@
         w.notice = seconds;
       } else
         FAIL() << "unknown fault";
+    } else if (verb == "rollout") {
+      sim_.Declare(ReadRollout(words));
+    } else if (verb == "wish") {
+      words >> name >> word;
+      sim_.Wish(name, word == "pause"    ? RolloutWish::kPause
+                      : word == "resume" ? RolloutWish::kResume
+                                         : RolloutWish::kAbort);
+    } else if (verb == "sick") {
+      // sick JOB [after=S] [flap=S] [mute]; with none, from now on
+      words >> name;
+      const Options o = ReadOptions(words);
+      Illness& ill = sim_.illness[name];
+      ill.sick_after = Number(o, "after", 1e18);
+      ill.flap_s = Number(o, "flap", 0);
+      ill.mute = o.contains("mute");
+      if (!o.contains("after") && !o.contains("flap")) {
+        ill.sick_from = sim_.now();
+      }
+    } else if (verb == "well") {
+      words >> name;
+      sim_.illness.erase(name);
+    } else if (verb == "checks") {
+      words >> word >> name;  // checks cut|open ZONE
+      if (word == "cut") {
+        sim_.unchecked_zones.insert(name);
+      } else {
+        sim_.unchecked_zones.erase(name);
+      }
+    } else if (verb == "floor") {
+      words >> sim_.floor;
+      sim_.floor_jobs.clear();
+      while (words >> name) sim_.floor_jobs.push_back(name);
     } else if (verb == "never-boot") {
       words >> word;
       sim_.never_boot = word == "on";
@@ -164,6 +199,22 @@
     }
   }
 
+  static RolloutSpec ReadRollout(std::istringstream& words) {
+    RolloutSpec spec;
+    words >> spec.id;
+    const Options o = ReadOptions(words);
+    spec.from = o.at("from");
+    spec.to = o.at("to");
+    spec.floor = static_cast<uint32_t>(Number(o, "floor", 1));
+    spec.surge = static_cast<uint32_t>(Number(o, "surge", 1));
+    spec.start_s = Number(o, "start", 5);
+    spec.bake_s = Number(o, "bake", 4);
+    spec.watch_s = Number(o, "watch", 5);
+    spec.check.interval_s = Number(o, "interval", 0.5);
+    spec.check.timeout_s = Number(o, "timeout", 0.5);
+    return spec;
+  }
+
   void Submit(std::istringstream& words) {
     JobSpec spec;
     std::string kind;
@@ -204,6 +255,15 @@
       EXPECT_EQ(sim_.JobStatus(name), status);
       return;
     }
+    if (what == "rollout") {
+      std::string step;
+      words >> name >> step;
+      const auto record = sim_.RolloutOf(name);
+      ASSERT_TRUE(record);
+      EXPECT_EQ(wire::NameOf(wire::kRolloutStepNames, record->step), step)
+          << record->reason;
+      return;
+    }
     if (what == "leader") {
       words >> name;
       EXPECT_EQ(sim_.leader() != nullptr, name == "yes");
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
+#include <cstdlib>
 
 namespace oxbow::test {
 namespace {
@@ -54,6 +56,7 @@
   stalled_until_ = 0;
   LeaderRecord record{"a", std::to_string(revision_), 0};
   store_[std::string(keys::kLeader)] = {record, ++revision_};
+  news_.clear();
   // A new process reads everything afresh.
   catalog_ = Catalog();
   for (const auto& [key, value] : store_) {
@@ -74,6 +77,7 @@
   const JobRecord record{std::make_shared<JobSpec>(spec), now_ + 1e6,
                          FinalState::kNone, 0};
   store_[key] = {record, ++revision_};
+  news_.emplace_back(key, revision_);
   catalog_.Put(key, record, revision_);
   if (leader_) {
     leader_->OnJobRecord(spec.id, now_);
@@ -81,6 +85,98 @@
   }
 }
 
+void Sim::Declare(const RolloutSpec& spec) {
+  RolloutRecord record;
+  record.spec = std::make_shared<RolloutSpec>(spec);
+  const std::string key = keys::Of(keys::kRollout, spec.id);
+  store_[key] = {record, ++revision_};
+  news_.emplace_back(key, revision_);
+}
+
+void Sim::Wish(const std::string& id, RolloutWish wish) {
+  const std::string key = keys::Of(keys::kRollout, id);
+  const auto it = store_.find(key);
+  if (it == store_.end()) return;
+  std::get<RolloutRecord>(it->second.first).wish = wish;
+  it->second.second = ++revision_;
+  news_.emplace_back(key, revision_);
+}
+
+std::optional<RolloutRecord> Sim::RolloutOf(const std::string& id) const {
+  for (const std::string_view prefix : {keys::kRollout, keys::kRolloutEnd}) {
+    const auto it = store_.find(keys::Of(prefix, id));
+    if (it != store_.end()) return std::get<RolloutRecord>(it->second.first);
+  }
+  return std::nullopt;
+}
+
+void Sim::Watch() {
+  if (!leader_ || state_down || now_ < stalled_until_) return;
+  const auto news = std::exchange(news_, {});
+  for (const auto& [key, revision] : news) {
+    const auto it = store_.find(key);
+    if (it == store_.end()) {
+      catalog_.Erase(key, revision);
+      continue;
+    }
+    catalog_.Put(key, it->second.first, it->second.second);
+    if (!leader_) return;
+    if (key.starts_with(keys::kJob)) {
+      leader_->OnJobRecord(key.substr(keys::kJob.size()), now_);
+    } else if (key.starts_with(keys::kRollout)) {
+      leader_->OnRolloutRecord(key.substr(keys::kRollout.size()), now_);
+    }
+    Perform();
+  }
+  catalog_.Followed(revision_);
+}
+
+bool Sim::Well(const SimTask& t) const {
+  if (t.phase != TaskPhase::kRunning) return false;
+  const auto it = illness.find(t.job);
+  if (it == illness.end()) return true;
+  const Illness& ill = it->second;
+  const double ran = now_ - t.running_since;
+  if (now_ >= ill.sick_from || ran >= ill.sick_after) return false;
+  return ill.flap_s <= 0 || static_cast<int64_t>(ran / ill.flap_s) % 2 == 0;
+}
+
+int Sim::CountWell() const {
+  int n = 0;
+  for (const auto& [host, w] : workers_) {
+    if (w.dead || w.hung) continue;
+    for (const auto& [name, t] : w.tasks) {
+      n += std::count(floor_jobs.begin(), floor_jobs.end(), t.job) > 0 &&
+           Well(t);
+    }
+  }
+  return n;
+}
+
+void Sim::Check(const CheckInstance& check) {
+  const uint64_t revision = leader_->revision();
+  const auto answer = [this, check, revision](CheckOutcome outcome) {
+    OnLeader(revision, [this, check, outcome] {
+      leader_->OnHealth(check.rollout, check.key, outcome, now_);
+    });
+  };
+  for (auto& [host, w] : workers_) {
+    const auto it =
+        w.tasks.find(Name(check.key.job_id, check.key.task, check.key.attempt));
+    if (it == w.tasks.end() || w.dead || w.hung ||
+        unchecked_zones.contains(w.zone)) {
+      continue;
+    }
+    const bool well = Well(it->second);
+    const auto ill = illness.find(check.key.job_id);
+    const bool mute = ill != illness.end() && ill->second.mute && !well;
+    if (it->second.phase != TaskPhase::kRunning || mute) break;
+    After(kLatency, [answer, well] { answer({true, well, kLatency}); });
+    return;
+  }
+  After(check.spec->check.timeout_s, [answer] { answer({}); });
+}
+
 void Sim::CancelJob(const std::string& id) {
   if (!leader_) return;
   leader_->Cancel(id, now_);
@@ -107,6 +203,7 @@
   std::stable_sort(due.begin(), due.end(),
                    [](const Later& a, const Later& b) { return a.at < b.at; });
   for (Later& l : due) l.what();
+  if (tuning.rollouts_at_once > 0) Watch();
   for (auto& [host, w] : workers_) AdvanceWorker(w);
   if (leader_ && now_ >= stalled_until_) {
     leader_->Tick(now_);
@@ -465,6 +562,7 @@
         jobs_.at(job->spec->id).cancelled_at = now_;
       }
     }
+    news_.emplace_back(change.key, revision_);
     if (std::holds_alternative<std::monostate>(change.record)) {
       store_.erase(change.key);
     } else {
@@ -585,6 +683,8 @@
           leader_->OnReadAnswer(id, !state_down, now_);
           Perform();
         });
+      } else if (const auto* check = std::get_if<CheckInstance>(&action)) {
+        Check(*check);
       } else if (const auto* rent = std::get_if<RentMachines>(&action)) {
         Rent(*rent);
       } else if (const auto* gone = std::get_if<DeleteMachines>(&action)) {
@@ -596,6 +696,9 @@
           leader_->OnDeleteAnswer(hosts, true, now_);
           Perform();
         });
+      } else if (const auto* note = std::get_if<Note>(&action);
+                 note != nullptr && std::getenv("OXBOW_SIM_LOG") != nullptr) {
+        std::fprintf(stderr, "%.2f %s\n", now_, note->text.c_str());
       } else if (std::holds_alternative<Resign>(action)) {
         After(0, [this, leader] {
           if (leader_ && leader_->revision() == leader) leader_.reset();
@@ -619,6 +722,14 @@
       }
     }
   }
+  // Held from the declaration to the recorded end.
+  const auto live = store_.lower_bound(std::string(keys::kRollout));
+  const bool watched =
+      live != store_.end() && live->first.starts_with(keys::kRollout);
+  if (watched && floor > 0 && CountWell() < floor) {
+    Break("floor: " + std::to_string(CountWell()) + " are well at " +
+          std::to_string(now_));
+  }
   for (const TeamSettings& team : settings.teams) {
     const Resources used = teams[team.name];
     if ((team.cpus_max > 0 && used.cpus > team.cpus_max + 1e-6) ||
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -72,6 +72,14 @@
   std::optional<double> Travel();
 };
 
+// How the instances of a job answer their health checks.
+struct Illness {
+  Time sick_from = 1e18;     // on the clock
+  double sick_after = 1e18;  // s of running, each for itself
+  double flap_s = 0;         // well and sick in turn, for so long each
+  bool mute = false;         // sick ones do not answer at all
+};
+
 // What happens to the next direct command to a worker.
 enum class Fate { kNormal, kLostAnswer, kLate, kRefusedConnection };
 
@@ -107,6 +115,18 @@
   void CancelJob(const std::string& id);
   void Run(double seconds);
 
+  // A user declares a roll-out, or asks for something about it.
+  void Declare(const RolloutSpec& spec);
+  void Wish(const std::string& id, RolloutWish wish);
+  std::map<std::string, Illness> illness;  // by job
+  std::set<std::string> unchecked_zones;   // checks do not get there
+  // Instances of these jobs that are well never number less; 0: not watched.
+  std::vector<std::string> floor_jobs;
+  int floor = 0;
+  int CountWell() const;
+  // The step that is recorded, live or ended; nothing if unknown.
+  std::optional<RolloutRecord> RolloutOf(const std::string& id) const;
+
   Time now() const { return now_; }
   Controller* leader() { return leader_.get(); }
   Catalog& catalog() { return catalog_; }
@@ -151,6 +171,10 @@
   uint64_t Apply(const WriteTransaction& txn, std::vector<std::string>* failed);
   void Rent(const RentMachines& rent);
   void After(double seconds, std::function<void()> what);
+  // Brings what has changed in the state service to the leader.
+  void Watch();
+  void Check(const CheckInstance& check);
+  bool Well(const SimTask& t) const;
   void CheckRules();
   // The leader's indices against a fresh count of what they stand for.
   void CheckIndices();
@@ -160,6 +184,7 @@
   Time stalled_until_ = 0;
   std::map<std::string, std::pair<Record, uint64_t>> store_;
   uint64_t revision_ = 10;
+  std::vector<std::pair<std::string, uint64_t>> news_;  // key, revision
   Catalog catalog_;
   std::unique_ptr<Controller> leader_;
   std::map<std::string, SimWorker> workers_;
