Roll-outs: silence behind a cut is not blamed, checks bounded by processor time

cluster_test with zones cut rolled a good build back: checks had failed behind the cut, and its machine was heard a moment before the next check passed. Another went back since cuts had kept it from baking in time.

An unanswered check counts against a build only if its machine was heard within the row of failures, before another check of it began. Flapping is counted in relapses by bad answers since the last baking, not in time. Checks get a bound of processor time (cpu_share of quota.cpu): beyond it each instance is checked more seldom and the belief in its health lasts as much longer. Ruled out: a longer patience for silent machines, which only moves the race.

--- a/app/options.cc
+++ b/app/options.cc
@@ -34,6 +34,7 @@
     Entry{"machines", "boot_patience", &Tuning::boot_patience, 1, 100},
     Entry{"rollouts", "at_once", &Tuning::rollouts_at_once, 0, 64},
     Entry{"rollouts", "check_share", &Tuning::rollout_check_share, 0.001, 0.5},
+    Entry{"rollouts", "cpu_share", &Tuning::rollout_cpu_share, 0.01, 0.5},
 };
 
 std::string* g_error = nullptr;  // libConfuse's callback carries no context
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -275,6 +275,9 @@
 
   // rollouts.cc
   void TickRollouts(Time now);
+  // Sets the pace of all checks and returns how many may begin now.
+  int ChecksAllowed(Time now);
+  void BeginChecks(Time now);
   RolloutView ViewOf(const Rollout& rollout, Time now) const;
   // The roll-out that the job is a part of; null for none.
   const Rollout* RolloutOf(const Job& job) const;
@@ -390,6 +393,9 @@
   std::map<std::string, Rollout> rollouts_;                  // by id
   std::unordered_map<std::string, std::string> in_rollout_;  // by job id
   int checks_in_flight_ = 0;
+  double checks_allowed_ = 0;  // by the processor's share, now
+  Time checks_counted_ = 0;
+  size_t first_checked_ = 0;
   Time next_rollouts_ = 0;
   Time next_supply_ = 0;
   Time next_consolidation_ = 0;
--- a/core/controller/rollouts.cc
+++ b/core/controller/rollouts.cc
@@ -110,6 +110,7 @@
       seen.running = r.phase == TaskPhase::kRunning;
       seen.stopping = r.stopping;
       seen.heard = !Suspect(*m, now);
+      seen.last_heard = m->last_heard;
       seen.leaving = m->state() != MachineState::kUp;
       seen.zone = m->zone;
       view.instances.push_back(std::move(seen));
@@ -123,9 +124,6 @@
   next_rollouts_ = now + settings_.workers.report_s / 4;
   // A picture with holes would take unheard instances for missing ones.
   if (!AllAccounted()) return;
-  const int most_checks =
-      std::max(1, static_cast<int>(tuning_.rollout_check_share *
-                                   settings_.limits.max_connections));
   for (auto& [id, rollout] : rollouts_) {
     const uint32_t old_before = rollout.MostOfOld();
     const uint32_t new_before = rollout.MostOfNew();
@@ -157,21 +155,63 @@
         rollout.MostOfNew() != new_before) {
       dirty_ = urgent_dirty_ = true;
     }
-    const int room = most_checks - checks_in_flight_;
-    if (room <= 0) continue;
+  }
+  BeginChecks(now);
+}
+
+// A check costs the leader a connection and some processor time. Without a
+// bound, thousands of instances under check would take the time that its lease
+// and the workers' reports need. What the bound leaves is spread evenly: each
+// instance is checked more seldom, and the belief in its health lasts longer.
+int Controller::ChecksAllowed(Time now) {
+  constexpr double kCost_s = 1e-4;  // of one check: twice what was measured
+  const double share = settings_.limits.cpu_share * tuning_.rollout_cpu_share;
+  const int most =
+      std::max(1, static_cast<int>(tuning_.rollout_check_share *
+                                   settings_.limits.max_connections));
+  if (share <= 0) return most - checks_in_flight_;
+  const double rate = share / kCost_s;
+  size_t instances = 0;
+  for (const auto& [id, rollout] : rollouts_) instances += rollout.instances();
+  for (auto& [id, rollout] : rollouts_) {
+    rollout.SetPace(static_cast<double>(instances) / rate);
+  }
+  // A burst of as much as a tick brings, at least one.
+  const double burst = std::max(1.0, rate * settings_.workers.report_s / 2);
+  checks_allowed_ = std::min(
+      burst, checks_allowed_ + rate * std::max(0.0, now - checks_counted_));
+  checks_counted_ = now;
+  return std::min(most - checks_in_flight_, static_cast<int>(checks_allowed_));
+}
+
+void Controller::BeginChecks(Time now) {
+  int room = ChecksAllowed(now);
+  // Each roll-out in turn gets the first pick, so that none starves.
+  std::vector<Rollout*> order;
+  for (auto& [id, rollout] : rollouts_) order.push_back(&rollout);
+  if (order.empty()) return;
+  std::rotate(
+      order.begin(),
+      order.begin() + static_cast<long>(first_checked_++ % order.size()),
+      order.end());
+  for (Rollout* rollout : order) {
+    if (room <= 0) return;
     for (const ResidentKey& key :
-         rollout.TakeDue(static_cast<size_t>(room), now)) {
+         rollout->TakeDue(static_cast<size_t>(room), now)) {
+      --room;
       const auto job = jobs_.find(key.job_id);
       const int32_t index =
           job == jobs_.end() ? -1 : job->second->task(key.task).machine;
       if (index < 0) {
-        rollout.OnCheck(key, {}, now);
+        rollout->OnCheck(key, {}, now);
         continue;
       }
       ++checks_in_flight_;
-      actions_.push_back(CheckInstance{
-          id, key, machines_[static_cast<size_t>(index)]->endpoint,
-          rollout.record().spec});
+      checks_allowed_ -= 1;
+      actions_.push_back(
+          CheckInstance{rollout->spec().id, key,
+                        machines_[static_cast<size_t>(index)]->endpoint,
+                        rollout->record().spec});
     }
   }
 }
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -102,6 +102,8 @@
   double rollouts_at_once = 0;
   // Health checks under way, as a share of the sockets.
   double rollout_check_share = 0.05;
+  // Processor time for them, as a share of this controller's.
+  double rollout_cpu_share = 0.15;
 };
 
 // Two steady clocks may drift apart by 0.05%; twice that is allowed for.
--- a/core/rollout/rollout.cc
+++ b/core/rollout/rollout.cc
@@ -42,6 +42,10 @@
   record_ = record;
 }
 
+double Rollout::Interval() const {
+  return std::max(spec().check.interval_s, pace_s_);
+}
+
 void Rollout::ChangeHealth(Instance& i, Health next, Time now) {
   if (i.health == next) return;
   i.health = next;
@@ -55,25 +59,32 @@
   Instance& i = it->second;
   i.checking = false;
   i.answered = outcome.answered;
-  i.next_check = now + spec().check.interval_s;
+  i.next_check = now + Interval();
   if (outcome.good) {
     // Baking is without a gap: one that flaps never counts for the floor.
     if (i.bad > 0) i.healthy_since = now;
     ++i.good;
     i.bad = 0;
+    i.proven = false;
     i.last_good = now;
+    if (Baked(i, now)) i.relapses = 0;
     (i.view.is_new ? new_latency_ : old_latency_).Add(outcome.latency_s);
     if (i.good >= spec().check.good_in_row) {
       ChangeHealth(i, Health::kHealthy, now);
     }
     return;
   }
+  if (i.good > 0 && outcome.answered) ++i.relapses;
   i.good = 0;
-  ++i.bad;
+  if (i.bad++ == 0) i.first_bad = now;
+  // Silence proves nothing against the build unless its machine is heard in
+  // the middle of it: behind a cut all is silent, and when the cut ends the
+  // machine is heard a moment before the next check passes.
+  if (outcome.answered || i.heard_at_start > i.first_bad) i.proven = true;
   // One that has never passed gets the time to start.
   const bool starting =
       i.health == Health::kUnknown && now - i.seen_running < spec().start_s;
-  if (i.bad >= spec().check.bad_in_row && !starting) {
+  if (i.bad >= spec().check.bad_in_row && i.proven && !starting) {
     ChangeHealth(i, Health::kFailing, now);
   }
 }
@@ -84,6 +95,7 @@
     if (due.size() >= most) break;
     if (!i.view.running || i.checking || now < i.next_check) continue;
     i.checking = true;
+    i.heard_at_start = i.view.last_heard;
     due.push_back(key);
   }
   return due;
@@ -106,7 +118,7 @@
 
 bool Rollout::Healthy(const Instance& i, Time now) const {
   const HealthCheck& check = spec().check;
-  const double fresh = 2 * (check.interval_s + check.timeout_s);
+  const double fresh = 2 * (Interval() + check.timeout_s);
   return i.view.running && !i.view.stopping && i.health == Health::kHealthy &&
          i.bad == 0 && now - i.last_good <= fresh;
 }
@@ -203,12 +215,11 @@
     }
     return out;
   }
-  // One that never stays healthy for long enough holds everything up.
-  constexpr double kBakes = 3;
+  // One that passes and fails in turn holds everything up.
+  constexpr uint32_t kRelapses = 3;
   for (const auto& [key, i] : instances_) {
     if (i.view.is_new && i.view.running && !i.view.stopping && i.view.heard &&
-        !Baked(i, now) && step() != kWatching &&
-        now - i.seen_running > spec().start_s + kBakes * spec().bake_s) {
+        i.relapses >= kRelapses) {
       out.fails = true;
       out.why = "task " + std::to_string(key.task) + " of " + key.job_id +
                 " does not stay healthy";
--- a/core/rollout/rollout.h
+++ b/core/rollout/rollout.h
@@ -35,7 +35,7 @@
 struct HealthCheck {
   uint16_t port = 0;
   bool port_per_task = false;  // the port of task n is `port` + n
-  std::string path = "/";  // {job} and {task} are put in
+  std::string path = "/";      // {job} and {task} are put in
   double interval_s = 1;
   double timeout_s = 1;
   uint32_t good_in_row = 2;
@@ -78,6 +78,7 @@
   bool running = false;
   bool stopping = false;
   bool heard = false;    // its machine has reported lately
+  Time last_heard = 0;   // when it did
   bool leaving = false;  // its machine is being emptied
   std::string zone;
 };
@@ -127,6 +128,9 @@
   // recorded, or a wish of its user.
   void OnRecord(const RolloutRecord& record, Time now);
   void OnCheck(const ResidentKey& key, const CheckOutcome& outcome, Time now);
+  // Checks of one instance are at least so far apart, s: what the leader's
+  // processor allows when many are to be checked.
+  void SetPace(double pace_s) { pace_s_ = pace_s; }
   // Instances that are due for a check, at most so many; they count as being
   // checked from here on.
   std::vector<ResidentKey> TakeDue(size_t most, Time now);
@@ -140,6 +144,7 @@
   bool MayStop(const ResidentKey& key, Time now) const;
   void NoteStopping(const ResidentKey& key);
   RolloutCounts Count(Time now) const;
+  size_t instances() const { return instances_.size(); }
   const LatencyHistogram& old_latency() const { return old_latency_; }
   const LatencyHistogram& new_latency() const { return new_latency_; }
 
@@ -152,12 +157,18 @@
     uint32_t bad = 0;
     bool answered = false;  // at the latest check
     bool checking = false;
+    Time heard_at_start = 0;  // of the check under way
+    Time first_bad = 0;       // when the row of bad ones began
+    // Its machine was heard within the row, before another bad check began.
+    bool proven = false;
+    uint32_t relapses = 0;  // from good to a bad answer, since it has baked
     Time seen_running = -1;
     Time healthy_since = 0;
     Time last_good = -1e9;
     Time next_check = 0;
   };
 
+  double Interval() const;
   void ChangeHealth(Instance& i, Health next, Time now);
   void Take(const RolloutView& view, Time now);
   // Passes now: its latest check was good and is not old.
@@ -185,6 +196,7 @@
   uint32_t most_old_ = UINT32_MAX;
   bool limited_ = false;  // the limits have been set once
   Time step_since_;
+  double pace_s_ = 0;
   LatencyHistogram old_latency_;
   LatencyHistogram new_latency_;
 };
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -98,6 +98,9 @@
   // Gone with all that is on it.
   void Die() { dead_ = true; }
   bool dead() const { return dead_; }
+  // Behind a cut: nothing it says or is told gets through; it lives on.
+  void Cut(bool cut) { cut_ = cut; }
+  const std::string& zone() const { return zone_; }
   void Notice(double seconds) { notice_ = seconds; }
   bool noticed() const { return notice_ > 0; }
   const std::string& host() const { return host_; }
@@ -105,6 +108,8 @@
   // Instances of the job that are well, by the worker's own account.
   int Well(const std::string& job) const;
   int Present(const std::string& job) const;
+  // Instances that run and are not well.
+  int Sick(const std::string& job) const;
 
  private:
   struct Instance {
@@ -115,6 +120,7 @@
     double running_from = 0;
   };
 
+  net::Task<void> UntilOpen();
   net::Task<void> Live();
   net::Task<bool> Report();
   net::Task<net::HttpResponse> Handle(net::HttpRequest request);
@@ -142,6 +148,7 @@
   double notice_ = 0;
   bool changed_ = false;
   bool dead_ = false;
+  bool cut_ = false;
 };
 
 }  // namespace oxbow::test
