--- a/api/answers.cc
+++ b/api/answers.cc
@@ -1,6 +1,6 @@
 #include "api/answers.h"
 
-#include "clients/json.h"
+#include "wire/json.h"
 
 namespace oxbow::api {
 
--- a/api/api.cc
+++ b/api/api.cc
@@ -5,9 +5,9 @@
 #include <utility>
 
 #include "api/answers.h"
-#include "api/job_json.h"
-#include "clients/json.h"
-#include "clients/worker.h"
+#include "wire/job_json.h"
+#include "wire/json.h"
+#include "wire/worker_json.h"
 
 namespace oxbow::api {
 namespace {
@@ -72,7 +72,7 @@
 // A known job is never refused, whatever its description says this time.
 net::Task<net::HttpResponse> Api::Refuse(std::string id, int status,
                                          std::string why) {
-  if (ValidJobId(id)) {
+  if (wire::ValidJobId(id)) {
     const Status known = co_await service_.Poll(id);
     if (known.found == Status::Found::kYes) {
       net::HttpResponse response;
@@ -91,15 +91,15 @@
   if (!json::Parse(body, &doc)) co_return Error(400, "not JSON");
   if (!doc.IsObject()) co_return Error(400, "not an object");
   const std::string id = json::GetString(doc, "id");
-  if (ValidJobId(id) && service_.KnownHere(id)) {
+  if (wire::ValidJobId(id) && service_.KnownHere(id)) {
     co_return co_await Refuse(id, 400, "known");
   }
   auto spec = std::make_shared<JobSpec>();
-  const std::string malformed = ReadSpec(doc, spec.get());
+  const std::string malformed = wire::ReadSpec(doc, spec.get());
   if (!malformed.empty()) co_return co_await Refuse(id, 400, malformed);
   const auto* types = service_.Types();
   if (types == nullptr) co_return TryLater("machine types unknown");
-  const std::string impossible = WhyImpossible(*spec, *types, service_.Teams());
+  const std::string impossible = wire::WhyImpossible(*spec, *types, service_.Teams());
   if (!impossible.empty()) co_return co_await Refuse(id, 422, impossible);
   const Submitted submitted = co_await service_.Submit(spec);
   switch (submitted.result) {
@@ -121,7 +121,7 @@
 
 net::Task<net::HttpResponse> Api::Poll(std::string id) {
   // An id of another form was never accepted and never can be.
-  if (!ValidJobId(id)) co_return Error(404, "no such job");
+  if (!wire::ValidJobId(id)) co_return Error(404, "no such job");
   const Status status = co_await service_.Poll(id);
   if (status.found == Status::Found::kCannotTell) {
     co_return TryLater("state unknown");
@@ -143,7 +143,7 @@
 }
 
 net::Task<net::HttpResponse> Api::Cancel(std::string id) {
-  if (!ValidJobId(id)) co_return Error(404, "no such job");
+  if (!wire::ValidJobId(id)) co_return Error(404, "no such job");
   const Status status = co_await service_.Cancel(id);
   if (status.found == Status::Found::kCannotTell) {
     co_return TryLater("cannot be recorded now");
@@ -180,12 +180,12 @@
 
 net::HttpResponse Api::Report(const std::string& body) {
   WorkerReport report;
-  if (!clients::ParseReport(body, &report)) return Error(400, "not a report");
+  if (!wire::ParseReport(body, &report)) return Error(400, "not a report");
   const Reported reported = service_.Report(report);
   net::HttpResponse response;
   switch (reported.result) {
     case Reported::Result::kAnswered:
-      response.body = clients::EncodeReply(reported.reply);
+      response.body = wire::EncodeReply(reported.reply);
       break;
     case Reported::Result::kElsewhere: {
       response.status = 421;
--- a/api/rollout_routes.cc
+++ b/api/rollout_routes.cc
@@ -5,9 +5,9 @@
 #include <utility>
 
 #include "api/answers.h"
-#include "api/rollout_json.h"
-#include "api/wire_names.h"
-#include "clients/json.h"
+#include "wire/json.h"
+#include "wire/names.h"
+#include "wire/rollout_json.h"
 
 namespace oxbow::api {
 namespace {
@@ -21,7 +21,7 @@
       response.status = answer.result == Result::kDeclared ? 201 : 200;
       const auto& counts = answer.state.counts;
       response.body =
-          RolloutBody(answer.state.record, counts ? &*counts : nullptr);
+          wire::RolloutBody(answer.state.record, counts ? &*counts : nullptr);
       return response;
     }
     case Result::kConflict:
@@ -49,7 +49,7 @@
   rapidjson::Document doc;
   if (!json::Parse(body, &doc)) co_return Error(400, "not JSON");
   auto spec = std::make_shared<RolloutSpec>();
-  const std::string malformed = ReadRolloutSpec(doc, spec.get());
+  const std::string malformed = wire::ReadRolloutSpec(doc, spec.get());
   if (!malformed.empty()) co_return Error(400, malformed);
   co_return ResponseOf(co_await service_.Declare(std::move(spec)));
 }
@@ -70,7 +70,7 @@
       const RolloutState& state = (*all)[i];
       response.body += i == 0 ? "\n" : ",\n";
       response.body +=
-          RolloutBody(state.record, state.counts ? &*state.counts : nullptr);
+          wire::RolloutBody(state.record, state.counts ? &*state.counts : nullptr);
     }
     response.body += "]}\n";
     co_return response;
@@ -79,14 +79,14 @@
   const size_t slash = id.find('/');
   if (slash == std::string::npos) {
     if (!get) co_return WrongMethod("GET");
-    if (!ValidRolloutId(id)) co_return Error(404, "no such roll-out");
+    if (!wire::ValidRolloutId(id)) co_return Error(404, "no such roll-out");
     co_return ResponseOf(co_await service_.Get(std::move(id)));
   }
   const std::string verb = id.substr(slash + 1);
   id.resize(slash);
   RolloutWish wish = RolloutWish::kNone;
   if (!wire::TermOf(wire::kRolloutWishes, verb, &wish) ||
-      wish == RolloutWish::kNone || !ValidRolloutId(id)) {
+      wish == RolloutWish::kNone || !wire::ValidRolloutId(id)) {
     co_return Error(404, "no such route");
   }
   if (!post) co_return WrongMethod("POST");
--- /dev/null
+++ b/app/election.cc
@@ -0,0 +1,233 @@
+#include "app/election.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace oxbow::app {
+namespace {
+
+using clients::PeerAnswer;
+using clients::PeerKind;
+using clients::PeerMessage;
+using clients::StateResult;
+using clients::StateStatus;
+using clients::Urgency;
+
+// Shares of the workers' lease.
+constexpr double kPromiseRatio = 0.6;
+constexpr double kPromiseWaitRatio = 0.15;
+
+std::string NewIncarnation() {
+  std::random_device device;
+  return std::to_string((static_cast<uint64_t>(device()) << 32) | device());
+}
+
+std::vector<std::string> PeerNames(const Settings& settings) {
+  std::vector<std::string> names;
+  for (const PeerSettings& peer : settings.peers) names.push_back(peer.name);
+  return names;
+}
+
+}  // namespace
+
+Election::Election(net::Loop& loop, const Settings& settings,
+                   const Tuning& tuning, clients::StateClient& state,
+                   const Catalog& catalog, Follower& follower,
+                   const FitnessDesk& fitness_desk,
+                   const FitnessDesk::Peers& peers, Seams seams)
+    : loop_(loop),
+      settings_(settings),
+      incarnation_(NewIncarnation()),
+      lease_s_(tuning.leader_lease_ratio * settings.workers.lease_s),
+      state_(state),
+      catalog_(catalog),
+      follower_(follower),
+      fitness_desk_(fitness_desk),
+      peers_(peers),
+      seams_(std::move(seams)),
+      leadership_(PeerNames(settings), lease_s_,
+                  kPromiseRatio * settings.workers.lease_s, loop.Now()),
+      started_(loop.Now()) {}
+
+void Election::Start() {
+  net::Spawn(MeetPeers());
+  net::Spawn(Run());
+}
+
+net::Task<bool> Election::Promise() {
+  co_await ProbeState();
+  co_return leadership_.AskedToPromise(state_.Failing(), loop_.Refresh());
+}
+
+std::string Election::LeaderName() const {
+  return catalog_.leader().stamp > 0 ? catalog_.leader().node : std::string();
+}
+
+clients::PeerClient* Election::LeaderPeer() {
+  const std::string name = LeaderName();
+  for (const auto& peer : peers_) {
+    if (peer->name() == name) return peer.get();
+  }
+  return nullptr;
+}
+
+// A starting controller asks every other one whether it leads: if none does,
+// no promise of its former life can be outstanding.
+net::Task<void> Election::MeetPeers() {
+  const double pause = 0.2 * settings_.workers.report_s;
+  while (loop_.Now() < started_ + leadership_.promise_s()) {
+    for (const auto& peer : peers_) {
+      PeerMessage hello;
+      hello.kind = PeerKind::kHello;
+      hello.node = settings_.node;
+      const auto answer = co_await peer->Ask(hello, pause);
+      if (answer.ok && !answer.message.leads) {
+        leadership_.PeerDoesNotLead(peer->name());
+      }
+    }
+    co_await loop_.Sleep(pause);
+  }
+}
+
+net::Task<void> Election::Run() {
+  std::mt19937 random(std::random_device{}());
+  for (;;) {
+    const net::Time now = loop_.Refresh();
+    const bool valid = leadership_.Valid(now);
+    key_free_since_ =
+        LeaderName().empty() ? std::min(key_free_since_, now) : 1e18;
+    // Whoever asked first, this loop or a request in between, has noticed the
+    // lapse; the stepping down is done here in either case. A lapsed leader
+    // that was not retired could never lead again.
+    if (leadership_.state() == LeaderState::kLapsed) {
+      StepDown("its right to lead has run out");
+    }
+    if (valid) {
+      if (!seams_.in_office() &&
+          catalog_.followed() >= leadership_.revision()) {
+        seams_.take_office(leadership_.revision());
+      }
+      if (!renewing_ && now >= next_renewal_) net::Spawn(Renew());
+      if (leadership_.WantsPromises(now) && now >= next_promise_) {
+        next_promise_ = now + lease_s_ / 5;
+        for (const auto& peer : peers_) net::Spawn(AskPromise(peer.get()));
+      }
+    } else if (follower_.synced() && leadership_.MaySeek(now)) {
+      const LeaderRecord& leader = catalog_.leader();
+      // The key names this controller's former life: it is certainly dead, so
+      // nobody has to wait for its lease.
+      const bool mine = leader.stamp > 0 && leader.node == settings_.node &&
+                        leader.incarnation != incarnation_;
+      if (mine ||
+          (leader.stamp == 0 && fitness_desk_.MaySeek(now - key_free_since_))) {
+        co_await Seek();
+        if (leadership_.state() == LeaderState::kFollower) {
+          std::uniform_real_distribution<double> jitter(0.02, 0.1);
+          co_await loop_.Sleep(lease_s_ * jitter(random));
+        }
+        continue;
+      }
+    }
+    co_await loop_.Sleep(lease_s_ / 50);
+  }
+}
+
+net::Task<void> Election::Seek() {
+  leadership_.SeekStarted(catalog_.leader().stamp);
+  const net::Time sent = loop_.Refresh();
+  StateResult granted = co_await state_.CreateLease(lease_s_);
+  if (!granted.ok()) {
+    leadership_.SeekFailed();
+    co_return;
+  }
+  const std::string key(keys::kLeader);
+  const LeaderRecord record{settings_.node, incarnation_, 0};
+  std::vector<Condition> conditions{{key, leadership_.seen()}};
+  std::vector<KeyChange> changes{{key, record}};
+  StateResult won =
+      co_await state_.Write(std::move(conditions), std::move(changes),
+                            Urgency::kLease, granted.lease_id);
+  if (won.status == StateStatus::kUnknown) {
+    // It may have been written: look before saying anything.
+    won = co_await state_.Get(key, Urgency::kLease);
+    const auto* seen = won.items.empty()
+                           ? nullptr
+                           : std::get_if<LeaderRecord>(&won.items[0].record);
+    if (!won.ok() || seen == nullptr || seen->node != settings_.node ||
+        seen->incarnation != incarnation_) {
+      won.status = StateStatus::kConflict;
+    } else {
+      won.revision = won.items[0].stamp;
+    }
+  }
+  if (!won.ok()) {
+    leadership_.SeekFailed();
+    // Ended, so that the write, should it still arrive, is refused.
+    co_await state_.EndLease(granted.lease_id);
+    co_return;
+  }
+  leadership_.Won(won.revision, granted.lease_id, sent);
+  next_renewal_ = loop_.Now();
+  follower_.Apply(key, record, won.revision);
+  spdlog::info("{} won leadership, revision {}", settings_.node, won.revision);
+}
+
+net::Task<void> Election::Renew() {
+  renewing_ = true;
+  const net::Time sent = loop_.Refresh();
+  const uint64_t lease_id = leadership_.lease_id();
+  const StateResult result = co_await state_.Renew(lease_id, lease_s_ / 3);
+  renewing_ = false;
+  if (lease_id != leadership_.lease_id()) co_return;
+  if (result.ok()) {
+    leadership_.RenewGranted(sent);
+    next_renewal_ = sent + lease_s_ / 5;
+  } else if (result.status == StateStatus::kNotFound) {
+    StepDown("its lease has ended");
+  } else {
+    next_renewal_ = loop_.Now() + lease_s_ / 20;
+  }
+}
+
+net::Task<void> Election::AskPromise(clients::PeerClient* peer) {
+  PeerMessage ask;
+  ask.kind = PeerKind::kPromise;
+  ask.node = settings_.node;
+  const uint64_t revision = leadership_.revision();
+  const net::Time sent = loop_.Refresh();
+  const auto answer =
+      co_await peer->Ask(ask, kPromiseWaitRatio * settings_.workers.lease_s);
+  if (answer.ok && answer.message.answer == PeerAnswer::kYes &&
+      leadership_.revision() == revision) {
+    leadership_.PromiseGranted(peer->name(), sent);
+  }
+}
+
+// Before a promise: does the state service answer this controller right now?
+net::Task<void> Election::ProbeState() {
+  if (probing_) co_return;
+  probing_ = true;
+  co_await state_.Get(std::string(keys::kLeader), Urgency::kLease);
+  probing_ = false;
+}
+
+bool Election::MayLead() {
+  return follower_.synced() && !state_.Failing() &&
+         !follower_.types().empty() && leadership_.MaySeek(loop_.Refresh());
+}
+
+void Election::StepDown(const std::string& why) {
+  if (leadership_.state() == LeaderState::kFollower) return;
+  spdlog::info("{} no longer leads: {}", settings_.node, why);
+  leadership_.Lost();
+  leadership_.Retire();
+  seams_.leave_office();
+  net::Spawn([](Election* self, uint64_t lease_s_) -> net::Task<void> {
+    co_await self->state_.EndLease(lease_s_);
+  }(this, leadership_.lease_id()));
+}
+
+}  // namespace oxbow::app
--- /dev/null
+++ b/app/election.h
@@ -0,0 +1,75 @@
+// Who leads: seeks the key when it is free, renews its lease, asks for and
+// gives promises in an outage. Owns the right to lead and nothing that is done
+// with it; whoever acts as the leader asks Valid() at that moment.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "app/fitness_desk.h"
+#include "app/follower.h"
+#include "clients/peer.h"
+#include "clients/state.h"
+#include "core/controller/catalog.h"
+#include "core/lease/leadership.h"
+#include "net/loop.h"
+
+namespace oxbow::app {
+
+class Election {
+ public:
+  struct Seams {
+    std::function<bool()> in_office;
+    std::function<void(uint64_t revision)> take_office;
+    std::function<void()> leave_office;
+  };
+  Election(net::Loop& loop, const Settings& settings, const Tuning& tuning,
+           clients::StateClient& state, const Catalog& catalog,
+           Follower& follower, const FitnessDesk& fitness_desk,
+           const FitnessDesk::Peers& peers, Seams seams);
+  void Start();
+
+  // Whether this controller may act as the leader at this moment.
+  bool Valid() { return leadership_.Valid(loop_.Refresh()); }
+  void StepDown(const std::string& why);
+  // Whether it could take office, were the key free.
+  bool MayLead();
+  // Empty when not known; null when it is this controller or not known.
+  std::string LeaderName() const;
+  clients::PeerClient* LeaderPeer();
+
+  // --- as one who is asked
+  bool SaysItLeads() const {
+    return leadership_.state() == LeaderState::kLeading ||
+           leadership_.state() == LeaderState::kProlonged;
+  }
+  net::Task<bool> Promise();
+
+ private:
+  net::Task<void> Run();
+  net::Task<void> Seek();
+  net::Task<void> Renew();
+  net::Task<void> AskPromise(clients::PeerClient* peer);
+  net::Task<void> MeetPeers();
+  net::Task<void> ProbeState();
+
+  net::Loop& loop_;
+  const Settings& settings_;
+  const std::string incarnation_;  // of this process
+  const double lease_s_;           // of the leader key
+  clients::StateClient& state_;
+  const Catalog& catalog_;
+  Follower& follower_;
+  const FitnessDesk& fitness_desk_;
+  const FitnessDesk::Peers& peers_;
+  Seams seams_;
+  Leadership leadership_;
+  const net::Time started_;
+  bool renewing_ = false;
+  bool probing_ = false;
+  net::Time next_renewal_ = 0;
+  net::Time next_promise_ = 0;
+  net::Time key_free_since_ = 1e18;
+};
+
+}  // namespace oxbow::app
--- /dev/null
+++ b/app/follower.cc
@@ -0,0 +1,106 @@
+#include "app/follower.h"
+
+#include <spdlog/spdlog.h>
+
+#include <unordered_set>
+#include <utility>
+
+namespace oxbow::app {
+namespace {
+
+using clients::StateResult;
+using clients::StateStatus;
+
+constexpr double kFollowBlock_s = 10;
+
+}  // namespace
+
+Follower::Follower(net::Loop& loop, const Settings& settings,
+                   clients::StateClient& state, clients::CloudClient& cloud,
+                   Catalog& catalog, Seams seams)
+    : loop_(loop),
+      settings_(settings),
+      state_(state),
+      cloud_(cloud),
+      catalog_(catalog),
+      seams_(std::move(seams)) {}
+
+void Follower::Start() {
+  net::Spawn(FollowLoop());
+  net::Spawn(TypesLoop());
+}
+
+void Follower::Apply(const std::string& key, const Record& record,
+                     uint64_t stamp) {
+  if (std::holds_alternative<std::monostate>(record)) {
+    catalog_.Erase(key, stamp);
+    return;
+  }
+  catalog_.Put(key, record, stamp);
+  seams_.taken(key);
+}
+
+net::Task<bool> Follower::Resync() {
+  std::string after;
+  uint64_t revision = 0;
+  std::unordered_set<std::string> listed;
+  for (;;) {
+    StateResult page = co_await state_.List(std::string(keys::kLive), after);
+    if (!page.ok()) co_return false;
+    // The watch goes on from the first page: what changed between the pages
+    // is told again.
+    if (revision == 0) revision = page.revision;
+    for (const clients::KeyValue& item : page.items) {
+      listed.insert(item.key);
+      Apply(item.key, item.record, item.stamp);
+      after = item.key;
+    }
+    if (!page.more || page.items.empty()) break;
+  }
+  catalog_.EraseMissing(listed, revision);
+  catalog_.Followed(revision);
+  synced_ = ever_synced_ = true;
+  spdlog::info("state read up to revision {}: {} jobs, {} machines", revision,
+               catalog_.jobs().size(), catalog_.machines().size());
+  seams_.caught_up();
+  co_return true;
+}
+
+net::Task<void> Follower::FollowLoop() {
+  const double pause = 0.2 * settings_.workers.report_s;
+  for (;;) {
+    if (!synced_) {
+      const bool ok = co_await Resync();
+      if (!ok) co_await loop_.Sleep(pause);
+      continue;
+    }
+    StateResult news = co_await state_.Follow(
+        std::string(keys::kLive), catalog_.followed(), kFollowBlock_s);
+    if (news.status == StateStatus::kTooOld) {
+      synced_ = false;
+    } else if (news.ok()) {
+      for (const clients::KeyValue& item : news.items) {
+        Apply(item.key, item.record, item.stamp);
+      }
+      catalog_.Followed(news.revision);
+      seams_.caught_up();
+    } else {
+      co_await loop_.Sleep(pause);
+    }
+  }
+}
+
+net::Task<void> Follower::TypesLoop() {
+  const double soon = 0.5 * settings_.workers.report_s;
+  const double later = 6 * settings_.workers.lease_s;  // prices move
+  for (;;) {
+    const clients::CloudClient::Types answer = co_await cloud_.GetTypes();
+    if (answer.ok) {
+      for (const MachineType& type : answer.types) types_[type.name] = type;
+      seams_.types(answer.types);
+    }
+    co_await loop_.Sleep(types_.empty() ? soon : later);
+  }
+}
+
+}  // namespace oxbow::app
--- /dev/null
+++ b/app/follower.h
@@ -0,0 +1,53 @@
+// What a controller knows of the world outside: the live records of the state
+// service, followed with one watch, and the cloud's machine types. Owns the
+// writing side of the catalog; everything else reads it. Decides nothing.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "clients/cloud.h"
+#include "clients/state.h"
+#include "core/controller/catalog.h"
+#include "net/loop.h"
+
+namespace oxbow::app {
+
+class Follower {
+ public:
+  struct Seams {
+    std::function<void(const std::string& key)> taken;  // a record, as news
+    std::function<void()> caught_up;  // with what the service has told
+    std::function<void(const std::vector<MachineType>&)> types;
+  };
+  Follower(net::Loop& loop, const Settings& settings,
+           clients::StateClient& state, clients::CloudClient& cloud,
+           Catalog& catalog, Seams seams);
+  void Start();
+
+  // Takes in a record that was read or written, whoever did it. monostate: the
+  // key does not exist.
+  void Apply(const std::string& key, const Record& record, uint64_t stamp);
+
+  bool synced() const { return synced_; }  // and the watch goes on
+  bool ever_synced() const { return ever_synced_; }
+  const std::map<std::string, MachineType>& types() const { return types_; }
+
+ private:
+  net::Task<void> FollowLoop();
+  net::Task<bool> Resync();
+  net::Task<void> TypesLoop();
+
+  net::Loop& loop_;
+  const Settings& settings_;
+  clients::StateClient& state_;
+  clients::CloudClient& cloud_;
+  Catalog& catalog_;
+  Seams seams_;
+  std::map<std::string, MachineType> types_;
+  bool synced_ = false;
+  bool ever_synced_ = false;
+};
+
+}  // namespace oxbow::app
--- a/app/main.cc
+++ b/app/main.cc
@@ -12,10 +12,10 @@
 #include "app/options.h"
 #include "app/rollout_cli.h"
 #include "app/settings.h"
-#include "clients/json.h"
 #include "core/model/patience.h"
 #include "net/http_client.h"
 #include "net/loop.h"
+#include "wire/json.h"
 
 namespace oxbow::app {
 namespace {
--- a/app/rollout_cli.cc
+++ b/app/rollout_cli.cc
@@ -7,9 +7,9 @@
 #include <iterator>
 
 #include "api/rollout_routes.h"
-#include "clients/json.h"
 #include "net/http_client.h"
 #include "net/loop.h"
+#include "wire/json.h"
 
 namespace oxbow::app {
 namespace {
--- a/app/rollout_desk.cc
+++ b/app/rollout_desk.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "api/rollout_json.h"
-#include "clients/records.h"
+#include "wire/records.h"
+#include "wire/rollout_json.h"
 
 namespace oxbow::app {
 namespace {
@@ -105,7 +105,7 @@
   if (from->spec->kind != JobKind::kService) {
     co_return Say(Result::kImpossible, spec->from + " is no service");
   }
-  const std::string why = api::WhyNoRollout(*spec, from->spec->tasks);
+  const std::string why = wire::WhyNoRollout(*spec, from->spec->tasks);
   if (!why.empty()) co_return Say(Result::kImpossible, why);
   const auto& known = catalog_.rollouts();
   if (!known.contains(spec->id)) {
@@ -123,7 +123,7 @@
   RolloutRecord record;
   record.spec = spec;
   record.declared_wall = net::WallNow();
-  if (clients::EncodeRecord(record).size() >
+  if (wire::EncodeRecord(record).size() >
       static_cast<size_t>(settings_.state.value_kb * 1024)) {
     co_return Say(Result::kImpossible, "the declaration is too large");
   }
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -7,8 +7,8 @@
 #include <fstream>
 #include <sstream>
 
-#include "clients/json.h"
 #include "net/socket.h"
+#include "wire/json.h"
 
 namespace oxbow::app {
 namespace {
--- /dev/null
+++ b/app/users.h
@@ -0,0 +1,68 @@
+// Users' and workers' requests: accepted by this controller's own conditional
+// write, denied by its own fresh read, answered from the leader's picture or
+// handed to another controller once. Owns no state of a job.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "api/api.h"
+#include "app/dealings.h"
+#include "app/election.h"
+#include "app/fitness_desk.h"
+#include "app/follower.h"
+#include "clients/peer.h"
+#include "clients/state.h"
+#include "core/controller/catalog.h"
+
+namespace oxbow::app {
+
+class Users : public api::Service {
+ public:
+  Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
+        clients::StateClient& state, Follower& follower, Election& election,
+        Dealings& dealings, const FitnessDesk::Peers& peers);
+
+  // api::Service
+  bool Ready() override;
+  const std::map<std::string, MachineType>* Types() override;
+  const std::vector<TeamSettings>& Teams() override { return settings_.teams; }
+  bool KnownHere(const std::string& id) override;
+  net::Task<api::Status> Poll(std::string id) override;
+  net::Task<api::Submitted> Submit(
+      std::shared_ptr<const JobSpec> spec) override;
+  net::Task<api::Status> Cancel(std::string id) override;
+  api::Reported Report(const WorkerReport& report) override;
+  api::LeaderView Leader() override;
+
+  // A request, or news of one, from another controller; false if it is not of
+  // that kind.
+  static bool Takes(clients::PeerKind kind);
+  net::Task<void> OnPeer(clients::PeerMessage message,
+                         clients::PeerMessage* reply);
+
+ private:
+  net::Task<api::Status> PollHere(std::string id);
+  net::Task<api::Status> CancelOrPass(std::string id);
+  net::Task<api::Submitted> SubmitHere(std::shared_ptr<const JobSpec> spec);
+  // Hands a user's request to another controller, once and no further, when
+  // this one cannot reach the state service.
+  net::Task<clients::PeerMessage> Relay(clients::PeerMessage message);
+  // Reads the job afresh; brings the catalog up to date.
+  net::Task<api::Status> FreshRead(std::string id);
+  bool FinalKnown(const std::string& id, api::Status* out) const;
+  bool ViewHere(const std::string& id, api::Status* out);
+
+  net::Loop& loop_;
+  const Settings& settings_;
+  Catalog& catalog_;
+  clients::StateClient& state_;
+  Follower& follower_;
+  Election& election_;
+  Dealings& dealings_;
+  const FitnessDesk::Peers& peers_;
+  size_t relay_to_ = 0;  // the peer that takes what is relayed
+  net::Time relay_not_before_ = 0;
+};
+
+}  // namespace oxbow::app
--- a/clients/cloud.cc
+++ b/clients/cloud.cc
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-#include "clients/json.h"
+#include "wire/json.h"
 
 namespace oxbow::clients {
 namespace {
--- a/clients/cloud.h
+++ b/clients/cloud.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "clients/budget.h"
-#include "core/controller/controller.h"
+#include "core/controller/actions.h"
 #include "net/http_client.h"
 
 namespace oxbow::clients {
--- a/clients/health.h
+++ b/clients/health.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <string>
 
-#include "core/controller/controller.h"
+#include "core/controller/actions.h"
 #include "net/loop.h"
 #include "script/verdict.h"
 
--- a/clients/peer.cc
+++ b/clients/peer.cc
@@ -120,15 +120,15 @@
 
 net::Task<void> PeerClient::ReadLoop(
     std::shared_ptr<PeerConnection> connection) {
-  co_await connection->Read(
+  const std::function<void(PeerMessage)> on_message =
       [this](PeerMessage message) {
         const auto it = waiting_.find(message.request);
         if (it == waiting_.end()) return;
         it->second->answer = {true, std::move(message)};
         it->second->event.Set();
         waiting_.erase(it);
-      },
-      kIdle);
+      };
+  co_await connection->Read(on_message, kIdle);
   if (connection_ == connection) {
     connection_.reset();
     for (auto& [id, waiting] : std::exchange(waiting_, {})) {
--- a/clients/reach.cc
+++ b/clients/reach.cc
@@ -2,9 +2,9 @@
 
 #include <utility>
 
-#include "clients/worker.h"
 #include "core/fitness/reach.h"
 #include "net/http_client.h"
+#include "wire/worker_json.h"
 
 namespace oxbow::clients {
 
@@ -14,11 +14,11 @@
   if (net::ParseAddress(endpoint, &address)) {
     // A connection of its own: one that is open already may lead through a
     // path that a new one would not find, and the reverse.
-    net::HttpClient client(loop_, address, kReportLimit, 0);
+    net::HttpClient client(loop_, address, wire::kReportLimit, 0);
     const net::ClientResult answer =
         co_await client.Request("GET", "/status", "", timeout_s);
     WorkerReport report;
-    if (answer.ok() && ParseReport(answer.body, &report)) {
+    if (answer.ok() && wire::ParseReport(answer.body, &report)) {
       round->found.machines[i] = Reach::kReached;
       round->found.reports.push_back(std::move(report));
     } else {
--- a/clients/state.cc
+++ b/clients/state.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "clients/json.h"
-#include "clients/records.h"
+#include "wire/json.h"
+#include "wire/records.h"
 
 namespace oxbow::clients {
 namespace {
@@ -17,7 +17,7 @@
   entry.key = json::GetString(item, "key");
   entry.stamp = json::GetUint(item, "stamp");
   const auto* value = json::Find(item, "v");
-  if (value != nullptr) DecodeRecord(entry.key, *value, &entry.record);
+  if (value != nullptr) wire::DecodeRecord(entry.key, *value, &entry.record);
   out->items.push_back(std::move(entry));
 }
 
@@ -28,7 +28,7 @@
   if (entry.key.empty()) {
     entry.key = json::GetString(event, "delete");
   } else if (const auto* value = json::Find(event, "v")) {
-    DecodeRecord(entry.key, *value, &entry.record);
+    wire::DecodeRecord(entry.key, *value, &entry.record);
   }
   out->items.push_back(std::move(entry));
 }
@@ -153,7 +153,7 @@
     } else {
       json::Field(w, "set", change.key);
       w.Key("v");
-      const std::string value = EncodeRecord(change.record);
+      const std::string value = wire::EncodeRecord(change.record);
       w.RawValue(value.data(), value.size(), rapidjson::kObjectType);
       if (lease_id != 0) {
         w.Key("permit");
--- a/clients/state.h
+++ b/clients/state.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "clients/budget.h"
+#include "core/controller/actions.h"
 #include "core/controller/catalog.h"
-#include "core/controller/controller.h"
 #include "core/model/settings.h"
 #include "net/http_client.h"
 
--- a/clients/worker.h
+++ b/clients/worker.h
@@ -1,24 +1,16 @@
-// The workers' messages, and the client for their direct commands.
+// The client for direct commands to workers.
 #pragma once
 
 #include <map>
 #include <memory>
 #include <string>
-#include <string_view>
-#include <vector>
 
-#include "core/controller/controller.h"
+#include "core/controller/actions.h"
 #include "core/model/report.h"
 #include "net/http_client.h"
 
 namespace oxbow::clients {
 
-// Bytes of a report that are read at the most.
-inline constexpr size_t kReportLimit = 128 * 1024;
-// False when it is not a report.
-bool ParseReport(std::string_view body, WorkerReport* out);
-std::string EncodeReply(const ReportReply& reply);
-
 class WorkerClients {
  public:
   WorkerClients(net::Loop& loop, double timeout_s)
--- /dev/null
+++ b/core/controller/actions.h
@@ -0,0 +1,133 @@
+// What the leader's core asks of the shell, and what the shell answers: plain
+// data, so that clients need not know the core that decides.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "core/controller/catalog.h"
+#include "core/model/machine.h"
+#include "core/model/report.h"
+#include "core/rollout/rollout.h"
+
+namespace oxbow {
+
+// --- actions
+
+struct SendOrders {  // POST to the worker's command path
+  std::string host;
+  std::string endpoint;
+  uint64_t batch = 0;
+  uint64_t token = 0;
+  uint64_t session = 0;
+  std::vector<Order> orders;
+};
+
+struct Probe {  // ask the worker for a report
+  std::string host;
+  std::string endpoint;
+};
+
+struct Condition {
+  std::string key;
+  uint64_t stamp = 0;
+};
+
+struct KeyChange {
+  std::string key;
+  Record record;  // monostate deletes
+};
+
+struct WriteTransaction {
+  uint64_t id = 0;
+  std::vector<Condition> conditions;
+  std::vector<KeyChange> changes;
+};
+
+struct ReadKeys {
+  uint64_t id = 0;
+  std::vector<std::string> keys;
+};
+
+struct RentMachines {
+  std::string name;
+  RentalRecord rental;
+};
+
+struct DeleteMachines {
+  std::vector<std::string> hosts;
+};
+
+struct JobFinal {  // recorded: whoever waits for it can be answered
+  std::string id;
+  FinalState state = FinalState::kNone;
+};
+
+// Ask an instance of a roll-out whether it is well.
+struct CheckInstance {
+  std::string rollout;
+  ResidentKey key;
+  std::string endpoint;  // of its machine's worker: the address counts
+  std::shared_ptr<const RolloutSpec> spec;
+};
+
+// Ask every controller, this one too, which of these machines it reaches.
+struct AskReach {
+  uint64_t round = 0;
+  bool sample = false;  // of all machines; else those that are silent
+  std::vector<std::string> hosts;
+  std::vector<std::string> endpoints;  // of the same
+};
+
+// Ask another controller to take over; if it agrees, this one steps down.
+struct OfferLead {
+  std::string to;
+  std::string why;
+};
+
+struct Resign {
+  std::string reason;
+  bool unfit = false;  // others should go first
+};
+
+struct Note {  // for the log
+  std::string text;
+  bool detail = false;
+};
+
+using Action = std::variant<SendOrders, Probe, WriteTransaction, ReadKeys,
+                            RentMachines, DeleteMachines, JobFinal,
+                            CheckInstance, AskReach, OfferLead, Resign, Note>;
+
+// --- answers
+
+enum class WriteOutcome { kApplied, kConflict, kNotExecuted, kUnknown };
+enum class OrderOutcome { kExecuted, kRefused, kNotSent, kUnknown };
+enum class RentOutcome { kGranted, kNoCapacity, kTryLater, kRejected };
+
+struct ReportReply {
+  uint64_t token = 0;
+  std::vector<Order> orders;
+};
+
+struct JobView {
+  std::string_view status;
+  uint32_t done = 0;
+  uint32_t running = 0;
+};
+
+struct ListedMachine {
+  std::string host;
+  std::string endpoint;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  std::string state;
+  double age_s = 0;
+};
+
+}  // namespace oxbow
--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -15,7 +15,7 @@
 #include <fstream>
 #include <random>
 
-#include "clients/json.h"
+#include "wire/json.h"
 #include "tests/stand_ins.h"
 
 // Servers run until their process ends, so a test that stops its loop leaves
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -8,7 +8,7 @@
 #include <map>
 
 #include "app/node.h"
-#include "clients/json.h"
+#include "wire/json.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "tests/stand_ins.h"
@@ -16,7 +16,7 @@
 // Servers run until their process ends, so a test that stops its loop leaves
 // their suspended coroutines behind.
 extern "C" const char* __lsan_default_suppressions() {
-  return "leak:oxbow::net::\nleak:oxbow::clients::\nleak:oxbow::app::Node\n";
+  return "leak:oxbow::net::\nleak:oxbow::clients::\nleak:oxbow::app::\n";
 }
 
 namespace oxbow {
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <ctime>
 
-#include "api/rollout_json.h"
+#include "wire/rollout_json.h"
 #include "core/rollout/latency.h"
 #include "script/verdict.h"
 #include "tests/sim.h"
@@ -440,8 +440,8 @@
   doc.Parse(text.c_str());
   EXPECT_FALSE(doc.HasParseError()) << text;
   RolloutSpec spec;
-  const std::string malformed = api::ReadRolloutSpec(doc, &spec);
-  return malformed.empty() ? api::WhyNoRollout(spec, 4) : malformed;
+  const std::string malformed = wire::ReadRolloutSpec(doc, &spec);
+  return malformed.empty() ? wire::WhyNoRollout(spec, 4) : malformed;
 }
 
 TEST(Declarations, AreCheckedInWords) {
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -6,7 +6,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "api/wire_names.h"
+#include "wire/names.h"
 #include "tests/sim.h"
 
 namespace oxbow::test {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -6,9 +6,9 @@
 #include <cstdio>
 #include <fstream>
 
-#include "api/job_json.h"
+#include "wire/job_json.h"
 #include "app/options.h"
-#include "clients/worker.h"
+#include "wire/worker_json.h"
 
 namespace oxbow {
 namespace {
@@ -87,7 +87,7 @@
   rapidjson::Document doc;
   doc.Parse(text.c_str());
   JobSpec spec;
-  return doc.HasParseError() ? "json" : api::ReadSpec(doc, &spec);
+  return doc.HasParseError() ? "json" : wire::ReadSpec(doc, &spec);
 }
 
 TEST(JobDescriptions, AreCheckedFieldByField) {
@@ -116,14 +116,14 @@
   rapidjson::Document doc;
   doc.Parse(kJob);
   JobSpec spec;
-  ASSERT_EQ(api::ReadSpec(doc, &spec), "");
+  ASSERT_EQ(wire::ReadSpec(doc, &spec), "");
   rapidjson::StringBuffer buffer;
   json::Writer w(buffer);
-  api::WriteSpec(w, spec);
+  wire::WriteSpec(w, spec);
   rapidjson::Document again;
   again.Parse(buffer.GetString());
   JobSpec copy;
-  ASSERT_EQ(api::ReadSpec(again, &copy), "");
+  ASSERT_EQ(wire::ReadSpec(again, &copy), "");
   EXPECT_EQ(copy.tasks, 16U);
   EXPECT_EQ(copy.types, spec.types);
   EXPECT_FALSE(copy.zone);
@@ -139,18 +139,18 @@
   spec.tasks = 4;
   spec.need = {30, 0, 10};
   spec.kind = JobKind::kArray;
-  EXPECT_EQ(api::WhyImpossible(spec, types, teams), "");
+  EXPECT_EQ(wire::WhyImpossible(spec, types, teams), "");
   spec.kind = JobKind::kGang;  // all tasks count
-  EXPECT_NE(api::WhyImpossible(spec, types, teams), "");
+  EXPECT_NE(wire::WhyImpossible(spec, types, teams), "");
   spec.kind = JobKind::kArray;
   spec.need.cpus = 97;
-  EXPECT_NE(api::WhyImpossible(spec, types, teams), "");
+  EXPECT_NE(wire::WhyImpossible(spec, types, teams), "");
   spec.need.cpus = 1;
   spec.zone = "c";
-  EXPECT_NE(api::WhyImpossible(spec, types, teams), "");
+  EXPECT_NE(wire::WhyImpossible(spec, types, teams), "");
   spec.zone.reset();
   spec.team = "u";
-  EXPECT_NE(api::WhyImpossible(spec, types, teams), "");
+  EXPECT_NE(wire::WhyImpossible(spec, types, teams), "");
 }
 
 TEST(Reports, AreReadWholeOrNotAtAll) {
@@ -161,7 +161,7 @@
               {"leg":"job-000398/0","try_no":1,"status":"exited",
                "exit_reason":"done"}]})";
   WorkerReport r;
-  ASSERT_TRUE(clients::ParseReport(good, &r));
+  ASSERT_TRUE(wire::ParseReport(good, &r));
   EXPECT_EQ(r.tasks.size(), 2U);
   EXPECT_EQ(r.tasks[0].task, 3U);
   EXPECT_EQ(r.tasks[1].reason, ExitReason::kDone);
@@ -169,8 +169,8 @@
   // A task that can't be understood must not look like one that is not there.
   WorkerReport bad;
   EXPECT_FALSE(
-      clients::ParseReport(Replace(good, "job-000412/3", "job"), &bad));
-  EXPECT_FALSE(clients::ParseReport("[]", &bad));
+      wire::ParseReport(Replace(good, "job-000412/3", "job"), &bad));
+  EXPECT_FALSE(wire::ParseReport("[]", &bad));
 }
 
 }  // namespace
--- a/tests/stand_ins.cc
+++ b/tests/stand_ins.cc
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "clients/json.h"
+#include "wire/json.h"
 
 namespace oxbow::test {
 
--- a/api/field_reader.h
+++ b/wire/field_reader.h
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "api/wire_names.h"
-#include "clients/json.h"
+#include "wire/json.h"
+#include "wire/names.h"
 
-namespace oxbow::api {
+namespace oxbow::wire {
 
 // Takes fields out of a description and remembers the first that is wrong.
 class FieldReader {
@@ -76,8 +76,7 @@
   template <typename Names, typename Term>
   void Word(const char* key, const Names& names, Term* out) {
     const auto* v = json::Find(object_, key);
-    if (v == nullptr || !v->IsString() ||
-        !wire::TermOf(names, json::View(*v), out)) {
+    if (v == nullptr || !v->IsString() || !TermOf(names, json::View(*v), out)) {
       Fail(key);
     }
   }
@@ -104,4 +103,4 @@
   std::string error_;
 };
 
-}  // namespace oxbow::api
+}  // namespace oxbow::wire
--- a/api/job_json.cc
+++ b/wire/job_json.cc
@@ -1,11 +1,11 @@
-#include "api/job_json.h"
+#include "wire/job_json.h"
 
 #include <algorithm>
 
-#include "api/field_reader.h"
-#include "api/wire_names.h"
+#include "wire/field_reader.h"
+#include "wire/names.h"
 
-namespace oxbow::api {
+namespace oxbow::wire {
 
 bool ValidJobId(std::string_view id) {
   constexpr std::string_view kPrefix = "job-";
@@ -24,8 +24,8 @@
   read.String("id", &out->id);
   read.String("duty", &out->job_class);
   read.String("crew", &out->team);
-  read.Word("form", wire::kJobKinds, &out->kind);
-  read.Word("standing", wire::kPriorities, &out->priority);
+  read.Word("form", kJobKinds, &out->kind);
+  read.Word("standing", kPriorities, &out->priority);
   read.Count("legs", 1, kMaxTasks, &out->tasks);
   read.Amount("cores", 0, &out->need.cpus);
   read.Amount("accelerators", 0, &out->need.gpus);
@@ -55,8 +55,8 @@
   json::Field(w, "id", spec.id);
   json::Field(w, "duty", spec.job_class);
   json::Field(w, "crew", spec.team);
-  json::Field(w, "form", wire::NameOf(wire::kJobKinds, spec.kind));
-  json::Field(w, "standing", wire::NameOf(wire::kPriorities, spec.priority));
+  json::Field(w, "form", NameOf(kJobKinds, spec.kind));
+  json::Field(w, "standing", NameOf(kPriorities, spec.priority));
   w.Key("legs");
   w.Uint(spec.tasks);
   number("cores", spec.need.cpus);
@@ -109,4 +109,4 @@
   return {};
 }
 
-}  // namespace oxbow::api
+}  // namespace oxbow::wire
--- a/api/job_json.h
+++ b/wire/job_json.h
@@ -6,12 +6,12 @@
 #include <map>
 #include <string>
 
-#include "clients/json.h"
 #include "core/model/job.h"
 #include "core/model/machine.h"
 #include "core/model/settings.h"
+#include "wire/json.h"
 
-namespace oxbow::api {
+namespace oxbow::wire {
 
 // "job-" and at least six digits.
 bool ValidJobId(std::string_view id);
@@ -25,4 +25,4 @@
                           const std::map<std::string, MachineType>& types,
                           const std::vector<TeamSettings>& teams);
 
-}  // namespace oxbow::api
+}  // namespace oxbow::wire
--- a/clients/records.cc
+++ b/wire/records.cc
@@ -1,13 +1,13 @@
-#include "clients/records.h"
+#include "wire/records.h"
 
 #include <cmath>
 
-#include "api/job_json.h"
-#include "api/rollout_json.h"
-#include "api/wire_names.h"
-#include "clients/json.h"
+#include "wire/job_json.h"
+#include "wire/json.h"
+#include "wire/names.h"
+#include "wire/rollout_json.h"
 
-namespace oxbow::clients {
+namespace oxbow::wire {
 namespace {
 
 using json::Field;
@@ -23,11 +23,11 @@
   }
   void operator()(const JobRecord& r) const {
     Key(w, "spec");
-    api::WriteSpec(w, *r.spec);
+    WriteSpec(w, *r.spec);
     Key(w, "t");
     w.Double(r.submitted_wall);
     if (r.final_state != FinalState::kNone) {
-      Field(w, "final", wire::NameOf(wire::kFinals, r.final_state));
+      Field(w, "final", NameOf(kFinals, r.final_state));
     }
   }
   void operator()(const MachineRecord& r) const {
@@ -48,18 +48,18 @@
     w.Int(r.count);
   }
   void operator()(const FinalRecord& r) const {
-    Field(w, "final", wire::NameOf(wire::kFinals, r.state));
+    Field(w, "final", NameOf(kFinals, r.state));
     Key(w, "tasks");
     w.Uint(r.tasks);
   }
   void operator()(const RolloutRecord& r) const {
     Key(w, "spec");
     w.StartObject();
-    api::WriteRolloutSpec(w, *r.spec);
+    WriteRolloutSpec(w, *r.spec);
     w.EndObject();
-    Field(w, "step", wire::NameOf(wire::kRolloutStepNames, r.step));
-    Field(w, "paused_in", wire::NameOf(wire::kRolloutStepNames, r.paused_in));
-    Field(w, "wish", wire::NameOf(wire::kRolloutWishes, r.wish));
+    Field(w, "step", NameOf(kRolloutStepNames, r.step));
+    Field(w, "paused_in", NameOf(kRolloutStepNames, r.paused_in));
+    Field(w, "wish", NameOf(kRolloutWishes, r.wish));
     Field(w, "reason", r.reason);
     Key(w, "t");
     w.Double(r.declared_wall);
@@ -82,7 +82,7 @@
   if (!value.IsObject()) return false;
   const auto final_state = [&] {
     FinalState state = FinalState::kNone;
-    wire::TermOf(wire::kFinals, json::GetString(value, "final"), &state);
+    TermOf(kFinals, json::GetString(value, "final"), &state);
     return state;
   };
   if (key == keys::kLeader) {
@@ -91,7 +91,7 @@
   } else if (key.starts_with(keys::kJob)) {
     const auto* spec = json::Find(value, "spec");
     auto parsed = std::make_shared<JobSpec>();
-    if (spec == nullptr || !api::ReadSpec(*spec, parsed.get()).empty()) {
+    if (spec == nullptr || !ReadSpec(*spec, parsed.get()).empty()) {
       return false;
     }
     *out = JobRecord{parsed, json::GetDouble(value, "t"), final_state(), 0};
@@ -110,13 +110,12 @@
     const auto* spec = json::Find(value, "spec");
     auto parsed = std::make_shared<RolloutSpec>();
     RolloutRecord record;
-    if (spec == nullptr || !api::ReadRolloutSpec(*spec, parsed.get()).empty() ||
-        !wire::TermOf(wire::kRolloutStepNames, json::GetString(value, "step"),
-                      &record.step) ||
-        !wire::TermOf(wire::kRolloutStepNames,
-                      json::GetString(value, "paused_in"), &record.paused_in) ||
-        !wire::TermOf(wire::kRolloutWishes, json::GetString(value, "wish"),
-                      &record.wish)) {
+    if (spec == nullptr || !ReadRolloutSpec(*spec, parsed.get()).empty() ||
+        !TermOf(kRolloutStepNames, json::GetString(value, "step"),
+                &record.step) ||
+        !TermOf(kRolloutStepNames, json::GetString(value, "paused_in"),
+                &record.paused_in) ||
+        !TermOf(kRolloutWishes, json::GetString(value, "wish"), &record.wish)) {
       return false;
     }
     record.spec = std::move(parsed);
@@ -132,4 +131,4 @@
   return true;
 }
 
-}  // namespace oxbow::clients
+}  // namespace oxbow::wire
--- a/clients/records.h
+++ b/wire/records.h
@@ -8,7 +8,7 @@
 
 #include "core/controller/catalog.h"
 
-namespace oxbow::clients {
+namespace oxbow::wire {
 
 // The value of a record, without its stamp.
 std::string EncodeRecord(const Record& record);
@@ -16,4 +16,4 @@
 bool DecodeRecord(std::string_view key, const rapidjson::Value& value,
                   Record* out);
 
-}  // namespace oxbow::clients
+}  // namespace oxbow::wire
--- a/api/rollout_json.cc
+++ b/wire/rollout_json.cc
@@ -1,13 +1,13 @@
-#include "api/rollout_json.h"
+#include "wire/rollout_json.h"
 
 #include <algorithm>
 #include <cctype>
 
-#include "api/field_reader.h"
-#include "api/job_json.h"
 #include "script/verdict.h"
+#include "wire/field_reader.h"
+#include "wire/job_json.h"
 
-namespace oxbow::api {
+namespace oxbow::wire {
 namespace {
 
 constexpr size_t kMostText = 1024;  // of an expression or a path
@@ -120,10 +120,10 @@
   json::Writer w(buffer);
   w.StartObject();
   WriteRolloutSpec(w, *record.spec);
-  json::Field(w, "step", wire::NameOf(wire::kRolloutStepNames, record.step));
+  json::Field(w, "step", NameOf(kRolloutStepNames, record.step));
   if (!record.reason.empty()) json::Field(w, "reason", record.reason);
   if (record.wish != RolloutWish::kNone) {
-    json::Field(w, "wish", wire::NameOf(wire::kRolloutWishes, record.wish));
+    json::Field(w, "wish", NameOf(kRolloutWishes, record.wish));
   }
   if (counts != nullptr) {
     const auto count = [&](const char* key, uint32_t value) {
@@ -140,4 +140,4 @@
   return json::Text(buffer);
 }
 
-}  // namespace oxbow::api
+}  // namespace oxbow::wire
--- a/api/rollout_json.h
+++ b/wire/rollout_json.h
@@ -5,10 +5,10 @@
 
 #include <string>
 
-#include "clients/json.h"
 #include "core/rollout/rollout.h"
+#include "wire/json.h"
 
-namespace oxbow::api {
+namespace oxbow::wire {
 
 // "ro-" and up to 60 letters, digits, dots, dashes or underscores.
 bool ValidRolloutId(std::string_view id);
@@ -25,4 +25,4 @@
 std::string RolloutBody(const RolloutRecord& record,
                         const RolloutCounts* counts);
 
-}  // namespace oxbow::api
+}  // namespace oxbow::wire
--- /dev/null
+++ b/wire/worker_json.cc
@@ -0,0 +1,98 @@
+#include "wire/worker_json.h"
+
+#include <charconv>
+#include <utility>
+
+#include "wire/json.h"
+#include "wire/names.h"
+
+namespace oxbow::wire {
+namespace {
+
+bool ReadTask(const rapidjson::Value& value, TaskReport* out) {
+  const auto* leg = json::Find(value, "leg");
+  if (leg == nullptr || !leg->IsString()) return false;
+  const std::string_view name = json::View(*leg);
+  const size_t slash = name.rfind('/');
+  if (slash == std::string_view::npos) return false;
+  out->job_id = std::string(name.substr(0, slash));
+  const char* end = name.data() + name.size();
+  const auto [stop, error] =
+      std::from_chars(name.data() + slash + 1, end, out->task);
+  if (error != std::errc() || stop != end) return false;
+  out->attempt = json::GetUint(value, "try_no");
+  const auto* phase = json::Find(value, "status");
+  if (phase == nullptr || !phase->IsString() ||
+      !TermOf(kPhases, json::View(*phase), &out->phase)) {
+    return false;
+  }
+  const auto* reason = json::Find(value, "exit_reason");
+  if (reason != nullptr && reason->IsString() &&
+      !TermOf(kReasons, json::View(*reason), &out->reason)) {
+    out->reason = ExitReason::kError;  // an unknown end is no success
+  }
+  out->saved = json::GetBool(value, "saved");
+  return true;
+}
+
+}  // namespace
+
+void WriteOrders(json::Writer& w, const std::vector<Order>& orders) {
+  w.Key("orders");
+  w.StartArray();
+  for (const Order& o : orders) {
+    w.StartObject();
+    json::Field(w, "order", NameOf(kOrders, o.kind));
+    json::Field(w, "leg", o.job_id + "/" + std::to_string(o.task));
+    w.Key("try_no");
+    w.Uint64(o.attempt);
+    if (o.kind == OrderKind::kStop) {
+      w.Key("wind_down_s");
+      w.Double(o.grace_s);
+    }
+    w.EndObject();
+  }
+  w.EndArray();
+}
+
+bool ParseReport(std::string_view body, WorkerReport* out) {
+  rapidjson::Document doc;
+  if (!json::Parse(body, &doc) || !doc.IsObject()) return false;
+  out->host = json::GetString(doc, "host");
+  out->endpoint = json::GetString(doc, "endpoint");
+  out->type = json::GetString(doc, "fleet");
+  out->zone = json::GetString(doc, "yard");
+  out->spot = json::GetBool(doc, "loaner");
+  out->session = json::GetUint(doc, "tenure");
+  out->seq = json::GetUint(doc, "tally");
+  out->token = json::GetUint(doc, "fence");
+  const auto* notice = json::Find(doc, "warning_s");
+  if (notice != nullptr && notice->IsNumber()) {
+    out->notice_s = notice->GetDouble();
+  }
+  const auto* tasks = json::Find(doc, "legs");
+  if (tasks != nullptr && tasks->IsArray()) {
+    out->tasks.reserve(tasks->Size());
+    for (const auto& item : tasks->GetArray()) {
+      TaskReport task;
+      // A report that can't be understood whole must not be taken for one
+      // that lacks a task.
+      if (!ReadTask(item, &task)) return false;
+      out->tasks.push_back(std::move(task));
+    }
+  }
+  return !out->host.empty() && !out->endpoint.empty() && out->session > 0;
+}
+
+std::string EncodeReply(const ReportReply& reply) {
+  rapidjson::StringBuffer buffer;
+  json::Writer w(buffer);
+  w.StartObject();
+  w.Key("fence");
+  w.Uint64(reply.token);
+  WriteOrders(w, reply.orders);
+  w.EndObject();
+  return json::Text(buffer);
+}
+
+}  // namespace oxbow::wire
