Core: writes and hearing are classes of their own; readers of foreign bytes are fuzzed

Need: Controller was one class over seven sources in which everything reached everything. What reads bytes from outside had garbage tests for two readers only.

Ruled out: taking machines and jobs apart in the same step: they share the indices that keep the leader's cost down, and want a context of their own first.

--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -13,36 +13,6 @@
     std::pair{kRequesting, kSettled},
 };
 
-Fitness::Limits FitnessLimits(const Settings& settings, const Tuning& tuning,
-                              const Patience& patience) {
-  // Of a lease. Most of it must be left: each worker tries a controller that
-  // doesn't answer for 4 s, and waits 1 s, until it comes to the next leader.
-  constexpr double kBlindAfter = 0.2;
-  const double lease = settings.workers.lease_s;
-  Fitness::Limits limits;
-  limits.doubt_share = tuning.doubt_share;
-  limits.deaf_share = tuning.deaf_share;
-  limits.pause_s = settings.workers.report_s / 2;
-  limits.longest_pause_s = lease / 2;
-  limits.blind_after_s = kBlindAfter * lease;
-  // A new leader's first seconds take all of its processor, and its own probes
-  // late then say nothing.
-  limits.settle_s =
-      std::max(patience.overdue, tuning.leader_lease_ratio * lease);
-  return limits;
-}
-
-LossLimiter::Limits LossLimits(const Settings& settings, const Tuning& tuning) {
-  LossLimiter::Limits limits;
-  limits.window_s = tuning.limit_window_leases * settings.workers.lease_s;
-  limits.fleet = {tuning.silent_share,   tuning.unlisted_share,
-                  tuning.never_up_share, tuning.idle_share,
-                  tuning.moved_share,    tuning.distrusted_share};
-  limits.zone = tuning.zone_share;
-  limits.service = tuning.service_share;
-  return limits;
-}
-
 }  // namespace
 
 void Controller::Rental::Change(RentalState next) {
@@ -61,9 +31,8 @@
       patience_(Patience::From(settings.workers, tuning)),
       numbers_(revision),
       placer_(tuning, seed),
-      fitness_(FitnessLimits(settings, tuning, patience_), now),
-      limiter_(LossLimits(settings, tuning)),
-      sampling_(seed) {
+      writes_(settings, revision, *this, actions_),
+      ears_(settings, tuning, patience_, machines_, now, seed, actions_) {
   for (const TeamSettings& team : settings.teams)
     teams_.push_back({team, {}, {}});
   for (const Objective& objective : settings.objectives) {
@@ -175,7 +144,7 @@
   if (job.live()) {
     Log("cancel " + id + ": asked by its user");
     FinishJob(job, FinalState::kAborted);
-    FlushWrites(now);
+    writes_.Flush(now);
   } else if (job.state() == JobState::kDone) {
     actions_.push_back(JobFinal{id, FinalState::kDone});
   } else if (job.state() == JobState::kAborted) {
@@ -189,7 +158,7 @@
 void Controller::FinishJob(Job& job, FinalState state) {
   job.Change(state == FinalState::kDone ? JobState::kRecordingDone
                                         : JobState::kRecordingAbort);
-  QueueWrite({WriteKind::kFinish, job.id(), state, {}});
+  writes_.Queue({WriteKind::kFinish, job.id(), state, {}});
 }
 
 void Controller::OnFinalRecorded(const std::string& id, FinalState state,
@@ -218,8 +187,8 @@
   }
   if (!AllAccounted()) return;  // an unheard machine may hold some
   if (job.holding() > 0) return;
-  QueueWrite({WriteKind::kRetire, job.id(), FinalState::kNone, {}},
-             /*lazy=*/true);
+  writes_.Queue({WriteKind::kRetire, job.id(), FinalState::kNone, {}},
+                /*lazy=*/true);
 }
 
 bool Controller::View(const std::string& id, JobView* out) const {
@@ -249,6 +218,15 @@
   });
 }
 
+void Controller::OnReach(uint64_t round, std::vector<Reach> answers, Time now) {
+  if (!ears_.OnReach(round, std::move(answers), now)) resigned_ = true;
+}
+
+void Controller::OnOfferAgreed() {
+  resigned_ = true;
+  ears_.OnOfferAgreed();
+}
+
 uint64_t Controller::NextNumber() {
   const auto number = numbers_.Next();
   if (number) return *number;
@@ -265,10 +243,9 @@
 }
 
 void Controller::Tick(Time now) {
-  CountHearing(now);
+  ears_.Count(now);
   for (auto& m : machines_) TickMachine(*m, now);
-  AskAboutSilent(now);
-  AskWhoReaches(now);
+  ears_.Ask(now);
   for (auto& [name, rental] : rentals_) {
     if (rental.state == kRequesting && now >= rental.next_try) {
       Request(name, now);
@@ -289,7 +266,7 @@
 
 void Controller::Settle(Time now) {
   ScheduleIfNeeded(now);
-  FlushWrites(now);
+  writes_.Flush(now);
 }
 
 std::vector<Action> Controller::TakeActions() {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -17,7 +16,8 @@
 
 #include "core/controller/actions.h"
 #include "core/controller/catalog.h"
-#include "core/fitness/fitness.h"
+#include "core/controller/ears.h"
+#include "core/controller/write_queue.h"
 #include "core/lease/token.h"
 #include "core/limits/loss_limiter.h"
 #include "core/model/job.h"
@@ -31,7 +31,7 @@
 
 namespace oxbow {
 
-class Controller {
+class Controller : private WriteQueue::Owner {
  public:
   Controller(const Settings& settings, const Tuning& tuning, Catalog& catalog,
              uint64_t revision, Time now, double wall_minus_steady,
@@ -63,7 +63,9 @@
   // The other has agreed to lead: no more orders, this leadership ends.
   void OnOfferAgreed();
   // It did not, or too many hand-overs were lately.
-  void OnOfferRefused(const std::string& why, Time now);
+  void OnOfferRefused(const std::string& why, Time now) {
+    ears_.OnOfferRefused(why, now);
+  }
   // Asks for the job to be cancelled; a JobFinal follows. False: unknown job.
   bool Cancel(const std::string& id, Time now);
   void Tick(Time now);
@@ -80,11 +82,11 @@
   bool View(const std::string& id, JobView* out) const;
   bool AllAccounted() const;
   const Rollout* FindRollout(const std::string& id) const;
-  FitnessState fitness() const { return fitness_.state(); }
-  const Hearing& hearing() const { return hearing_; }
+  FitnessState fitness() const { return ears_.fitness(); }
+  const Hearing& hearing() const { return ears_.hearing(); }
   // What the leader keeps from doing at this moment, for whoever asks; a line
   // each.
-  std::vector<std::string> Alarms() const;
+  std::vector<std::string> Alarms() const { return ears_.Alarms(); }
   const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const {
     return jobs_;
   }
@@ -101,26 +103,6 @@
       return settings.cpus_max > 0 || settings.gpus_max > 0;
     }
   };
-  enum class WriteKind {
-    kFinish,
-    kRetire,
-    kMachineUp,
-    kMachineForget,
-    kRental,
-    kRentalSettle,
-    kRollout,
-  };
-  struct WriteOp {
-    WriteKind kind;
-    std::string name;
-    FinalState final_state = FinalState::kNone;
-    std::vector<std::string> hosts = {};
-    // Of a roll-out: the step to record, why, and the wish that it fulfils.
-    RolloutStep step = RolloutStep::kDeclared;
-    std::string reason = {};
-    RolloutWish wish = RolloutWish::kNone;
-  };
-  enum class WritePhase { kIdle, kWriting, kReading };
   struct Rental {
     RentalRecord record;
     RentalState state = RentalState::kRecording;
@@ -178,17 +160,6 @@
   bool Usable(const Machine& m, Time now) const;
   bool Suspect(const Machine& m, Time now) const;
 
-  // hearing.cc
-  void CountHearing(Time now);
-  bool ReportOverdue(const Machine& m, Time now) const;
-  void AskAboutSilent(Time now);
-  void AskWhoReaches(Time now);
-  // Whether so few are silent that it is the machines and not the network.
-  bool FewSilent() const;
-  bool MayGiveUp(const Machine& m, Time now) const;
-  bool LossAllowed(const Machine& m, LossCause cause, Time now);
-  uint64_t Ask(const std::vector<const Machine*>& about, bool sample);
-
   // controller.cc
   void AddJob(const JobRecord& record, Time now);
   void FinishJob(Job& job, FinalState state);
@@ -296,10 +267,9 @@
   double RunSeconds(const JobSpec& spec) const;
 
   // writes.cc
-  void QueueWrite(WriteOp op, bool lazy = false);
-  void FlushWrites(Time now);
-  bool BuildOp(const WriteOp& op, WriteTransaction* txn) const;
-  void OpDone(const WriteOp& op, uint64_t revision, Time now);
+  // WriteQueue::Owner
+  bool Build(const WriteOp& op, WriteTransaction* txn) const override;
+  void Done(const WriteOp& op, uint64_t revision, Time now) override;
 
   const Settings& settings_;
   const Tuning& tuning_;
@@ -310,21 +280,15 @@
   const Patience patience_;
   NumberSource numbers_;
   Placer placer_;
-  Fitness fitness_;
-  LossLimiter limiter_;
-  Hearing hearing_;
-  uint64_t next_round_ = 1;
-  uint64_t fitness_round_ = 0;  // under way; 0: none
-  uint64_t silent_round_ = 0;
-  std::map<uint64_t, std::vector<std::string>> asked_hosts_;  // by round
-  std::array<LossVerdict, kLossCauses> refusals_{};  // the latest of each cause
-  std::mt19937_64 sampling_;
   bool resigned_ = false;
+  std::vector<Action> actions_;
+  WriteQueue writes_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  Ears ears_;
 
   std::map<std::string, MachineType> types_;
   std::vector<Team> teams_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
-  std::vector<std::unique_ptr<Machine>> machines_;
   std::unordered_map<std::string, int32_t> machine_index_;
   std::unordered_set<std::string> gone_hosts_;
   std::map<std::string, ClassStats> class_stats_;
@@ -345,19 +309,10 @@
   // The largest task with accelerators seen; zero when there was none.
   Resources accelerator_shape_;
 
-  std::deque<WriteOp> urgent_;
-  std::deque<WriteOp> lazy_;
-  std::vector<WriteOp> in_flight_;
-  std::vector<std::string> in_flight_keys_;
-  WritePhase write_phase_ = WritePhase::kIdle;
-  uint64_t write_id_ = 0;
-  Time writes_not_before_ = 0;
-
   bool part_is_held_ = false;  // in this pass, for a gang
   bool dirty_ = true;
   bool urgent_dirty_ = true;  // a live service is concerned
   Time next_schedule_ = 0;
-  std::vector<Action> actions_;
 };
 
 }  // namespace oxbow
--- a/core/controller/hearing.cc
+++ b/core/controller/ears.cc
@@ -1,11 +1,11 @@
 // What the leader hears of its machines, what it asks the others about them,
 // and what it may do about those it doesn't hear.
 
+#include "core/controller/ears.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "core/controller/controller.h"
-
 namespace oxbow {
 namespace {
 
@@ -15,9 +15,55 @@
 constexpr double kReportTimeout_s = 4;
 constexpr double kRetryPause_s = 1;
 
+Fitness::Limits FitnessLimits(const Settings& settings, const Tuning& tuning,
+                              const Patience& patience) {
+  // Of a lease. Most of it must be left: each worker tries a controller that
+  // doesn't answer for 4 s, and waits 1 s, until it comes to the next leader.
+  constexpr double kBlindAfter = 0.2;
+  const double lease = settings.workers.lease_s;
+  Fitness::Limits limits;
+  limits.doubt_share = tuning.doubt_share;
+  limits.deaf_share = tuning.deaf_share;
+  limits.pause_s = settings.workers.report_s / 2;
+  limits.longest_pause_s = lease / 2;
+  limits.blind_after_s = kBlindAfter * lease;
+  // A new leader's first seconds take all of its processor, and its own probes
+  // late then say nothing.
+  limits.settle_s =
+      std::max(patience.overdue, tuning.leader_lease_ratio * lease);
+  return limits;
+}
+
+LossLimiter::Limits LossLimits(const Settings& settings, const Tuning& tuning) {
+  LossLimiter::Limits limits;
+  limits.window_s = tuning.limit_window_leases * settings.workers.lease_s;
+  limits.fleet = {tuning.silent_share,   tuning.unlisted_share,
+                  tuning.never_up_share, tuning.idle_share,
+                  tuning.moved_share,    tuning.distrusted_share};
+  limits.zone = tuning.zone_share;
+  limits.service = tuning.service_share;
+  return limits;
+}
+
 }  // namespace
 
-bool Controller::ReportOverdue(const Machine& m, Time now) const {
+Ears::Ears(const Settings& settings, const Tuning& tuning,
+           const Patience& patience, const Machines& machines, Time started,
+           uint64_t seed, std::vector<Action>& actions)
+    : settings_(settings),
+      patience_(patience),
+      machines_(machines),
+      started_(started),
+      actions_(actions),
+      fitness_(FitnessLimits(settings, tuning, patience), started),
+      limiter_(LossLimits(settings, tuning)),
+      sampling_(seed) {}
+
+void Ears::Say(std::string text) {
+  actions_.push_back(Note{std::move(text), false});
+}
+
+bool Ears::ReportOverdue(const Machine& m, Time now) const {
   const Time from =
       std::max(m.last_report, started_ + kReportTimeout_s + kRetryPause_s);
   return now - from > patience_.overdue;
@@ -26,7 +72,7 @@
 // Counts every recorded machine, whatever has been asked about it since. What
 // has been given up for its silence goes on counting until the cloud has
 // confirmed: else each deletion would make the rest look healthier.
-void Controller::CountHearing(Time now) {
+void Ears::Count(Time now) {
   Hearing heard;
   for (const auto& m : machines_) {
     if (!m->recorded_up || m->state() == MachineState::kGone) continue;
@@ -42,13 +88,13 @@
   const FitnessState before = fitness_.state();
   fitness_.Observe(heard, now);
   if (fitness_.state() == before) return;
-  Log("hearing " + std::string(fitness_.fit() ? "well again" : "little") +
+  Say("hearing " + std::string(fitness_.fit() ? "well again" : "little") +
       ": " + std::to_string(heard.silent) + " silent and " +
       std::to_string(heard.troubled) + " troubled of " +
       std::to_string(heard.recorded) + " machines");
 }
 
-bool Controller::FewSilent() const {
+bool Ears::FewSilent() const {
   // One in six may be dead machines; more at once is the network, and they
   // will be back. The last one that is heard tells the leader that it hears.
   constexpr int kShare = 6;
@@ -57,7 +103,7 @@
 }
 
 // A single silent machine is given up, if nobody else reaches it either.
-bool Controller::MayGiveUp(const Machine& m, Time now) const {
+bool Ears::MayGiveUp(const Machine& m, Time now) const {
   if (!FewSilent()) return false;
   if (settings_.peers.empty()) return true;
   const Time quiet_since = std::max(m.last_heard, started_);
@@ -68,7 +114,7 @@
   return m.reached_by_none > quiet_since;
 }
 
-bool Controller::LossAllowed(const Machine& m, LossCause cause, Time now) {
+bool Ears::LossAllowed(const Machine& m, LossCause cause, Time now) {
   const auto index = static_cast<size_t>(cause);
   // Whoever doubts its own ears takes nothing away for other reasons either:
   // idle, listed and booted are read off what it hears.
@@ -96,7 +142,7 @@
   const LossVerdict verdict = limiter_.Ask(loss, fleet, zone, now);
   if (verdict != LossVerdict::kAllowed &&
       refusals_[index] == LossVerdict::kAllowed) {
-    Log("alarm: no more machines are taken away as " +
+    Say("alarm: no more machines are taken away as " +
         std::string(NameOf(cause)) + ", " + std::string(NameOf(verdict)) +
         " is reached: " + std::to_string(limiter_.Asked(cause, now)) +
         " within " + std::to_string(limiter_.limits().window_s) + " s of " +
@@ -106,7 +152,7 @@
   return verdict == LossVerdict::kAllowed;
 }
 
-std::vector<std::string> Controller::Alarms() const {
+std::vector<std::string> Ears::Alarms() const {
   std::vector<std::string> alarms;
   if (!fitness_.fit()) {
     alarms.push_back("hears little: " + std::to_string(hearing_.silent) +
@@ -123,8 +169,7 @@
   return alarms;
 }
 
-uint64_t Controller::Ask(const std::vector<const Machine*>& about,
-                         bool sample) {
+uint64_t Ears::Ask(const std::vector<Machine*>& about, bool sample) {
   AskReach ask;
   ask.sample = sample;
   ask.round = next_round_++;
@@ -132,7 +177,7 @@
     ask.hosts.push_back(m->host());
     ask.endpoints.push_back(m->endpoint);
   }
-  asked_hosts_[ask.round] = ask.hosts;
+  asked_[ask.round] = about;
   const uint64_t round = ask.round;
   actions_.push_back(std::move(ask));
   return round;
@@ -140,11 +185,11 @@
 
 // Before a machine is given up, everybody is asked about it, early enough for
 // the answer to be there in time.
-void Controller::AskAboutSilent(Time now) {
+void Ears::AskAboutSilent(Time now) {
   // Each question costs every controller a connection for a moment.
   constexpr size_t kMostAsked = 64;
   if (settings_.peers.empty() || silent_round_ != 0 || !FewSilent()) return;
-  std::vector<const Machine*> about;
+  std::vector<Machine*> about;
   for (auto& m : machines_) {
     if (!m->recorded_up || m->state() == MachineState::kGone ||
         m->state() == MachineState::kDeleting || m->endpoint.empty() ||
@@ -159,11 +204,16 @@
   if (!about.empty()) silent_round_ = Ask(about, /*sample=*/false);
 }
 
+void Ears::Ask(Time now) {
+  AskAboutSilent(now);
+  AskWhoReaches(now);
+}
+
 // A sample of all machines, heard or not: one that reached only what this
 // controller does not would be no better place to lead from.
-void Controller::AskWhoReaches(Time now) {
+void Ears::AskWhoReaches(Time now) {
   if (settings_.peers.empty() || !fitness_.WantsRound(now)) return;
-  std::vector<const Machine*> all;
+  std::vector<Machine*> all;
   for (const auto& m : machines_) {
     if (m->recorded_up && !m->endpoint.empty() &&
         m->state() != MachineState::kGone &&
@@ -171,7 +221,7 @@
       all.push_back(m.get());
     }
   }
-  std::vector<const Machine*> sample;
+  std::vector<Machine*> sample;
   std::sample(all.begin(), all.end(), std::back_inserter(sample), kReachSample,
               sampling_);
   if (sample.empty()) return;
@@ -179,14 +229,14 @@
   fitness_round_ = Ask(sample, /*sample=*/true);
 }
 
-void Controller::OnReach(uint64_t round, std::vector<Reach> answers, Time now) {
-  const auto it = asked_hosts_.find(round);
-  if (it == asked_hosts_.end() || answers.empty()) return;
-  const std::vector<std::string> hosts = std::move(it->second);
-  asked_hosts_.erase(it);
-  for (size_t i = 0; i < hosts.size(); ++i) {
-    Machine* m = FindMachine(hosts[i]);
-    if (m == nullptr) continue;
+bool Ears::OnReach(uint64_t round, std::vector<Reach> answers, Time now) {
+  const auto it = asked_.find(round);
+  if (it == asked_.end() || answers.empty()) return true;
+  const std::vector<Machine*> about = std::move(it->second);
+  asked_.erase(it);
+  for (size_t i = 0; i < about.size(); ++i) {
+    Machine* m = about[i];
+    if (m->state() == MachineState::kGone) continue;
     const bool others =
         std::any_of(answers.begin() + 1, answers.end(),
                     [i](const Reach& r) { return r.Reaches(i); });
@@ -202,7 +252,7 @@
     }
   }
   if (round == silent_round_) silent_round_ = 0;
-  if (round != fitness_round_) return;
+  if (round != fitness_round_) return true;
   fitness_round_ = 0;
   const Fitness::Verdict verdict = fitness_.RoundAnswered(answers, now);
   switch (verdict.kind) {
@@ -212,19 +262,14 @@
       actions_.push_back(OfferLead{verdict.to, verdict.why});
       break;
     case Fitness::Verdict::Kind::kStepDown:
-      resigned_ = true;
       actions_.push_back(Resign{verdict.why, /*unfit=*/true});
-      break;
+      return false;
   }
+  return true;
 }
 
-void Controller::OnOfferAgreed() {
-  resigned_ = true;
-  fitness_.OfferAgreed();
-}
-
-void Controller::OnOfferRefused(const std::string& why, Time now) {
-  Log("goes on leading: " + why);
+void Ears::OnOfferRefused(const std::string& why, Time now) {
+  Say("goes on leading: " + why);
   fitness_.OfferRefused(now);
 }
 
--- /dev/null
+++ b/core/controller/ears.h
@@ -0,0 +1,76 @@
+// What the leader hears of its machines, what it asks the others about them,
+// and what it may therefore do about those it does not hear. Reads the
+// machines; writes only what was asked about one and what the others said.
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/controller/actions.h"
+#include "core/fitness/fitness.h"
+#include "core/limits/loss_limiter.h"
+#include "core/model/machine.h"
+#include "core/model/patience.h"
+#include "core/model/settings.h"
+
+namespace oxbow {
+
+class Ears {
+ public:
+  using Machines = std::vector<std::unique_ptr<Machine>>;
+
+  Ears(const Settings& settings, const Tuning& tuning, const Patience& patience,
+       const Machines& machines, Time started, uint64_t seed,
+       std::vector<Action>& actions);
+
+  // Once in each tick, before anything is decided on it.
+  void Count(Time now);
+  // Asks the others, where something is in doubt.
+  void Ask(Time now);
+  // What each controller reaches, this one's answer first. False: this
+  // leadership is over.
+  [[nodiscard]] bool OnReach(uint64_t round, std::vector<Reach> answers,
+                             Time now);
+  void OnOfferAgreed() { fitness_.OfferAgreed(); }
+  void OnOfferRefused(const std::string& why, Time now);
+
+  // Whether a machine silent for long enough may be given up.
+  bool MayGiveUp(const Machine& m, Time now) const;
+  // Whether it may be taken away for this cause; counts it if so.
+  bool LossAllowed(const Machine& m, LossCause cause, Time now);
+
+  FitnessState fitness() const { return fitness_.state(); }
+  const Hearing& hearing() const { return hearing_; }
+  // What is held back at this moment; a line each.
+  std::vector<std::string> Alarms() const;
+
+ private:
+  bool ReportOverdue(const Machine& m, Time now) const;
+  // Whether so few are silent that it is the machines and not the network.
+  bool FewSilent() const;
+  void AskAboutSilent(Time now);
+  void AskWhoReaches(Time now);
+  uint64_t Ask(const std::vector<Machine*>& about, bool sample);
+  void Say(std::string text);
+
+  const Settings& settings_;
+  const Patience& patience_;
+  const Machines& machines_;
+  const Time started_;
+  std::vector<Action>& actions_;
+  Fitness fitness_;
+  LossLimiter limiter_;
+  Hearing hearing_;
+  uint64_t next_round_ = 1;
+  uint64_t fitness_round_ = 0;  // under way; 0: none
+  uint64_t silent_round_ = 0;
+  std::map<uint64_t, std::vector<Machine*>> asked_;  // by round
+  std::array<LossVerdict, kLossCauses> refusals_{};  // the latest of each cause
+  std::mt19937_64 sampling_;
+};
+
+}  // namespace oxbow
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -68,8 +68,8 @@
   // No task goes there before the record stands: a new leader must know every
   // machine that can hold one.
   if (!m->recorded_up && m->state() == MachineState::kUp) {
-    QueueWrite({WriteKind::kMachineUp, report.host, FinalState::kNone, {}});
-    FlushWrites(now);
+    writes_.Queue({WriteKind::kMachineUp, report.host, FinalState::kNone, {}});
+    writes_.Flush(now);
   }
   return *m;
 }
@@ -665,7 +665,7 @@
 }
 
 bool Controller::TakeAway(Machine& m, LossCause cause, Time now) {
-  if (!LossAllowed(m, cause, now)) return false;
+  if (!ears_.LossAllowed(m, cause, now)) return false;
   static constexpr std::array<const char*, kLossCauses> kWhy = {
       "silent",
       "neither listed nor heard",
@@ -737,7 +737,7 @@
                  : !m.residents.empty() || now < m.session.MayLiveUntil(lease);
   if (m.recorded_up && matters &&
       now - std::max(m.last_heard, started_) > patience_.give_up &&
-      MayGiveUp(m, now) && TakeAway(m, LossCause::kSilent, now)) {
+      ears_.MayGiveUp(m, now) && TakeAway(m, LossCause::kSilent, now)) {
     return;
   }
   // Looking through all that is there has no hurry: once a report.
--- a/core/controller/rollouts.cc
+++ b/core/controller/rollouts.cc
@@ -68,7 +68,7 @@
     WriteOp op{WriteKind::kRollout, id};
     op.step = RolloutStep::kFailed;
     op.reason = "one of its jobs is part of another roll-out";
-    QueueWrite(std::move(op));
+    writes_.Queue(std::move(op));
   } else if (!Ended(record.step)) {
     rollouts_.emplace(id, Rollout(record, now));
     in_rollout_[record.spec->from] = id;
@@ -129,13 +129,13 @@
     const uint32_t new_before = rollout.MostOfNew();
     const RolloutPlan plan = rollout.Review(ViewOf(rollout, now), now);
     if (plan.next) {
-      QueueWrite({WriteKind::kRollout,
-                  id,
-                  FinalState::kNone,
-                  {},
-                  *plan.next,
-                  plan.reason,
-                  rollout.record().wish});
+      writes_.Queue({WriteKind::kRollout,
+                     id,
+                     FinalState::kNone,
+                     {},
+                     *plan.next,
+                     plan.reason,
+                     rollout.record().wish});
     }
     for (const ResidentKey& key : plan.stop) {
       const auto job = jobs_.find(key.job_id);
@@ -145,8 +145,8 @@
       Machine& m = *machines_[static_cast<size_t>(index)];
       const auto it = m.residents.find(key);
       if (it == m.residents.end() || it->second.stopping) continue;
-      LogDetail([&] {
-        return "roll-out " + id + " stops " + key.job_id + "/" +
+      LogDetail([&, &name = id] {
+        return "roll-out " + name + " stops " + key.job_id + "/" +
                std::to_string(key.task) + " on " + m.host();
       });
       QueueStop(m, it->second, 0, now);
--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -1,59 +1,10 @@
-// The leader's writes to the state service. One transaction at a time, each
-// conditioned on the leader key and on what is known of the keys it changes:
-// one that is applied late, after another leader or this one has gone on,
-// fails instead of undoing newer facts.
-
-#include <algorithm>
-#include <utility>
+// What each kind of the leader's writes changes, conditioned on what is known
+// of the keys, and what follows once it stands.
 
 #include "core/controller/controller.h"
 
 namespace oxbow {
-namespace {
-
-size_t Weight(const WriteTransaction& txn) {
-  // Only specs are of any size; their variable parts decide.
-  size_t bytes = 0;
-  for (const KeyChange& change : txn.changes) {
-    bytes += 512;
-    if (const auto* rollout = std::get_if<RolloutRecord>(&change.record)) {
-      bytes += 2 * (rollout->spec->check.verdict.size() +
-                    rollout->spec->check.path.size() + rollout->reason.size());
-    }
-    if (const auto* job = std::get_if<JobRecord>(&change.record)) {
-      bytes += job->spec->image.size() * 2;
-      if (job->spec->types) {
-        for (const std::string& t : *job->spec->types) bytes += t.size() + 4;
-      }
-    }
-  }
-  return bytes;
-}
-
-constexpr size_t kMaxWeight = 48 * 1024;  // of the 64 KiB of a transaction
-
-}  // namespace
-
-void Controller::QueueWrite(WriteOp op, bool lazy) {
-  std::deque<WriteOp>& queue = lazy ? lazy_ : urgent_;
-  const auto same = [&](const WriteOp& o) {
-    return o.kind == op.kind && o.name == op.name;
-  };
-  // What a roll-out wants may change while the state service is out.
-  const auto waits = std::find_if(queue.begin(), queue.end(), same);
-  if (op.kind == WriteKind::kRollout && waits != queue.end()) {
-    *waits = std::move(op);
-    return;
-  }
-  if (std::any_of(queue.begin(), queue.end(), same) ||
-      std::any_of(in_flight_.begin(), in_flight_.end(), same)) {
-    return;
-  }
-  queue.push_back(std::move(op));
-}
-
-// Adds the op's changes; false when what it wants is already so.
-bool Controller::BuildOp(const WriteOp& op, WriteTransaction* txn) const {
+bool Controller::Build(const WriteOp& op, WriteTransaction* txn) const {
   switch (op.kind) {
     case WriteKind::kFinish: {
       const JobRecord* record = catalog_.FindJob(op.name);
@@ -137,99 +88,20 @@
   return false;
 }
 
-void Controller::FlushWrites(Time now) {
-  if (write_phase_ != WritePhase::kIdle || now < writes_not_before_) return;
-  WriteTransaction txn;
-  const auto limit = static_cast<size_t>(settings_.state.txn_ops);
-  for (std::deque<WriteOp>* queue : {&urgent_, &lazy_}) {
-    while (!queue->empty()) {
-      WriteTransaction longer = txn;
-      const WriteOp& op = queue->front();
-      if (!BuildOp(op, &longer)) {
-        const WriteOp done = op;
-        queue->pop_front();
-        OpDone(done, 0, now);
-        continue;
-      }
-      if (!in_flight_.empty() &&
-          (longer.changes.size() > limit || Weight(longer) > kMaxWeight)) {
-        break;
-      }
-      txn = std::move(longer);
-      in_flight_.push_back(op);
-      queue->pop_front();
-    }
-    if (txn.changes.size() >= limit) break;
-  }
-  if (in_flight_.empty()) return;
-  in_flight_keys_.clear();
-  for (const KeyChange& change : txn.changes) {
-    if (change.key.starts_with(keys::kLive)) {
-      in_flight_keys_.push_back(change.key);
-    }
-  }
-  txn.id = ++write_id_;
-  txn.conditions.push_back({std::string(keys::kLeader), revision_});
-  write_phase_ = WritePhase::kWriting;
-  actions_.push_back(std::move(txn));
-}
-
 void Controller::OnWriteAnswer(uint64_t id, WriteOutcome outcome,
                                uint64_t revision,
                                const std::vector<std::string>& failed,
                                Time now) {
-  if (id != write_id_ || write_phase_ != WritePhase::kWriting) return;
-  const double pause = 0.1 * settings_.workers.report_s;
-  switch (outcome) {
-    case WriteOutcome::kApplied: {
-      write_phase_ = WritePhase::kIdle;
-      const std::vector<WriteOp> done = std::exchange(in_flight_, {});
-      for (const WriteOp& op : done) OpDone(op, revision, now);
-      break;
-    }
-    case WriteOutcome::kNotExecuted:
-      write_phase_ = WritePhase::kIdle;
-      writes_not_before_ = now + pause;
-      for (auto it = in_flight_.rbegin(); it != in_flight_.rend(); ++it) {
-        urgent_.push_front(std::move(*it));
-      }
-      in_flight_.clear();
-      break;
-    case WriteOutcome::kConflict:
-      if (std::find(failed.begin(), failed.end(), keys::kLeader) !=
-          failed.end()) {
-        if (!resigned_)
-          actions_.push_back(Resign{"the leader key has changed"});
-        resigned_ = true;
-        return;
-      }
-      [[fallthrough]];
-    case WriteOutcome::kUnknown:
-      // It may have been applied, or may yet be: read before anything else.
-      write_phase_ = WritePhase::kReading;
-      actions_.push_back(ReadKeys{++write_id_, in_flight_keys_});
-      break;
-  }
-  FlushWrites(now);
+  if (writes_.OnAnswer(id, outcome, revision, failed, now) || resigned_) return;
+  actions_.push_back(Resign{"the leader key has changed"});
+  resigned_ = true;
 }
 
 void Controller::OnReadAnswer(uint64_t id, bool ok, Time now) {
-  if (id != write_id_ || write_phase_ != WritePhase::kReading) return;
-  if (!ok) {
-    actions_.push_back(ReadKeys{++write_id_, in_flight_keys_});
-    return;
-  }
-  write_phase_ = WritePhase::kIdle;
-  for (auto it = in_flight_.rbegin(); it != in_flight_.rend(); ++it) {
-    urgent_.push_front(std::move(*it));
-  }
-  in_flight_.clear();
-  FlushWrites(now);
+  writes_.OnRead(id, ok, now);
 }
 
-// The op's aim is reached: by its transaction, at `revision`, or, when that is
-// 0, because the state service already holds what it wanted.
-void Controller::OpDone(const WriteOp& op, uint64_t revision, Time now) {
+void Controller::Done(const WriteOp& op, uint64_t revision, Time now) {
   switch (op.kind) {
     case WriteKind::kFinish: {
       if (revision > 0) {
--- /dev/null
+++ b/tests/fuzz/targets.cc
@@ -0,0 +1,170 @@
+#include "tests/fuzz/targets.h"
+
+#include <rapidjson/document.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "clients/peer.h"
+#include "core/fitness/reach.h"
+#include "net/http.h"
+#include "wire/job_json.h"
+#include "wire/records.h"
+#include "wire/worker_json.h"
+
+namespace oxbow::fuzz {
+namespace {
+
+void Must(bool holds, const char* what) {
+  if (holds) return;
+  std::fprintf(stderr, "fuzz: %s\n", what);
+  std::abort();
+}
+
+// However a stream is cut, the same messages come out of it; what comes out
+// goes in again and stays the same.
+void PeerFrames(std::string_view bytes) {
+  using clients::FrameReader;
+  const auto read = [&](size_t piece) {
+    FrameReader reader;
+    std::vector<std::string> out;
+    for (size_t at = 0; at < bytes.size(); at += piece) {
+      reader.Append(bytes.substr(at, piece));
+      for (;;) {
+        clients::PeerMessage m;
+        const auto result = reader.Next(&m);
+        if (result == FrameReader::Result::kBroken) return out;
+        if (result == FrameReader::Result::kNeedMore) break;
+        out.push_back(clients::EncodeFrame(m));
+      }
+    }
+    return out;
+  };
+  const std::vector<std::string> whole = read(bytes.size() + 1);
+  Must(whole == read(7), "frames depend on how the stream was cut");
+  for (const std::string& frame : whole) {
+    FrameReader reader;
+    reader.Append(frame);
+    clients::PeerMessage m;
+    Must(reader.Next(&m) == FrameReader::Result::kMessage,
+         "an encoded frame is not read");
+    Must(clients::EncodeFrame(m) == frame, "a frame changes on its way");
+  }
+}
+
+void Reports(std::string_view bytes) {
+  WorkerReport report;
+  if (!wire::ParseReport(bytes, &report)) return;
+  Must(!report.host.empty() && report.session > 0, "half a report was taken");
+}
+
+void Http(std::string_view bytes) {
+  for (const auto kind :
+       {net::HttpParser::Kind::kRequest, net::HttpParser::Kind::kResponse}) {
+    net::HttpParser parser(kind, {.header_bytes = 1024, .body_bytes = 4096});
+    size_t used = 0;
+    while (used < bytes.size() && !parser.done() && !parser.failed()) {
+      const size_t n = parser.Feed(bytes.substr(used, 11));
+      Must(n <= 11, "more was used than there was");
+      if (n == 0) break;
+      used += n;
+    }
+    if (parser.done()) {
+      Must(parser.body().size() <= 4096, "a body above its limit was taken");
+    }
+  }
+}
+
+// A description that is accepted is written down and read again as the same.
+void Jobs(std::string_view bytes) {
+  rapidjson::Document doc;
+  if (!json::Parse(bytes, &doc) || !doc.IsObject()) return;
+  JobSpec spec;
+  if (!wire::ReadSpec(doc, &spec).empty()) return;
+  const auto text = [](const JobSpec& s) {
+    return wire::EncodeRecord(
+        JobRecord{std::make_shared<JobSpec>(s), 1, FinalState::kNone, 0});
+  };
+  const std::string key = keys::Of(keys::kJob, spec.id);
+  const std::string once = text(spec);
+  rapidjson::Document again;
+  again.Parse(once.data(), once.size());
+  Record record;
+  Must(!again.HasParseError() && wire::DecodeRecord(key, again, &record),
+       "a job that was accepted can't be read back");
+  Must(text(*std::get<JobRecord>(record).spec) == once,
+       "a job changes in its record");
+}
+
+void Records(std::string_view bytes) {
+  rapidjson::Document doc;
+  if (!json::Parse(bytes, &doc)) return;
+  for (const std::string_view key :
+       {keys::kLeader, keys::kJob, keys::kMachine, keys::kRental, keys::kFinal,
+        keys::kRollout, keys::kRolloutEnd}) {
+    Record record;
+    wire::DecodeRecord(keys::Of(key, "x"), doc, &record);
+  }
+}
+
+// The first line is an answer about as many machines as it has characters;
+// the rest is what this controller reaches itself.
+void ReachTexts(std::string_view bytes) {
+  const size_t line = bytes.find('\n');
+  const std::string other(bytes.substr(0, line));
+  const std::string self(line == std::string_view::npos
+                             ? std::string_view()
+                             : bytes.substr(line + 1));
+  if (!IsReachText(other, other.size())) return;
+  const int more =
+      Advantage({"a", true, false, self}, {"b", true, true, other});
+  const auto asked = static_cast<int>(other.size());
+  Must(more <= asked && more >= -asked, "more machines than were asked about");
+  Surely(more, asked);
+}
+
+std::string SomeFrames() {
+  clients::PeerMessage m;
+  m.kind = clients::PeerKind::kReach;
+  m.node = "a";
+  m.text = "n-000001\nn-000002\n";
+  return clients::EncodeFrame(m) + clients::EncodeFrame(m);
+}
+
+}  // namespace
+
+const std::vector<Target>& Targets() {
+  static const std::vector<Target> targets = {
+      {"frames", PeerFrames, {SomeFrames()}},
+      {"reports",
+       Reports,
+       {R"({"host":"n-1","endpoint":"10.0.0.1:9","fleet":"g8","yard":"a",)"
+        R"("loaner":true,"tenure":1,"tally":8,"fence":4,"warning_s":null,)"
+        R"("legs":[{"leg":"job-000412/3","try_no":2,"status":"running"},)"
+        R"({"leg":"job-000398/0","try_no":1,"status":"exited",)"
+        R"("exit_reason":"done"}]})"}},
+      {"http",
+       Http,
+       {"POST /v2/runs HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcd",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0"
+        "\r\n\r\n",
+        "HTTP/1.1 503 No\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n"}},
+      {"jobs",
+       Jobs,
+       {R"({"id":"job-000412","duty":"train","crew":"v","form":"ensemble",)"
+        R"("standing":"urgent","legs":16,"cores":8.0,"accelerators":1.0,)"
+        R"("memory_gb":64.0,"build":"img-07","size_gb":6.2,"fleets":["g8"],)"
+        R"("yard":null,"together":true,"scatter":false,"loaner":true,)"
+        R"("reckon_s":240.0,"bookmark_s":30.0,"stow_s":4.0,"due_s":900.0})"}},
+      {"records",
+       Records,
+       {R"({"node":"a","incarnation":"1"})",
+        R"({"type":"t","zone":"z","spot":true,"endpoint":"1.2.3.4:5","t":1.5})",
+        R"({"type":"t","zone":"z","spot":true,"count":3})",
+        R"({"final":"done","tasks":3})"}},
+      {"reach", ReachTexts, {"1101?0\n000111", "111111111111\n000000000000"}},
+  };
+  return targets;
+}
+
+}  // namespace oxbow::fuzz
--- /dev/null
+++ b/tests/write_queue_test.cc
@@ -0,0 +1,132 @@
+// The leader's writes on their way, by themselves: what an answer means, and
+// what waits for it.
+
+#include "core/controller/write_queue.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace oxbow {
+namespace {
+
+class Writes : public testing::Test, public WriteQueue::Owner {
+ public:
+  Writes() { settings_.state.txn_ops = 4; }
+
+  bool Build(const WriteOp& op, WriteTransaction* txn) const override {
+    if (already_so_.contains(op.name)) return false;
+    for (int i = 0; i < changes_each_; ++i) {
+      txn->changes.push_back(
+          {keys::Of(keys::kMachine, op.name + std::to_string(i)), {}});
+    }
+    return true;
+  }
+  void Done(const WriteOp& op, uint64_t revision, Time) override {
+    done_.emplace_back(op.name, revision);
+  }
+
+  void Ask(const std::string& name, bool lazy = false) {
+    queue_.Queue({WriteKind::kMachineUp, name}, lazy);
+  }
+  template <typename What>
+  What Last() const {
+    EXPECT_FALSE(actions_.empty());
+    return std::get<What>(actions_.back());
+  }
+
+  Settings settings_;
+  std::vector<Action> actions_;
+  std::set<std::string> already_so_;
+  int changes_each_ = 1;
+  std::vector<std::pair<std::string, uint64_t>> done_;
+  WriteQueue queue_{settings_, 77, *this, actions_};
+};
+
+TEST_F(Writes, EachTransactionIsConditionedOnTheLeaderKey) {
+  Ask("a");
+  queue_.Flush(0);
+  const auto txn = Last<WriteTransaction>();
+  EXPECT_EQ(txn.conditions.back().key, keys::kLeader);
+  EXPECT_EQ(txn.conditions.back().stamp, 77U);
+}
+
+// Sent again under a new condition at once, an unanswered write that is applied
+// late would be followed by one that knows nothing of it.
+TEST_F(Writes, AnUnansweredOneIsReadBeforeAnythingElse) {
+  Ask("a");
+  queue_.Flush(0);
+  const auto txn = Last<WriteTransaction>();
+  Ask("b");
+  EXPECT_TRUE(queue_.OnAnswer(txn.id, WriteOutcome::kUnknown, 0, {}, 1));
+  const auto read = Last<ReadKeys>();
+  EXPECT_EQ(read.keys,
+            std::vector<std::string>{keys::Of(keys::kMachine, "a0")});
+  queue_.Flush(2);
+  EXPECT_EQ(queue_.phase(), WritePhase::kReading);
+  EXPECT_EQ(actions_.size(), 2U);
+  // The read fails: it is read again, under another number.
+  queue_.OnRead(read.id, false, 3);
+  const auto again = Last<ReadKeys>();
+  EXPECT_NE(again.id, read.id);
+  queue_.OnRead(read.id, true, 3);  // too late to count
+  EXPECT_EQ(queue_.phase(), WritePhase::kReading);
+  // It had been applied: done, by what was read, without a revision of its own.
+  already_so_.insert("a");
+  queue_.OnRead(again.id, true, 4);
+  EXPECT_EQ(done_, (std::vector<std::pair<std::string, uint64_t>>{{"a", 0}}));
+  EXPECT_EQ(Last<WriteTransaction>().changes[0].key,
+            keys::Of(keys::kMachine, "b0"));
+}
+
+TEST_F(Writes, ALateAnswerToAnEarlierOneIsNoNews) {
+  Ask("a");
+  queue_.Flush(0);
+  const auto first = Last<WriteTransaction>();
+  EXPECT_TRUE(queue_.OnAnswer(first.id, WriteOutcome::kNotExecuted, 0, {}, 0));
+  queue_.Flush(1);
+  EXPECT_TRUE(queue_.OnAnswer(first.id, WriteOutcome::kApplied, 90, {}, 1));
+  EXPECT_TRUE(done_.empty());
+  EXPECT_EQ(queue_.phase(), WritePhase::kWriting);
+}
+
+TEST_F(Writes, WhenTheLeaderKeyHasChangedTheLeadershipIsOver) {
+  Ask("a");
+  queue_.Flush(0);
+  const uint64_t id = Last<WriteTransaction>().id;
+  EXPECT_FALSE(queue_.OnAnswer(id, WriteOutcome::kConflict, 0,
+                               {std::string(keys::kLeader)}, 1));
+}
+
+TEST_F(Writes, AConflictOfAnotherKeyIsAReasonToRead) {
+  Ask("a");
+  queue_.Flush(0);
+  EXPECT_TRUE(queue_.OnAnswer(Last<WriteTransaction>().id,
+                              WriteOutcome::kConflict, 0,
+                              {keys::Of(keys::kMachine, "a0")}, 1));
+  EXPECT_EQ(queue_.phase(), WritePhase::kReading);
+}
+
+TEST_F(Writes, GoInPiecesThatFitTheUrgentFirst) {
+  changes_each_ = 2;
+  Ask("lazy", /*lazy=*/true);
+  for (const char* name : {"a", "b", "c"}) Ask(name);
+  Ask("a");  // waits already
+  EXPECT_EQ(queue_.waiting(), 4U);
+  queue_.Flush(0);
+  EXPECT_EQ(Last<WriteTransaction>().changes.size(), 4U);
+  EXPECT_TRUE(queue_.OnAnswer(Last<WriteTransaction>().id,
+                              WriteOutcome::kApplied, 80, {}, 1));
+  EXPECT_EQ(done_.size(), 2U);
+  const auto rest = Last<WriteTransaction>();
+  EXPECT_EQ(rest.changes[0].key, keys::Of(keys::kMachine, "c0"));
+  EXPECT_EQ(rest.changes[2].key, keys::Of(keys::kMachine, "lazy0"));
+  // One that is larger than the limit goes alone rather than never.
+  changes_each_ = 9;
+  Ask("large");
+  EXPECT_TRUE(queue_.OnAnswer(rest.id, WriteOutcome::kApplied, 81, {}, 2));
+  EXPECT_EQ(Last<WriteTransaction>().changes.size(), 9U);
+}
+
+}  // namespace
+}  // namespace oxbow
