--- a/core/controller/ears.cc
+++ b/core/controller/ears.cc
@@ -85,6 +85,13 @@
         silent || now < m->direct_broken_until || ReportOverdue(*m, now);
   }
   hearing_ = heard;
+  // An alarm ends when nothing has been refused for a window: there may never
+  // be another act of its kind to be allowed.
+  for (size_t i = 0; i < kLossCauses; ++i) {
+    if (now - refused_at_[i] > limiter_.limits().window_s) {
+      refusals_[i] = LossVerdict::kAllowed;
+    }
+  }
   const FitnessState before = fitness_.state();
   fitness_.Observe(heard, now);
   if (fitness_.state() == before) return;
@@ -149,6 +156,7 @@
         std::to_string(fleet));
   }
   refusals_[index] = verdict;
+  if (verdict != LossVerdict::kAllowed) refused_at_[index] = now;
   return verdict == LossVerdict::kAllowed;
 }
 
--- a/core/controller/ears.h
+++ b/core/controller/ears.h
@@ -69,7 +69,9 @@
   uint64_t fitness_round_ = 0;  // under way; 0: none
   uint64_t silent_round_ = 0;
   std::map<uint64_t, std::vector<Machine*>> asked_;  // by round
-  std::array<LossVerdict, kLossCauses> refusals_{};  // the latest of each cause
+  // The latest verdict on each cause, and when one was last refused.
+  std::array<LossVerdict, kLossCauses> refusals_{};
+  std::array<Time, kLossCauses> refused_at_{};
   std::mt19937_64 sampling_;
 };
 
