Reread: since when a machine is quiet, and which ones count, each said in one place

Need: Ears wrote the moment since which nothing is heard of a machine three times, and the condition by which a machine counts for the leader's hearing twice, once as two skips and once as one test.

Change: QuietSince and Counts, in ears.cc; the comment on what has been given up stands at the condition it explains. Behaviour as it was.

--- a/core/controller/ears.cc
+++ b/core/controller/ears.cc
@@ -45,6 +45,21 @@
   return limits;
 }
 
+// Since when nothing has been heard of the machine, as far as this leadership
+// can tell.
+Time QuietSince(const Machine& m, Time started) {
+  return std::max(m.last_heard, started);
+}
+
+// Whether the machine says something about this controller's hearing. One that
+// has been given up for its silence goes on counting until the cloud has
+// confirmed: else each deletion would make the rest look healthier. One deleted
+// for another reason falls silent by that.
+bool Counts(const Machine& m) {
+  return m.recorded_up && m.state() != MachineState::kGone &&
+         (m.state() != MachineState::kDeleting || m.given_up);
+}
+
 }  // namespace
 
 Ears::Ears(const Settings& settings, const Tuning& tuning,
@@ -69,17 +84,12 @@
   return now - from > patience_.overdue;
 }
 
-// Counts every recorded machine, whatever has been asked about it since. What
-// has been given up for its silence goes on counting until the cloud has
-// confirmed: else each deletion would make the rest look healthier.
 void Ears::Count(Time now) {
   Hearing heard;
   for (const auto& m : machines_) {
-    if (!m->recorded_up || m->state() == MachineState::kGone) continue;
-    if (m->state() == MachineState::kDeleting && !m->given_up) continue;
+    if (!Counts(*m)) continue;
     ++heard.recorded;
-    const bool silent =
-        now - std::max(m->last_heard, started_) > patience_.overdue;
+    const bool silent = now - QuietSince(*m, started_) > patience_.overdue;
     heard.silent += silent;
     heard.troubled +=
         silent || now < m->direct_broken_until || ReportOverdue(*m, now);
@@ -113,7 +123,7 @@
 bool Ears::MayGiveUp(const Machine& m, Time now) const {
   if (!FewSilent()) return false;
   if (settings_.peers.empty()) return true;
-  const Time quiet_since = std::max(m.last_heard, started_);
+  const Time quiet_since = QuietSince(m, started_);
   if (m.reached_by_other > quiet_since &&
       now - m.reached_by_other < patience_.give_up) {
     return false;
@@ -201,7 +211,7 @@
   for (auto& m : machines_) {
     if (!m->recorded_up || m->state() == MachineState::kGone ||
         m->state() == MachineState::kDeleting || m->endpoint.empty() ||
-        now - std::max(m->last_heard, started_) <= patience_.asked ||
+        now - QuietSince(*m, started_) <= patience_.asked ||
         now - m->asked_about < settings_.workers.report_s) {
       continue;
     }
@@ -223,11 +233,7 @@
   if (settings_.peers.empty() || !fitness_.WantsRound(now)) return;
   std::vector<Machine*> all;
   for (const auto& m : machines_) {
-    if (m->recorded_up && !m->endpoint.empty() &&
-        m->state() != MachineState::kGone &&
-        (m->state() != MachineState::kDeleting || m->given_up)) {
-      all.push_back(m.get());
-    }
+    if (Counts(*m) && !m->endpoint.empty()) all.push_back(m.get());
   }
   std::vector<Machine*> sample;
   std::sample(all.begin(), all.end(), std::back_inserter(sample), kReachSample,
