--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -23,7 +23,7 @@
                    const Tuning& tuning, Catalog& catalog,
                    clients::StateClient& state, clients::CloudClient& cloud,
                    Follower& follower, Election& election,
-                   FitnessDesk& fitness_desk)
+                   FitnessDesk& fitness_desk, RecoveryDesk& recovery)
     : loop_(loop),
       settings_(settings),
       tuning_(tuning),
@@ -33,6 +33,7 @@
       follower_(follower),
       election_(election),
       fitness_desk_(fitness_desk),
+      recovery_(recovery),
       workers_(loop, kOrderTimeoutRatio * settings.workers.lease_s),
       health_(loop) {}
 
@@ -162,6 +163,8 @@
         net::Spawn(fitness_desk_.DoReach(std::move(*ask), revision));
       } else if (auto* offer = std::get_if<OfferLead>(&action)) {
         net::Spawn(fitness_desk_.DoOffer(std::move(*offer), revision));
+      } else if (auto* job = std::get_if<AskJob>(&action)) {
+        net::Spawn(recovery_.AskAboutJob(std::move(job->id)));
       } else if (auto* gone = std::get_if<DeleteMachines>(&action)) {
         to_delete.insert(to_delete.end(), gone->hosts.begin(),
                          gone->hosts.end());
@@ -250,7 +253,16 @@
     if (result.ok()) {
       follower_.Apply(key, result.items[0].record, result.items[0].stamp);
     } else if (result.status == StateStatus::kNotFound) {
-      catalog_.Erase(key, result.revision);
+      // Believed while the epoch stands: what a service that has lost data
+      // does not hold may be remembered here alone.
+      CheckSays says = CheckSays::kStands;
+      if (recovery_.on()) says = co_await recovery_.Check();
+      if (says == CheckSays::kGone) recovery_.Sign(LossSign::kEpochMissing);
+      if (says != CheckSays::kStands) {
+        ok = false;
+        break;
+      }
+      catalog_.Missing(key, result.revision);
     } else {
       ok = false;
       break;
--- a/app/dealings.h
+++ b/app/dealings.h
@@ -12,6 +12,7 @@
 #include "app/election.h"
 #include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/recovery_desk.h"
 #include "clients/cloud.h"
 #include "clients/health.h"
 #include "clients/state.h"
@@ -26,7 +27,7 @@
   Dealings(net::Loop& loop, const Settings& settings, const Tuning& tuning,
            Catalog& catalog, clients::StateClient& state,
            clients::CloudClient& cloud, Follower& follower, Election& election,
-           FitnessDesk& fitness_desk);
+           FitnessDesk& fitness_desk, RecoveryDesk& recovery);
   void Start();
 
   bool in_office() const { return controller_ != nullptr; }
@@ -75,6 +76,7 @@
   Follower& follower_;
   Election& election_;
   FitnessDesk& fitness_desk_;
+  RecoveryDesk& recovery_;
   clients::WorkerClients workers_;
   clients::HealthClient health_;
   std::unique_ptr<Controller> controller_;
--- a/app/election.cc
+++ b/app/election.cc
@@ -37,7 +37,8 @@
                    const Tuning& tuning, clients::StateClient& state,
                    const Catalog& catalog, Follower& follower,
                    const FitnessDesk& fitness_desk,
-                   const FitnessDesk::Peers& peers, Seams seams)
+                   const FitnessDesk::Peers& peers, RecoveryDesk& recovery,
+                   Seams seams)
     : loop_(loop),
       settings_(settings),
       incarnation_(NewIncarnation()),
@@ -47,10 +48,11 @@
       follower_(follower),
       fitness_desk_(fitness_desk),
       peers_(peers),
+      recovery_(recovery),
       seams_(std::move(seams)),
       leadership_(PeerNames(settings), lease_s_,
                   kPromiseRatio * settings.workers.lease_s, loop.Now()),
-      started_(loop.Now()) {}
+      met_from_(loop.Now()) {}
 
 void Election::Start() {
   net::Spawn(MeetPeers());
@@ -59,7 +61,9 @@
 
 net::Task<bool> Election::Promise() {
   co_await ProbeState();
-  co_return leadership_.AskedToPromise(state_.Failing(), loop_.Refresh());
+  // Data that is lost is as good as no answer: nobody can lead by it.
+  const bool fails = state_.Failing() || !recovery_.trust().MaySeek();
+  co_return leadership_.AskedToPromise(fails, loop_.Refresh());
 }
 
 std::string Election::LeaderName() const {
@@ -75,10 +79,13 @@
 }
 
 // A starting controller asks every other one whether it leads: if none does,
-// no promise of its former life can be outstanding.
+// no promise of its former life can be outstanding. After a loss the same
+// question stands for the key: who leads by it can't be read any more.
 net::Task<void> Election::MeetPeers() {
+  if (meeting_) co_return;
+  meeting_ = true;
   const double pause = 0.2 * settings_.workers.report_s;
-  while (loop_.Now() < started_ + leadership_.promise_s()) {
+  while (loop_.Now() < met_from_ + leadership_.promise_s()) {
     for (const auto& peer : peers_) {
       PeerMessage hello;
       hello.kind = PeerKind::kHello;
@@ -90,6 +97,18 @@
     }
     co_await loop_.Sleep(pause);
   }
+  meeting_ = false;
+}
+
+void Election::StateLost() {
+  if (Valid()) return;  // nobody else can lead; it opens the epoch itself
+  met_from_ = loop_.Now();
+  leadership_.Forget(met_from_);
+  net::Spawn(MeetPeers());
+}
+
+void Election::OtherEpoch() {
+  if (!reopening_) StepDown("another controller has opened a new epoch");
 }
 
 net::Task<void> Election::Run() {
@@ -105,9 +124,16 @@
     if (leadership_.state() == LeaderState::kLapsed) {
       StepDown("its right to lead has run out");
     }
+    if (recovery_.trust().state() == TrustState::kLost &&
+        (valid || leadership_.MaySeek(now))) {
+      co_await Reopen();
+      co_await loop_.Sleep(lease_s_ / 50);
+      continue;
+    }
     if (valid) {
-      if (!seams_.in_office() &&
-          catalog_.followed() >= leadership_.revision()) {
+      if (!seams_.in_office() && follower_.synced() &&
+          catalog_.followed() >= leadership_.revision() &&
+          recovery_.Gathered(leadership_.revision())) {
         seams_.take_office(leadership_.revision());
       }
       if (!renewing_ && now >= next_renewal_) net::Spawn(Renew());
@@ -115,12 +141,17 @@
         next_promise_ = now + lease_s_ / 5;
         for (const auto& peer : peers_) net::Spawn(AskPromise(peer.get()));
       }
-    } else if (follower_.synced() && leadership_.MaySeek(now)) {
+    } else if (follower_.synced() && recovery_.trust().MaySeek() &&
+               leadership_.MaySeek(now)) {
       const LeaderRecord& leader = catalog_.leader();
       // The key names this controller's former life: it is certainly dead, so
       // nobody has to wait for its lease.
-      const bool mine = leader.stamp > 0 && leader.node == settings_.node &&
-                        leader.incarnation != incarnation_;
+      // Or this life's, whose lease the state service has lost: the key would
+      // stand for ever.
+      const bool mine =
+          leader.stamp > 0 && leader.node == settings_.node &&
+          (leader.incarnation != incarnation_ ||
+           (recovery_.on() && now > stepped_down_ + 2 * lease_s_));
       if (mine ||
           (leader.stamp == 0 && fitness_desk_.MaySeek(now - key_free_since_))) {
         co_await Seek();
@@ -145,36 +176,104 @@
   }
   const std::string key(keys::kLeader);
   const LeaderRecord record{settings_.node, incarnation_, 0};
-  std::vector<Condition> conditions{{key, leadership_.seen()}};
-  std::vector<KeyChange> changes{{key, record}};
-  StateResult won =
-      co_await state_.Write(std::move(conditions), std::move(changes),
-                            Urgency::kLease, granted.lease_id);
-  if (won.status == StateStatus::kUnknown) {
-    // It may have been written: look before saying anything.
-    won = co_await state_.Get(key, Urgency::kLease);
-    const auto* seen = won.items.empty()
-                           ? nullptr
-                           : std::get_if<LeaderRecord>(&won.items[0].record);
-    if (!won.ok() || seen == nullptr || seen->node != settings_.node ||
-        seen->incarnation != incarnation_) {
-      won.status = StateStatus::kConflict;
-    } else {
-      won.revision = won.items[0].stamp;
-    }
-  }
+  const RecoveryDesk::Opening founding = recovery_.Found();
+  std::vector<Condition> conditions = founding.conditions;
+  if (conditions.empty()) recovery_.AddGuard(&conditions);
+  conditions.push_back({key, leadership_.seen()});
+  std::vector<KeyChange> changes = founding.changes;
+  changes.push_back({key, record});
+  const StateResult won = co_await Take(std::move(conditions),
+                                        std::move(changes), granted.lease_id);
   if (!won.ok()) {
     leadership_.SeekFailed();
+    recovery_.GuardFailed(won.failed);
     // Ended, so that the write, should it still arrive, is refused.
     co_await state_.EndLease(granted.lease_id);
     co_return;
   }
   leadership_.Won(won.revision, granted.lease_id, sent);
   next_renewal_ = loop_.Now();
+  recovery_.Opened(founding, won.revision);
   follower_.Apply(key, record, won.revision);
   spdlog::info("{} won leadership, revision {}", settings_.node, won.revision);
 }
 
+// A lease never ends early, so one that has is lost, perhaps with all else.
+bool Election::LeaseLost(uint64_t lease_id) {
+  if (lease_missing_ != lease_id) {
+    lease_missing_ = lease_id;
+    recovery_.Sign(LossSign::kEpochMissing);
+  }
+  return !recovery_.trust().MaySeek();
+}
+
+net::Task<StateResult> Election::Take(std::vector<Condition> conditions,
+                                      std::vector<KeyChange> changes,
+                                      uint64_t lease_id) {
+  StateResult won = co_await state_.Write(
+      std::move(conditions), std::move(changes), Urgency::kLease, lease_id);
+  if (won.status != StateStatus::kUnknown) co_return won;
+  // It may have been written: look before saying anything.
+  won = co_await state_.Get(std::string(keys::kLeader), Urgency::kLease);
+  const auto* seen = won.items.empty()
+                         ? nullptr
+                         : std::get_if<LeaderRecord>(&won.items[0].record);
+  if (!won.ok() || seen == nullptr || seen->node != settings_.node ||
+      seen->incarnation != incarnation_) {
+    won.status = StateStatus::kConflict;
+  } else {
+    won.revision = won.items[0].stamp;
+  }
+  co_return won;
+}
+
+// Under a right that still stands, or with nobody who could lead. One
+// transaction opens the epoch and takes its leader key, under the stamps that
+// were read before, so of several one opens it.
+net::Task<void> Election::Reopen() {
+  RecoveryDesk::Opening opening;
+  const bool led = Valid();
+  const bool prepared = co_await recovery_.Prepare(&opening, led);
+  if (!prepared) co_return;
+  // One whose right has run out meanwhile is one among all.
+  if (led && !Valid()) co_return;
+  if (!led && !leadership_.MaySeek(loop_.Refresh())) co_return;
+  const net::Time sent = loop_.Refresh();
+  const StateResult granted = co_await state_.CreateLease(lease_s_);
+  if (!granted.ok()) co_return;
+  const std::string key(keys::kLeader);
+  const LeaderRecord record{settings_.node, incarnation_, 0};
+  std::vector<KeyChange> changes = opening.changes;
+  changes.push_back({key, record});
+  if (!led) leadership_.SeekStarted(0);
+  const StateResult won =
+      co_await Take(opening.conditions, std::move(changes), granted.lease_id);
+  if (!won.ok()) {
+    if (!led) leadership_.SeekFailed();
+    co_await state_.EndLease(granted.lease_id);
+    co_return;
+  }
+  // What is known is taken for what is owed from here on, under a core that
+  // begins anew.
+  seams_.leave_office();
+  if (led && Valid()) {
+    leadership_.Rewon(won.revision, granted.lease_id, sent);
+  } else {
+    if (led) {
+      leadership_.Retire();
+      leadership_.SeekStarted(0);
+    }
+    leadership_.Won(won.revision, granted.lease_id, sent);
+  }
+  next_renewal_ = loop_.Now();
+  reopening_ = true;
+  recovery_.Opened(opening, won.revision);
+  reopening_ = false;
+  follower_.Apply(key, record, won.revision);
+  spdlog::info("{} opened epoch {} and leads, revision {}", settings_.node,
+               opening.epoch.number, won.revision);
+}
+
 net::Task<void> Election::Renew() {
   renewing_ = true;
   const net::Time sent = loop_.Refresh();
@@ -185,6 +284,11 @@
   if (result.ok()) {
     leadership_.RenewGranted(sent);
     next_renewal_ = sent + lease_s_ / 5;
+  } else if (result.status == StateStatus::kNotFound && recovery_.on() &&
+             Valid() && LeaseLost(lease_id)) {
+    // The right stands, by what was granted before or by promises; a new lease
+    // comes with the new epoch.
+    next_renewal_ = loop_.Now() + lease_s_ / 20;
   } else if (result.status == StateStatus::kNotFound) {
     StepDown("its lease has ended");
   } else {
@@ -222,6 +326,7 @@
 void Election::StepDown(const std::string& why) {
   if (leadership_.state() == LeaderState::kFollower) return;
   spdlog::info("{} no longer leads: {}", settings_.node, why);
+  stepped_down_ = loop_.Now();
   leadership_.Lost();
   leadership_.Retire();
   seams_.leave_office();
--- a/app/election.h
+++ b/app/election.h
@@ -8,6 +8,7 @@
 
 #include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/recovery_desk.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/catalog.h"
@@ -26,12 +27,17 @@
   Election(net::Loop& loop, const Settings& settings, const Tuning& tuning,
            clients::StateClient& state, const Catalog& catalog,
            Follower& follower, const FitnessDesk& fitness_desk,
-           const FitnessDesk::Peers& peers, Seams seams);
+           const FitnessDesk::Peers& peers, RecoveryDesk& recovery,
+           Seams seams);
   void Start();
 
   // Whether this controller may act as the leader at this moment.
   bool Valid() { return leadership_.Valid(loop_.Refresh()); }
   void StepDown(const std::string& why);
+  // The state service has lost data: whoever leads by it has to be waited for.
+  void StateLost();
+  // Another controller has opened a new epoch.
+  void OtherEpoch();
   // Whether it could take office, were the key free.
   bool MayLead();
   // Empty when not known; null when it is this controller or not known.
@@ -48,7 +54,15 @@
  private:
   net::Task<void> Run();
   net::Task<void> Seek();
+  // Opens a new epoch and takes the key in it.
+  net::Task<void> Reopen();
+  // Whether the transaction that was sent has made this controller leader.
+  // Looks, if it was not answered.
+  net::Task<clients::StateResult> Take(std::vector<Condition> conditions,
+                                       std::vector<KeyChange> changes,
+                                       uint64_t lease_id);
   net::Task<void> Renew();
+  bool LeaseLost(uint64_t lease_id);
   net::Task<void> AskPromise(clients::PeerClient* peer);
   net::Task<void> MeetPeers();
   net::Task<void> ProbeState();
@@ -62,9 +76,14 @@
   Follower& follower_;
   const FitnessDesk& fitness_desk_;
   const FitnessDesk::Peers& peers_;
+  RecoveryDesk& recovery_;
   Seams seams_;
   Leadership leadership_;
-  const net::Time started_;
+  net::Time met_from_;  // when the others began to be asked who leads
+  net::Time stepped_down_ = -1e9;
+  uint64_t lease_missing_ = 0;  // once: a lease that ended before its time
+  bool meeting_ = false;
+  bool reopening_ = false;
   bool renewing_ = false;
   bool probing_ = false;
   net::Time next_renewal_ = 0;
--- a/app/follower.cc
+++ b/app/follower.cc
@@ -26,7 +26,7 @@
       seams_(std::move(seams)) {}
 
 void Follower::Start() {
-  net::Spawn(FollowLoop());
+  net::Spawn(FollowLoop(generation_));
   net::Spawn(TypesLoop());
 }
 
@@ -40,13 +40,39 @@
   seams_.taken(key);
 }
 
-net::Task<bool> Follower::Resync() {
+void Follower::Reread() {
+  // The watch under way waits for revisions that may never come.
+  ++generation_;
+  synced_ = false;
+  net::Spawn(FollowLoop(generation_));
+}
+
+// The keys of an epoch come before all others, so the first page holds them.
+// Without this a controller that reads an empty state service would take its
+// own memory, perhaps the last one there is, for outdated.
+bool Follower::OfThisEpoch(const std::vector<clients::KeyValue>& first) const {
+  const EpochRecord& known = catalog_.epoch();
+  if (known.number == 0) return true;
+  for (const clients::KeyValue& item : first) {
+    if (const auto* epoch = std::get_if<EpochRecord>(&item.record)) {
+      return epoch->number > known.number ||
+             (epoch->number == known.number && epoch->id == known.id);
+    }
+  }
+  return false;
+}
+
+net::Task<bool> Follower::Resync(uint64_t generation) {
   std::string after;
   uint64_t revision = 0;
   std::unordered_set<std::string> listed;
   for (;;) {
     StateResult page = co_await state_.List(std::string(keys::kLive), after);
-    if (!page.ok()) co_return false;
+    if (!page.ok() || generation != generation_) co_return false;
+    if (revision == 0 && !OfThisEpoch(page.items)) {
+      seams_.other_epoch();
+      co_return false;
+    }
     // The watch goes on from the first page: what changed between the pages
     // is told again.
     if (revision == 0) revision = page.revision;
@@ -54,6 +80,8 @@
       listed.insert(item.key);
       Apply(item.key, item.record, item.stamp);
       after = item.key;
+      // It told of a new epoch, of which another round reads everything.
+      if (generation != generation_) co_return false;
     }
     if (!page.more || page.items.empty()) break;
   }
@@ -66,21 +94,23 @@
   co_return true;
 }
 
-net::Task<void> Follower::FollowLoop() {
+net::Task<void> Follower::FollowLoop(uint64_t generation) {
   const double pause = 0.2 * settings_.workers.report_s;
-  for (;;) {
+  while (generation == generation_) {
     if (!synced_) {
-      const bool ok = co_await Resync();
+      const bool ok = co_await Resync(generation);
       if (!ok) co_await loop_.Sleep(pause);
       continue;
     }
     StateResult news = co_await state_.Follow(
         std::string(keys::kLive), catalog_.followed(), kFollowBlock_s);
+    if (generation != generation_) co_return;
     if (news.status == StateStatus::kTooOld) {
       synced_ = false;
     } else if (news.ok()) {
       for (const clients::KeyValue& item : news.items) {
         Apply(item.key, item.record, item.stamp);
+        if (generation != generation_) co_return;
       }
       catalog_.Followed(news.revision);
       seams_.caught_up();
--- a/app/follower.h
+++ b/app/follower.h
@@ -20,6 +20,8 @@
     std::function<void(const std::string& key)> taken;  // a record, as news
     std::function<void()> caught_up;  // with what the service has told
     std::function<void(const std::vector<MachineType>&)> types;
+    // A listing that is not of the epoch that is known.
+    std::function<void()> other_epoch;
   };
   Follower(net::Loop& loop, const Settings& settings,
            clients::StateClient& state, clients::CloudClient& cloud,
@@ -30,13 +32,19 @@
   // key does not exist.
   void Apply(const std::string& key, const Record& record, uint64_t stamp);
 
+  // A new epoch: everything is read from the beginning.
+  void Reread();
+
   bool synced() const { return synced_; }  // and the watch goes on
   bool ever_synced() const { return ever_synced_; }
   const std::map<std::string, MachineType>& types() const { return types_; }
 
  private:
-  net::Task<void> FollowLoop();
-  net::Task<bool> Resync();
+  // Ends once another has been started.
+  net::Task<void> FollowLoop(uint64_t generation);
+  net::Task<bool> Resync(uint64_t generation);
+  // Whether a listing that begins with these is of the epoch that is known.
+  bool OfThisEpoch(const std::vector<clients::KeyValue>& first) const;
   net::Task<void> TypesLoop();
 
   net::Loop& loop_;
@@ -46,6 +54,7 @@
   Catalog& catalog_;
   Seams seams_;
   std::map<std::string, MachineType> types_;
+  uint64_t generation_ = 0;
   bool synced_ = false;
   bool ever_synced_ = false;
 };
--- a/app/node.cc
+++ b/app/node.cc
@@ -43,11 +43,15 @@
       cloud_(loop, AddressOf(settings.cloud_address), settings),
       peers_(PeersOf(loop, settings)),
       follower_(loop, settings, state_, cloud_, catalog_,
-                {[this](const std::string& key) { dealings_.RecordTaken(key); },
+                {[this](const std::string& key) {
+                   if (key == keys::kEpoch) recovery_.EpochSeen();
+                   dealings_.RecordTaken(key);
+                 },
                  [this] { dealings_.Perform(); },
                  [this](const std::vector<MachineType>& types) {
                    dealings_.TypesKnown(types);
-                 }}),
+                 },
+                 [this] { recovery_.Sign(LossSign::kEpochMissing); }}),
       fitness_desk_(loop, settings, tuning, catalog_, peers_,
                     {[this](uint64_t revision, const auto& event) {
                        dealings_.Tell(revision, event);
@@ -57,20 +61,30 @@
                        election_.StepDown(why);
                        fitness_desk_.Yielded();
                      }}),
+      recovery_(loop, settings, tuning, catalog_, state_, follower_, peers_,
+                {[this] { election_.StateLost(); },
+                 [this] { election_.OtherEpoch(); },
+                 [this] { return dealings_.Leading() != nullptr; },
+                 [this](uint64_t revision, const auto& event) {
+                   dealings_.Tell(revision, event);
+                 }}),
       election_(loop, settings, tuning, state_, catalog_, follower_,
-                fitness_desk_, peers_,
+                fitness_desk_, peers_, recovery_,
                 {[this] { return dealings_.in_office(); },
                  [this](uint64_t revision) { dealings_.TakeOffice(revision); },
                  [this] { dealings_.LeaveOffice(); }}),
       dealings_(loop, settings, tuning, catalog_, state_, cloud_, follower_,
-                election_, fitness_desk_),
+                election_, fitness_desk_, recovery_),
       users_(loop, settings, catalog_, state_, follower_, election_, dealings_,
-             peers_),
+             peers_, recovery_),
       rollout_desk_(
           settings, tuning, catalog_, state_,
           {[this](const std::string& key, const Record& record,
                   uint64_t stamp) { follower_.Apply(key, record, stamp); },
            [this] { return follower_.ever_synced(); },
+           [this](std::vector<Condition>* conditions) {
+             recovery_.AddGuard(conditions);
+           },
            [this] { return dealings_.Leading(); },
            [&loop] { return loop.Now(); }}),
       rollout_routes_(rollout_desk_),
@@ -90,6 +104,7 @@
   net::Spawn(peer_server_.Run());
   follower_.Start();
   election_.Start();
+  recovery_.Start();
   dealings_.Start();
 }
 
@@ -101,6 +116,10 @@
     co_await users_.OnPeer(std::move(message), &reply);
     co_return reply;
   }
+  if (RecoveryDesk::Takes(message.kind)) {
+    co_await recovery_.OnPeer(std::move(message), &reply);
+    co_return reply;
+  }
   switch (message.kind) {
     case PeerKind::kPromise: {
       const bool promised = co_await election_.Promise();
--- a/app/node.h
+++ b/app/node.h
@@ -1,8 +1,8 @@
 // One controller: the rooms of which it is made, and who may call whom.
 //
 //   Users -> Dealings -> Election -> Follower
-//   FitnessDesk, RolloutDesk: reached by Dealings and Users, reach back through
-//   seams that are wired here.
+//   FitnessDesk, RecoveryDesk, RolloutDesk: reached by the others, reach back
+//   through seams that are wired here.
 #pragma once
 
 #include <memory>
@@ -12,6 +12,7 @@
 #include "app/election.h"
 #include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/recovery_desk.h"
 #include "app/rollout_desk.h"
 #include "app/users.h"
 #include "clients/cloud.h"
@@ -40,6 +41,7 @@
   FitnessDesk::Peers peers_;
   Follower follower_;
   FitnessDesk fitness_desk_;
+  RecoveryDesk recovery_;
   Election election_;
   Dealings dealings_;
   Users users_;
--- a/app/options.cc
+++ b/app/options.cc
@@ -44,6 +44,8 @@
     Entry{"limits", "distrusted_share", &Tuning::distrusted_share, 0, 1},
     Entry{"limits", "zone_share", &Tuning::zone_share, 0, 1},
     Entry{"limits", "service_share", &Tuning::service_share, 0, 1},
+    Entry{"recovery", "checks_per_lease", &Tuning::recovery_checks, 0, 100},
+    Entry{"recovery", "pages_per_lease", &Tuning::recovery_pages, 0, 100},
     Entry{"rollouts", "at_once", &Tuning::rollouts_at_once, 0, 64},
     Entry{"rollouts", "check_share", &Tuning::rollout_check_share, 0.001, 0.5},
     Entry{"rollouts", "cpu_share", &Tuning::rollout_cpu_share, 0.01, 0.5},
@@ -62,9 +64,9 @@
 }  // namespace
 
 std::string LoadTuning(const std::string& path, Tuning* out) {
-  std::array<std::array<cfg_opt_t, 11>, 5> blocks;
+  std::array<std::array<cfg_opt_t, 11>, 6> blocks;
   constexpr std::array kBlocks = {"placement", "leadership", "machines",
-                                  "limits", "rollouts"};
+                                  "limits",    "rollouts",   "recovery"};
   for (size_t b = 0; b < kBlocks.size(); ++b) {
     size_t n = 0;
     for (const Entry& e : kEntries) {
@@ -80,6 +82,7 @@
                          CFG_SEC("machines", blocks[2].data(), CFGF_NONE),
                          CFG_SEC("limits", blocks[3].data(), CFGF_NONE),
                          CFG_SEC("rollouts", blocks[4].data(), CFGF_NONE),
+                         CFG_SEC("recovery", blocks[5].data(), CFGF_NONE),
                          CFG_END()};
   const std::unique_ptr<cfg_t, decltype(&cfg_free)> cfg(
       cfg_init(options, CFGF_NONE), &cfg_free);
--- /dev/null
+++ b/app/recovery_desk.cc
@@ -0,0 +1,746 @@
+#include "app/recovery_desk.h"
+
+#include <fmt/format.h>
+#include <rapidjson/document.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <random>
+#include <unordered_set>
+
+#include "clients/memory_page.h"
+#include "wire/records.h"
+
+namespace oxbow::app {
+namespace {
+
+using clients::PeerAnswer;
+using clients::PeerKind;
+using clients::PeerMessage;
+using clients::StateResult;
+using clients::StateStatus;
+using clients::Urgency;
+
+// Shares of the workers' lease: their leases go on while a new epoch is opened,
+// so all of it together has to stay well below one.
+constexpr double kAskRatio = 0.08;
+constexpr double kPageRatio = 0.1;
+// Of the report interval.
+constexpr double kRoundPause = 0.1;
+
+std::string NewId() {
+  std::random_device device;
+  return fmt::format("{:08x}{:08x}", device(), device());
+}
+
+bool Answered(const StateResult& result) {
+  return result.ok() || result.status == StateStatus::kNotFound;
+}
+
+}  // namespace
+
+RecoveryDesk::RecoveryDesk(net::Loop& loop, const Settings& settings,
+                           const Tuning& tuning, Catalog& catalog,
+                           clients::StateClient& state, Follower& follower,
+                           const FitnessDesk::Peers& peers, Seams seams)
+    : loop_(loop),
+      settings_(settings),
+      tuning_(tuning),
+      catalog_(catalog),
+      state_(state),
+      follower_(follower),
+      peers_(peers),
+      seams_(std::move(seams)) {}
+
+void RecoveryDesk::Start() {
+  if (!on()) return;
+  state_.on_step_back = [this] { Sign(LossSign::kStepBack); };
+  net::Spawn(CheckLoop());
+  if (tuning_.recovery_pages > 0) net::Spawn(AuditLoop());
+}
+
+bool RecoveryDesk::MayDeny() const {
+  if (!on()) return true;
+  // A first epoch may have been founded in a service that has lost everything,
+  // together with all controllers: the workers would tell within a lease.
+  return trust_.MayDeny() && catalog_.epoch().whole &&
+         loop_.Now() > founded_ + settings_.workers.lease_s;
+}
+
+void RecoveryDesk::AddGuard(std::vector<Condition>* conditions) const {
+  if (!on()) return;
+  auto [key, stamp] = catalog_.Guard();
+  conditions->push_back({std::move(key), stamp});
+}
+
+bool RecoveryDesk::GuardFailed(const std::vector<std::string>& failed) {
+  if (!on()) return false;
+  const auto [key, stamp] = catalog_.Guard();
+  if (std::find(failed.begin(), failed.end(), key) == failed.end()) {
+    return false;
+  }
+  if (catalog_.epoch().number > 0) Sign(LossSign::kEpochMissing);
+  return true;
+}
+
+// --- signs
+
+void RecoveryDesk::Sign(LossSign sign, const std::string& key) {
+  // Nothing was ever known that could be missing.
+  if (!on() || catalog_.epoch().number == 0) return;
+  if (!trust_.Note(sign)) return;
+  sign_key_ = key;
+  spdlog::info("the state service may have lost data: {}{}{}", NameOf(sign),
+               key.empty() ? "" : ", ", key);
+  net::Spawn(Settle());
+}
+
+void RecoveryDesk::TermSeen(uint64_t term) {
+  if (!on() || term <= foreign_term_) return;
+  foreign_term_ = term;
+  if (catalog_.epoch().number > 0 && term > HighestTerm()) {
+    net::Spawn(LookAtTerm());
+  }
+}
+
+// Mostly a leader that has just won, of which this controller has not read.
+net::Task<void> RecoveryDesk::LookAtTerm() {
+  const CheckSays says = co_await Check();
+  if (says == CheckSays::kStands && foreign_term_ > HighestTerm()) {
+    Sign(LossSign::kTermAbove);
+  }
+}
+
+net::Task<void> RecoveryDesk::AskAboutJob(std::string id) {
+  const CheckSays says = co_await LookForJob(id);
+  // Where jobs may have been lost it is no news.
+  if (says == CheckSays::kGone && trust_.MayDeny() && catalog_.epoch().whole) {
+    Sign(LossSign::kUnknownTask, id);
+  }
+}
+
+uint64_t RecoveryDesk::HighestTerm() const {
+  return TermOf(catalog_.epoch(), state_.highest());
+}
+
+void RecoveryDesk::EpochSeen() {
+  const EpochRecord& epoch = catalog_.epoch();
+  if (!on() || epoch.number == 0) return;
+  const TrustState before = trust_.state();
+  if (epoch.number != seen_epoch_) {
+    const bool first = seen_epoch_ == 0;
+    seen_epoch_ = epoch.number;
+    whole_before_ = whole_now_;
+    if (first) {
+      first_epoch_ = epoch.number;
+      if (net::WallNow() - epoch.opened_wall < settings_.workers.lease_s) {
+        founded_ = loop_.Now();
+      }
+    } else {
+      spdlog::info("epoch {} of the state service, terms from {} on",
+                   epoch.number, epoch.base);
+      state_.Restart(epoch.stamp);
+      gathered_ = 0;
+      seams_.other_epoch();
+      follower_.Reread();
+    }
+  }
+  whole_now_ = epoch.whole;
+  trust_.OnEpoch(epoch.number, epoch.rebuilt);
+  if (before == TrustState::kRebuilding &&
+      trust_.state() == TrustState::kSound && !catalog_.owed().empty()) {
+    catalog_.ForgetOwed();
+    follower_.Reread();
+  }
+}
+
+net::Task<CheckSays> RecoveryDesk::Check() {
+  const uint64_t number = catalog_.epoch().number;
+  const std::string id = catalog_.epoch().id;
+  std::vector<Condition> conditions;
+  AddGuard(&conditions);
+  const StateResult look =
+      co_await state_.Write(std::move(conditions), {}, Urgency::kLease);
+  if (look.ok() || number == 0) {
+    co_return look.ok() ? CheckSays::kStands : CheckSays::kNoAnswer;
+  }
+  if (look.status != StateStatus::kConflict && !look.stepped_back) {
+    co_return CheckSays::kNoAnswer;
+  }
+  // Perhaps another controller has opened a later epoch.
+  const StateResult there =
+      co_await state_.Get(std::string(keys::kEpoch), Urgency::kLease);
+  if (catalog_.epoch().number != number) co_return CheckSays::kStands;
+  if (there.ok()) {
+    const auto* epoch = std::get_if<EpochRecord>(&there.items[0].record);
+    if (epoch != nullptr && epoch->number > number) {
+      const StateResult mark = co_await state_.Get(
+          keys::Of(keys::kEpochMark, epoch->id), Urgency::kLease);
+      if (!mark.ok()) co_return CheckSays::kNoAnswer;
+      follower_.Apply(mark.items[0].key, mark.items[0].record,
+                      mark.items[0].stamp);
+      follower_.Apply(there.items[0].key, there.items[0].record,
+                      there.items[0].stamp);
+      co_return CheckSays::kStands;
+    }
+  } else if (!Answered(there) && !there.stepped_back) {
+    co_return CheckSays::kNoAnswer;
+  }
+  co_return CheckSays::kGone;
+}
+
+net::Task<void> RecoveryDesk::CheckLoop() {
+  const double pause = settings_.workers.lease_s / tuning_.recovery_checks;
+  for (;;) {
+    co_await loop_.Sleep(pause);
+    if (catalog_.epoch().number == 0) continue;
+    if (trust_.state() == TrustState::kDoubt) continue;
+    if (trust_.state() == TrustState::kLost) {
+      // Who can open the next epoch may not have seen the sign.
+      co_await AskAll();
+      const CheckSays still = co_await Examine();
+      if (trust_.state() == TrustState::kLost) trust_.OnRound(still, false);
+      continue;
+    }
+    const CheckSays says = co_await Check();
+    if (says == CheckSays::kGone) Sign(LossSign::kEpochMissing);
+  }
+}
+
+net::Task<CheckSays> RecoveryDesk::LookForJob(std::string id) {
+  // In this order an end that is recorded meanwhile is not missed.
+  const StateResult live =
+      co_await state_.Get(keys::Of(keys::kJob, id), Urgency::kLeader);
+  if (live.ok()) {
+    follower_.Apply(live.items[0].key, live.items[0].record,
+                    live.items[0].stamp);
+  }
+  if (live.status != StateStatus::kNotFound) {
+    co_return live.ok() ? CheckSays::kStands : CheckSays::kNoAnswer;
+  }
+  const StateResult ended =
+      co_await state_.Get(keys::Of(keys::kFinal, id), Urgency::kLeader);
+  if (ended.ok()) {
+    if (const auto* end = std::get_if<FinalRecord>(&ended.items[0].record)) {
+      catalog_.RememberEnd(id, *end);
+    }
+    co_return CheckSays::kStands;
+  }
+  co_return ended.status == StateStatus::kNotFound ? CheckSays::kGone
+                                                   : CheckSays::kNoAnswer;
+}
+
+net::Task<CheckSays> RecoveryDesk::LookForRecord(std::string key) {
+  if (key.starts_with(keys::kJob)) {
+    std::string id = key.substr(keys::kJob.size());
+    co_return co_await LookForJob(std::move(id));
+  }
+  const StateResult there = co_await state_.Get(key, Urgency::kLeader);
+  const uint64_t known = catalog_.VersionOf(key).stamp;
+  // Deleted by the leader since, and followed.
+  if (known == 0) co_return CheckSays::kStands;
+  if (!Answered(there)) co_return CheckSays::kNoAnswer;
+  co_return there.ok() && there.items[0].stamp >= known ? CheckSays::kStands
+                                                        : CheckSays::kGone;
+}
+
+// A revision that has stepped back may have grown past what was seen before
+// anybody looks again; what was recorded in between is missing all the same.
+net::Task<CheckSays> RecoveryDesk::LookForNewest() {
+  constexpr size_t kLooked = 4;
+  std::vector<std::string> looked = catalog_.NewestKeys(kLooked);
+  for (const std::string& id : catalog_.LatestEnds(kLooked)) {
+    looked.push_back(keys::Of(keys::kJob, id));
+  }
+  CheckSays all = CheckSays::kStands;
+  for (const std::string& key : looked) {
+    const CheckSays says = co_await LookForRecord(key);
+    if (says == CheckSays::kGone) co_return says;
+    if (says == CheckSays::kNoAnswer) all = says;
+  }
+  co_return all;
+}
+
+net::Task<CheckSays> RecoveryDesk::Examine() {
+  const std::string key = sign_key_;
+  const CheckSays stands = co_await Check();
+  if (stands != CheckSays::kStands) co_return stands;
+  switch (trust_.sign()) {
+    case LossSign::kTermAbove:
+      co_return foreign_term_ > HighestTerm() ? CheckSays::kGone
+                                              : CheckSays::kStands;
+    case LossSign::kOtherEpoch:
+      co_return other_number_ >= catalog_.epoch().number&& other_id_ !=
+              catalog_.epoch().id
+          ? CheckSays::kGone
+          : CheckSays::kStands;
+    case LossSign::kUnknownTask:
+      co_return co_await LookForJob(key);
+    case LossSign::kRecordMissing:
+      co_return co_await LookForRecord(key);
+    case LossSign::kStepBack:
+      co_return co_await LookForNewest();
+    default:
+      co_return CheckSays::kStands;
+  }
+}
+
+net::Task<void> RecoveryDesk::Settle() {
+  const double pause = kRoundPause * settings_.workers.report_s;
+  while (trust_.state() == TrustState::kDoubt) {
+    const CheckSays mine = co_await Examine();
+    bool others_stand = false;
+    const bool whole_service = trust_.sign() == LossSign::kStepBack ||
+                               trust_.sign() == LossSign::kEpochMissing;
+    if (mine == CheckSays::kGone && whole_service) {
+      const std::vector<PeerMessage> answers = co_await AskAll();
+      others_stand = std::any_of(
+          answers.begin(), answers.end(),
+          [](const auto& a) { return a.answer == PeerAnswer::kYes; });
+    }
+    const bool stepped = trust_.sign() == LossSign::kStepBack;
+    trust_.OnRound(mine, others_stand);
+    if (stepped && trust_.MaySeek()) {
+      catalog_.FollowAnew();
+      follower_.Reread();
+    }
+    if (trust_.state() == TrustState::kDoubt) co_await loop_.Sleep(pause);
+  }
+  if (trust_.state() == TrustState::kLost) {
+    net::Spawn(SpreadWord());
+    spdlog::error("the state service has lost data: {}", NameOf(trust_.sign()));
+    seams_.lost();
+  } else {
+    spdlog::info("the state service stands");
+  }
+}
+
+// Whoever leads may have nothing that tells it.
+net::Task<void> RecoveryDesk::SpreadWord() { co_await AskAll(); }
+
+// --- a new epoch
+
+RecoveryDesk::Opening RecoveryDesk::Found() const {
+  Opening opening;
+  if (!on() || catalog_.epoch().number > 0) return opening;
+  opening.epoch.number = 1;
+  opening.epoch.id = NewId();
+  opening.epoch.opened_wall = net::WallNow();
+  opening.conditions = {{std::string(keys::kEpoch), 0}};
+  opening.changes = {
+      {std::string(keys::kEpoch), opening.epoch},
+      {keys::Of(keys::kEpochMark, opening.epoch.id), EpochMark{1, 0}}};
+  return opening;
+}
+
+net::Task<bool> RecoveryDesk::Orphaned(const clients::KeyValue& leader) {
+  // Asking lengthens a lease that is there, so it is asked seldom.
+  const double patience = settings_.workers.lease_s;
+  if (leader.stamp != leader_stamp_) {
+    leader_stamp_ = leader.stamp;
+    leader_since_ = loop_.Now();
+  }
+  if (loop_.Now() < leader_since_ + patience) co_return false;
+  leader_since_ = loop_.Now();
+  const StateResult lease =
+      co_await state_.Renew(leader.lease, kAskRatio * patience);
+  co_return lease.status == StateStatus::kNotFound;
+}
+
+net::Task<bool> RecoveryDesk::Prepare(Opening* out, bool led) {
+  const uint64_t known = catalog_.epoch().number;
+  const std::string epoch_key(keys::kEpoch);
+  const std::string leader_key(keys::kLeader);
+  const std::vector<PeerMessage> answers = co_await AskAll();
+  // What stands there by now is replaced under the stamps that are read here,
+  // after everybody has said how far they have seen.
+  const StateResult epoch = co_await state_.Get(epoch_key, Urgency::kLease);
+  const StateResult leader = co_await state_.Get(leader_key, Urgency::kLease);
+  const auto answered = [](const StateResult& r) {
+    // A 404 that tells a lower revision is what has to be expected now.
+    return Answered(r) || r.stepped_back;
+  };
+  if (!answered(epoch) || !answered(leader) ||
+      trust_.state() != TrustState::kLost) {
+    co_return false;
+  }
+  const EpochRecord* there =
+      epoch.ok() ? std::get_if<EpochRecord>(&epoch.items[0].record) : nullptr;
+  if (there != nullptr && there->number > known) {
+    co_await Check();  // takes it in
+    co_return false;
+  }
+  // Lost data may have a key under which somebody leads who started since.
+  if (!led && leader.ok()) {
+    const bool orphaned = co_await Orphaned(leader.items[0]);
+    if (!orphaned) co_return false;
+  }
+  uint64_t number = std::max(known, there != nullptr ? there->number : 0);
+  uint64_t term = std::max(HighestTerm(), foreign_term_);
+  for (const PeerMessage& answer : answers) {
+    number = std::max<uint64_t>(number, answer.done);
+    term = std::max(term, answer.stamp);
+  }
+  out->epoch = {
+      number + 1,        NewId(),        NextBase(term, net::WallNow()),
+      /*whole=*/false,
+      /*rebuilt=*/false, net::WallNow(), 0};
+  out->conditions = {{epoch_key, epoch.ok() ? epoch.items[0].stamp : 0},
+                     {leader_key, leader.ok() ? leader.items[0].stamp : 0}};
+  out->changes = {{epoch_key, out->epoch},
+                  {keys::Of(keys::kEpochMark, out->epoch.id),
+                   EpochMark{out->epoch.number, 0}}};
+  // From here on lower revisions are what is expected.
+  foreign_term_ = term;
+  state_.Restart(0);
+  // The mark that an older copy has brought back would let late writes in.
+  if (there != nullptr) {
+    out->changes.push_back({keys::Of(keys::kEpochMark, there->id), {}});
+  }
+  if (catalog_.epoch().number > 0 &&
+      (there == nullptr || there->id != catalog_.epoch().id)) {
+    out->changes.push_back(
+        {keys::Of(keys::kEpochMark, catalog_.epoch().id), {}});
+  }
+  co_return true;
+}
+
+void RecoveryDesk::Opened(const Opening& opening, uint64_t revision) {
+  if (opening.epoch.number == 0) return;
+  for (size_t i : {1, 0}) {  // the mark first, so that it is known with it
+    follower_.Apply(opening.changes[i].key, opening.changes[i].record,
+                    revision);
+  }
+}
+
+bool RecoveryDesk::Gathered(uint64_t revision) {
+  if (!on() || catalog_.epoch().number == 0 || catalog_.epoch().rebuilt ||
+      gathered_ == revision) {
+    return true;
+  }
+  if (gathering_ != revision && follower_.synced()) {
+    gathering_ = revision;
+    net::Spawn(Gather(revision));
+  }
+  return false;
+}
+
+net::Task<void> RecoveryDesk::Gather(uint64_t revision) {
+  // A controller that was not there before the loss does not know what it, in
+  // its former life, may have accepted last.
+  bool whole = whole_before_ && first_epoch_ < catalog_.epoch().number;
+  for (const auto& peer : peers_) {
+    const bool witness = co_await GatherFrom(peer.get());
+    whole = whole && witness;
+  }
+  if (gathering_ != revision) co_return;
+  gathered_ = revision;
+  spdlog::info(
+      "memory gathered: {} jobs, {} machines, {} ends; {} records are owed, {}",
+      catalog_.jobs().size(), catalog_.machines().size(),
+      catalog_.ended().size(), catalog_.owed().size(),
+      whole ? "all controllers were there" : "something may be missing");
+  net::Spawn(CompareEnded(revision, whole));
+}
+
+net::Task<bool> RecoveryDesk::GatherFrom(clients::PeerClient* peer) {
+  const double timeout = kPageRatio * settings_.workers.lease_s;
+  // Ends first: what has ended is not revived by an older memory of it.
+  for (const FinalState part : {FinalState::kDone, FinalState::kAborted}) {
+    std::string bytes;
+    for (bool more = true; more;) {
+      PeerMessage ask;
+      ask.kind = PeerKind::kEnded;
+      ask.node = settings_.node;
+      ask.done = static_cast<uint32_t>(part);
+      ask.stamp = bytes.size();
+      const auto answer = co_await peer->Ask(std::move(ask), timeout);
+      if (!answer.ok || answer.message.answer != PeerAnswer::kYes) {
+        co_return false;
+      }
+      bytes += answer.message.text;
+      more = answer.message.running > 0;
+    }
+    if (!catalog_.ended().Merge(part, bytes)) co_return false;
+  }
+  bool witness = false;
+  std::string after;
+  for (;;) {
+    PeerMessage ask;
+    ask.kind = PeerKind::kMemory;
+    ask.node = settings_.node;
+    ask.job_id = after;
+    const auto answer = co_await peer->Ask(std::move(ask), timeout);
+    std::vector<clients::Memory> page;
+    if (!answer.ok || answer.message.answer != PeerAnswer::kYes ||
+        !clients::DecodeMemory(answer.message.text, &page)) {
+      co_return false;
+    }
+    witness = answer.message.running < catalog_.epoch().number;
+    for (const clients::Memory& memory : page) {
+      after = memory.key;
+      rapidjson::Document doc;
+      Record record;
+      doc.Parse(memory.record.data(), memory.record.size());
+      if (doc.HasParseError() ||
+          !wire::DecodeRecord(memory.key, doc, &record)) {
+        continue;
+      }
+      // What stands in this epoch the state service tells.
+      if (memory.version.epoch < catalog_.epoch().number) {
+        catalog_.Remember(memory.key, record, memory.version);
+      }
+    }
+    if (page.empty()) break;
+  }
+  co_return witness;
+}
+
+net::Task<void> RecoveryDesk::CompareEnded(uint64_t revision, bool whole) {
+  const uint64_t epoch = catalog_.epoch().number;
+  FinalsIndex there;
+  std::string after;
+  for (;;) {
+    const StateResult page =
+        co_await state_.List(std::string(keys::kFinal), after);
+    if (catalog_.epoch().number != epoch || gathered_ != revision) co_return;
+    if (!page.ok()) {
+      co_await loop_.Sleep(kRoundPause * settings_.workers.report_s);
+      continue;
+    }
+    for (const clients::KeyValue& item : page.items) {
+      after = item.key;
+      const auto* end = std::get_if<FinalRecord>(&item.record);
+      if (end == nullptr) continue;
+      there.Add(item.key.substr(keys::kFinal.size()), end->state);
+    }
+    if (!page.more || page.items.empty()) break;
+  }
+  std::vector<std::pair<std::string, FinalState>> owed;
+  catalog_.ended().ForEachMissing(there, [&](const auto& id, auto state) {
+    // One that is still live here moves there by itself.
+    if (catalog_.FindJob(id) == nullptr) owed.emplace_back(id, state);
+  });
+  // The leader may not have taken office yet.
+  bool told = false;
+  while (!told && gathered_ == revision) {
+    seams_.tell(TermOf(catalog_.epoch(), revision), [&](Controller& c) {
+      told = true;
+      c.OnEndsOwed(std::move(owed), whole);
+    });
+    co_await loop_.Sleep(kRoundPause * settings_.workers.report_s);
+  }
+}
+
+// --- what is compared always
+
+net::Task<void> RecoveryDesk::AuditLoop() {
+  const double pause = settings_.workers.lease_s / tuning_.recovery_pages;
+  std::string live;
+  std::string ended;
+  for (bool turn = false;; turn = !turn) {
+    co_await loop_.Sleep(pause);
+    // The leader has enough to do; its writes tell it as well.
+    if (seams_.leading() || trust_.state() != TrustState::kSound ||
+        !follower_.synced()) {
+      continue;
+    }
+    if (turn) {
+      co_await AuditEnded(&ended);
+    } else {
+      co_await AuditLive(&live);
+    }
+  }
+}
+
+net::Task<void> RecoveryDesk::AuditLive(std::string* after) {
+  const StateResult page =
+      co_await state_.List(std::string(keys::kLive), *after);
+  if (!page.ok()) co_return;
+  std::unordered_set<std::string> listed;
+  for (const clients::KeyValue& item : page.items) listed.insert(item.key);
+  const std::string from = *after;
+  const bool last = !page.more || page.items.empty();
+  *after = last ? std::string() : page.items.back().key;
+  // A deletion that the page shows has to be followed first.
+  const double pause = kRoundPause * settings_.workers.report_s;
+  for (int i = 0; i < 50 && catalog_.followed() < page.revision; ++i) {
+    co_await loop_.Sleep(pause);
+  }
+  if (catalog_.followed() < page.revision ||
+      trust_.state() != TrustState::kSound) {
+    co_return;
+  }
+  std::string missing;
+  const auto compare = [&](const auto& map, std::string_view prefix) {
+    for (const auto& [name, record] : map) {
+      if (record.stamp == 0 || record.stamp > page.revision) continue;
+      std::string key = keys::Of(prefix, name);
+      if (key > from && (last || key <= *after) && !listed.contains(key)) {
+        missing = std::move(key);
+      }
+    }
+  };
+  compare(catalog_.jobs(), keys::kJob);
+  compare(catalog_.machines(), keys::kMachine);
+  compare(catalog_.rentals(), keys::kRental);
+  if (missing.empty()) co_return;
+  if (missing.starts_with(keys::kJob)) {
+    // It may have ended at this moment.
+    const CheckSays says =
+        co_await LookForJob(missing.substr(keys::kJob.size()));
+    if (says != CheckSays::kGone) co_return;
+  }
+  Sign(LossSign::kRecordMissing, missing);
+}
+
+net::Task<void> RecoveryDesk::AuditEnded(std::string* after) {
+  if (after->empty()) {
+    present_ = {};
+    known_ = catalog_.ended();
+  }
+  const StateResult page =
+      co_await state_.List(std::string(keys::kFinal), *after);
+  if (!page.ok()) co_return;
+  for (const clients::KeyValue& item : page.items) {
+    const auto* end = std::get_if<FinalRecord>(&item.record);
+    if (end == nullptr) continue;
+    const std::string id = item.key.substr(keys::kFinal.size());
+    present_.Add(id, end->state);
+    catalog_.ended().Add(id, end->state);
+  }
+  if (page.more && !page.items.empty()) {
+    *after = page.items.back().key;
+    co_return;
+  }
+  after->clear();
+  std::string missing;
+  known_.ForEachMissing(present_, [&](const std::string& id, FinalState) {
+    if (catalog_.FindJob(id) == nullptr) missing = id;
+  });
+  if (missing.empty()) co_return;
+  const CheckSays says = co_await LookForJob(missing);
+  if (says == CheckSays::kGone) {
+    Sign(LossSign::kRecordMissing, keys::Of(keys::kJob, missing));
+  }
+}
+
+// --- among the controllers
+
+net::Task<void> RecoveryDesk::AskOne(std::shared_ptr<Ask> ask,
+                                     clients::PeerClient* peer) {
+  PeerMessage message;
+  message.kind = PeerKind::kLedger;
+  message.node = settings_.node;
+  message.done = static_cast<uint32_t>(catalog_.epoch().number);
+  message.text = catalog_.epoch().id;
+  if (!trust_.MaySeek()) {
+    message.running = static_cast<uint32_t>(trust_.sign());
+    message.job_id = sign_key_;
+    message.stamp = foreign_term_;
+  }
+  const auto answer = co_await peer->Ask(std::move(message),
+                                         kAskRatio * settings_.workers.lease_s);
+  if (answer.ok) ask->answers.push_back(answer.message);
+  if (--ask->left == 0) ask->done.Set();
+}
+
+net::Task<std::vector<PeerMessage>> RecoveryDesk::AskAll() {
+  if (peers_.empty()) co_return std::vector<PeerMessage>{};
+  auto ask = std::make_shared<Ask>(loop_);
+  ask->left = peers_.size();
+  for (const auto& peer : peers_) net::Spawn(AskOne(ask, peer.get()));
+  co_await ask->done.Wait(1.5 * kAskRatio * settings_.workers.lease_s);
+  co_return ask->answers;
+}
+
+bool RecoveryDesk::Takes(PeerKind kind) {
+  return kind == PeerKind::kLedger || kind == PeerKind::kMemory ||
+         kind == PeerKind::kEnded;
+}
+
+net::Task<void> RecoveryDesk::OnPeer(PeerMessage message, PeerMessage* reply) {
+  if (!on()) co_return;
+  switch (message.kind) {
+    case PeerKind::kLedger: {
+      const uint64_t number = catalog_.epoch().number;
+      if (number > 0 && message.done >= number &&
+          message.text != catalog_.epoch().id) {
+        // Founded over a loss by one that had nothing to remember.
+        other_number_ = message.done;
+        other_id_ = message.text;
+        Sign(LossSign::kOtherEpoch);
+      }
+      const auto sign = static_cast<LossSign>(message.running);
+      if (sign == LossSign::kRecordMissing || sign == LossSign::kUnknownTask) {
+        Sign(sign, message.job_id);
+      }
+      TermSeen(message.stamp);
+      CheckSays says = CheckSays::kNoAnswer;
+      if (number > 0) says = co_await Check();
+      if (says == CheckSays::kGone) Sign(LossSign::kEpochMissing);
+      FillLedger(says, reply);
+      break;
+    }
+    case PeerKind::kMemory:
+      FillMemory(message.job_id, reply);
+      break;
+    case PeerKind::kEnded:
+      FillEnded(message, reply);
+      break;
+    default:
+      break;
+  }
+}
+
+void RecoveryDesk::FillLedger(CheckSays says, PeerMessage* reply) const {
+  if (says == CheckSays::kStands) reply->answer = PeerAnswer::kYes;
+  reply->done = static_cast<uint32_t>(catalog_.epoch().number);
+  reply->stamp = std::max(HighestTerm(), foreign_term_);
+}
+
+void RecoveryDesk::FillMemory(const std::string& after, PeerMessage* reply) {
+  if (after.empty()) {
+    // In order once for all pages; what comes later stands in this epoch.
+    memory_keys_.clear();
+    const auto collect = [this](const auto& map, std::string_view prefix) {
+      for (const auto& [name, record] : map) {
+        memory_keys_.push_back(keys::Of(prefix, name));
+      }
+    };
+    collect(catalog_.jobs(), keys::kJob);
+    collect(catalog_.machines(), keys::kMachine);
+    collect(catalog_.rentals(), keys::kRental);
+    collect(catalog_.rollouts(), keys::kRollout);
+    std::sort(memory_keys_.begin(), memory_keys_.end());
+  }
+  std::vector<clients::Memory> page;
+  size_t bytes = 0;
+  for (auto key =
+           std::upper_bound(memory_keys_.begin(), memory_keys_.end(), after);
+       key != memory_keys_.end(); ++key) {
+    const Record known = catalog_.RecordOf(*key);
+    if (std::holds_alternative<std::monostate>(known)) continue;
+    std::string record = wire::EncodeRecord(known);
+    bytes += key->size() + record.size() + 24;
+    if (!page.empty() && bytes > clients::kMemoryPage) break;
+    page.push_back({*key, catalog_.VersionOf(*key), std::move(record)});
+  }
+  if (page.empty()) memory_keys_ = {};
+  reply->answer = PeerAnswer::kYes;
+  reply->running = static_cast<uint32_t>(first_epoch_);
+  reply->text = clients::EncodeMemory(page);
+}
+
+void RecoveryDesk::FillEnded(const PeerMessage& ask, PeerMessage* reply) {
+  const auto part = static_cast<FinalState>(ask.done);
+  if (part != FinalState::kDone && part != FinalState::kAborted) return;
+  // Kept as it was when the first piece was asked for.
+  if (ask.stamp == 0) ended_part_ = catalog_.ended().Encode(part);
+  if (ask.stamp > ended_part_.size()) return;
+  reply->answer = PeerAnswer::kYes;
+  reply->text = ended_part_.substr(ask.stamp, clients::kMemoryPage);
+  reply->running = ask.stamp + reply->text.size() < ended_part_.size() ? 1 : 0;
+}
+
+}  // namespace oxbow::app
--- /dev/null
+++ b/app/recovery_desk.h
@@ -0,0 +1,156 @@
+// What happens when the state service has lost data: finds out, keeps everybody
+// from acting on records that are missing, and puts together what all
+// controllers remember for the one that opens a new epoch. Owns the trust in
+// the state service; who may open an epoch the election says, what is written
+// back the leader's core.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "app/fitness_desk.h"
+#include "app/follower.h"
+#include "clients/peer.h"
+#include "clients/state.h"
+#include "core/controller/controller.h"
+#include "core/recovery/trust.h"
+#include "net/loop.h"
+
+namespace oxbow::app {
+
+class RecoveryDesk {
+ public:
+  struct Seams {
+    // The loss is certain.
+    std::function<void()> lost;
+    // An epoch that this controller has not opened: who led before does not.
+    std::function<void()> other_epoch;
+    std::function<bool()> leading;
+    std::function<void(uint64_t revision,
+                       const std::function<void(Controller&)>&)>
+        tell;
+  };
+  RecoveryDesk(net::Loop& loop, const Settings& settings, const Tuning& tuning,
+               Catalog& catalog, clients::StateClient& state,
+               Follower& follower, const FitnessDesk::Peers& peers,
+               Seams seams);
+  void Start();
+
+  bool on() const { return tuning_.recovery_checks > 0; }
+  const Trust& trust() const { return trust_; }
+  // Whether a job that is neither recorded nor remembered may be denied.
+  bool MayDeny() const;
+  // Whether a submission may be accepted here.
+  bool MayAccept() const { return !on() || trust_.MayAccept(seams_.leading()); }
+
+  // Makes a write one of the epoch that is known.
+  void AddGuard(std::vector<Condition>* conditions) const;
+  // Whether a write failed for not being one of the epoch that stands.
+  bool GuardFailed(const std::vector<std::string>& failed);
+
+  // --- signs
+  void Sign(LossSign sign, const std::string& key = {});
+  // Upper part of a token that a worker has shown.
+  void TermSeen(uint64_t term);
+  // A task runs whose job the leader does not know: brings in its record, or
+  // how it ended; having neither is a sign.
+  net::Task<void> AskAboutJob(std::string id);
+  // The catalog's epoch may have changed.
+  void EpochSeen();
+  // Whether the state service holds what it should; looks afresh.
+  net::Task<CheckSays> Check();
+
+  // --- a new epoch
+  struct Opening {
+    std::vector<Condition> conditions;
+    std::vector<KeyChange> changes;
+    EpochRecord epoch;
+  };
+  // The first epoch of a deployment.
+  Opening Found() const;
+  // Looks at what stands there now and asks everybody how far they have seen.
+  // False when the state service does not answer, somebody was first, or, if
+  // this controller has not `led` until now, somebody may lead by the key that
+  // is there.
+  net::Task<bool> Prepare(Opening* out, bool led);
+  // Takes an epoch into the catalog that this controller has just written.
+  void Opened(const Opening& opening, uint64_t revision);
+  // Whether the leader of that revision knows all that is remembered. Starts
+  // asking if it does not.
+  bool Gathered(uint64_t revision);
+
+  // --- as one who is asked
+  static bool Takes(clients::PeerKind kind);
+  net::Task<void> OnPeer(clients::PeerMessage message,
+                         clients::PeerMessage* reply);
+
+ private:
+  struct Ask {  // everybody at once
+    explicit Ask(net::Loop& loop) : done(loop) {}
+    net::Event done;
+    std::vector<clients::PeerMessage> answers;
+    size_t left = 0;
+  };
+
+  // Whether nobody can hold the key any more: it has outlived its lease.
+  net::Task<bool> Orphaned(const clients::KeyValue& leader);
+  net::Task<void> CheckLoop();
+  net::Task<void> LookAtTerm();
+  net::Task<void> AuditLoop();
+  net::Task<void> AuditLive(std::string* after);
+  net::Task<void> AuditEnded(std::string* after);
+  // Settles a doubt, one round after the other.
+  net::Task<void> Settle();
+  net::Task<void> SpreadWord();
+  // Looks again at what the sign was.
+  net::Task<CheckSays> Examine();
+  // Whether a record that is known here is gone, or older there.
+  net::Task<CheckSays> LookForRecord(std::string key);
+  // The same of what changed last.
+  net::Task<CheckSays> LookForNewest();
+  // Whether a job has neither a live record nor an end.
+  net::Task<CheckSays> LookForJob(std::string id);
+  net::Task<std::vector<clients::PeerMessage>> AskAll();
+  net::Task<void> AskOne(std::shared_ptr<Ask> ask, clients::PeerClient* peer);
+  net::Task<void> Gather(uint64_t revision);
+  net::Task<bool> GatherFrom(clients::PeerClient* peer);
+  net::Task<void> CompareEnded(uint64_t revision, bool whole);
+  void FillLedger(CheckSays says, clients::PeerMessage* reply) const;
+  void FillMemory(const std::string& after, clients::PeerMessage* reply);
+  void FillEnded(const clients::PeerMessage& ask, clients::PeerMessage* reply);
+  uint64_t HighestTerm() const;
+
+  net::Loop& loop_;
+  const Settings& settings_;
+  const Tuning& tuning_;
+  Catalog& catalog_;
+  clients::StateClient& state_;
+  Follower& follower_;
+  const FitnessDesk::Peers& peers_;
+  Seams seams_;
+  Trust trust_;
+  std::string sign_key_;       // what the sign is about
+  uint64_t other_number_ = 0;  // of the epoch that another remembers
+  std::string other_id_;
+  uint64_t leader_stamp_ = 0;  // of a leader key in lost data, and since when
+  net::Time leader_since_ = 0;
+  uint64_t foreign_term_ = 0;  // the highest a worker has shown
+  uint64_t seen_epoch_ = 0;
+  // The first epoch that this process has known: of what was lost before, it
+  // is no witness.
+  uint64_t first_epoch_ = 0;
+  bool whole_before_ = true;  // the epoch before this one was
+  bool whole_now_ = true;
+  net::Time founded_ = -1e9;  // when a first epoch was seen to be young
+  uint64_t gathered_ = 0;     // for the leader of that revision
+  uint64_t gathering_ = 0;
+  std::vector<std::string> memory_keys_;  // as it is being sent, in pages
+  std::string ended_part_;                // as it is being sent, in pieces
+  FinalsIndex present_;  // ends that the state service holds, in a round
+  FinalsIndex known_;    // those that were known when the round began
+};
+
+}  // namespace oxbow::app
--- a/app/rollout_desk.cc
+++ b/app/rollout_desk.cc
@@ -135,6 +135,7 @@
       {keys::Of(keys::kFinal, spec->to), 0},
       {keys::Of(keys::kJob, spec->from), from->stamp}};
   std::vector<KeyChange> changes{{key, record}};
+  seams_.add_guard(&conditions);
   const StateResult written = co_await state_.Write(
       std::move(conditions), std::move(changes), Urgency::kUser);
   if (written.ok()) {
@@ -185,6 +186,7 @@
     if (record.wish == wish) co_return now;
     const std::string key = keys::Of(keys::kRollout, id);
     std::vector<Condition> conditions{{key, record.stamp}};
+    seams_.add_guard(&conditions);
     record.wish = wish;
     std::vector<KeyChange> changes{{key, record}};
     const StateResult written = co_await state_.Write(
--- a/app/rollout_desk.h
+++ b/app/rollout_desk.h
@@ -18,6 +18,8 @@
     std::function<void(const std::string& key, const Record&, uint64_t stamp)>
         apply;
     std::function<bool()> synced;
+    // Makes a write one of the epoch that is known.
+    std::function<void(std::vector<Condition>*)> add_guard;
     // The leader's brain, where this controller leads; null elsewhere.
     std::function<const Controller*()> leader;
     std::function<double()> now;
--- a/app/users.cc
+++ b/app/users.cc
@@ -77,7 +77,7 @@
 Users::Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
              clients::StateClient& state, Follower& follower,
              Election& election, Dealings& dealings,
-             const FitnessDesk::Peers& peers)
+             const FitnessDesk::Peers& peers, RecoveryDesk& recovery)
     : loop_(loop),
       settings_(settings),
       catalog_(catalog),
@@ -85,7 +85,8 @@
       follower_(follower),
       election_(election),
       dealings_(dealings),
-      peers_(peers) {}
+      peers_(peers),
+      recovery_(recovery) {}
 
 bool Users::Ready() {
   return follower_.ever_synced() && !follower_.types().empty();
@@ -152,8 +153,32 @@
       FinalKnown(id, &status);
     }
   } else if (ended.status == StateStatus::kNotFound) {
+    co_return co_await NotFound(std::move(id));
+  }
+  co_return status;
+}
+
+// A record that is missing proves nothing once the state service may have lost
+// data. What is remembered is told; else only a service that still holds the
+// epoch, looked at after the reads, is a reason to deny.
+net::Task<api::Status> Users::NotFound(std::string id) {
+  api::Status status;
+  if (!recovery_.on()) {
     status.found = api::Status::Found::kNo;
+    co_return status;
   }
+  const FinalState end = catalog_.FindFinal(id);
+  if (end != FinalState::kNone) {
+    status.found = api::Status::Found::kYes;
+    status.status = WordOf(end);
+    co_return status;
+  }
+  if (catalog_.FindJob(id) != nullptr || !recovery_.MayDeny()) {
+    co_return status;
+  }
+  const CheckSays says = co_await recovery_.Check();
+  if (says != CheckSays::kStands || !recovery_.MayDeny()) co_return status;
+  status.found = api::Status::Found::kNo;
   co_return status;
 }
 
@@ -201,7 +226,17 @@
   PeerMessage relay = RelayOf(PeerKind::kRelaySubmit, spec->id);
   relay.text =
       wire::EncodeRecord(JobRecord{spec, net::WallNow(), FinalState::kNone, 0});
-  const PeerMessage answer = co_await Relay(std::move(relay));
+  PeerMessage answer;
+  clients::PeerClient* leader = election_.LeaderPeer();
+  if (leader != nullptr && !recovery_.MayAccept()) {
+    // Only the leader holds all that is remembered, and can tell a new job.
+    relay.node = settings_.node;
+    const auto told = co_await leader->Ask(
+        std::move(relay), kProxyTimeoutRatio * settings_.workers.lease_s);
+    if (told.ok) answer = told.message;
+  } else {
+    answer = co_await Relay(std::move(relay));
+  }
   if (answer.answer == PeerAnswer::kYes) {
     co_return api::Submitted{Result::kAccepted};
   }
@@ -250,8 +285,10 @@
       static_cast<size_t>(settings_.state.value_kb * 1024)) {
     co_return api::Submitted{Result::kTooLarge};
   }
+  if (!recovery_.MayAccept()) co_return api::Submitted{Result::kTryLater};
   std::vector<Condition> conditions{{key, 0},
                                     {keys::Of(keys::kFinal, spec->id), 0}};
+  recovery_.AddGuard(&conditions);
   std::vector<KeyChange> changes{{key, record}};
   const StateResult result = co_await state_.Write(
       std::move(conditions), std::move(changes), Urgency::kUser);
@@ -272,7 +309,9 @@
       co_return api::Submitted{Result::kAccepted};
     }
     case StateStatus::kConflict:
-      co_return api::Submitted{Result::kKnown};
+      co_return api::Submitted{recovery_.GuardFailed(result.failed)
+                                   ? Result::kTryLater
+                                   : Result::kKnown};
     case StateStatus::kUnknown: {
       const api::Status known = co_await FreshRead(spec->id);
       co_return api::Submitted{known.found == api::Status::Found::kYes
@@ -319,6 +358,7 @@
 
 api::Reported Users::Report(const WorkerReport& report) {
   api::Reported out;
+  recovery_.TermSeen(report.token >> kTokenBits);
   if (const Controller* leading = dealings_.Leading()) {
     dealings_.Tell(leading->revision(), [&](Controller& c) {
       out.reply = c.OnReport(report, loop_.Now());
--- a/app/users.h
+++ b/app/users.h
@@ -11,6 +11,7 @@
 #include "app/election.h"
 #include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/recovery_desk.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/catalog.h"
@@ -21,7 +22,8 @@
  public:
   Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
         clients::StateClient& state, Follower& follower, Election& election,
-        Dealings& dealings, const FitnessDesk::Peers& peers);
+        Dealings& dealings, const FitnessDesk::Peers& peers,
+        RecoveryDesk& recovery);
 
   // api::Service
   bool Ready() override;
@@ -50,6 +52,8 @@
   net::Task<clients::PeerMessage> Relay(clients::PeerMessage message);
   // Reads the job afresh; brings the catalog up to date.
   net::Task<api::Status> FreshRead(std::string id);
+  // What is said of a job that has no record.
+  net::Task<api::Status> NotFound(std::string id);
   bool FinalKnown(const std::string& id, api::Status* out) const;
   bool ViewHere(const std::string& id, api::Status* out);
 
@@ -61,6 +65,7 @@
   Election& election_;
   Dealings& dealings_;
   const FitnessDesk::Peers& peers_;
+  RecoveryDesk& recovery_;
   size_t relay_to_ = 0;  // the peer that takes what is relayed
   net::Time relay_not_before_ = 0;
 };
--- a/clients/peer.h
+++ b/clients/peer.h
@@ -29,6 +29,9 @@
   kSilent,      // the same of machines that the leader does not hear
   kOffer,       // will you lead? I am worse placed
   kStandAside,  // another has agreed to: let it go first
+  kLedger,      // what do you find in the state service at this moment?
+  kMemory,      // a page of what you remember, after that key
+  kEnded,       // how the jobs that you know to have ended did end
 };
 
 enum class PeerAnswer : uint8_t { kNo, kYes, kUnknownJob, kKnownJob };
--- a/clients/state.cc
+++ b/clients/state.cc
@@ -1,5 +1,6 @@
 #include "clients/state.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wire/json.h"
@@ -16,6 +17,7 @@
   KeyValue entry;
   entry.key = json::GetString(item, "key");
   entry.stamp = json::GetUint(item, "stamp");
+  entry.lease = json::GetUint(item, "permit");
   const auto* value = json::Find(item, "v");
   if (value != nullptr) wire::DecodeRecord(entry.key, *value, &entry.record);
   out->items.push_back(std::move(entry));
@@ -47,9 +49,12 @@
 
 net::Task<StateResult> StateClient::Call(std::string method, std::string target,
                                          std::string body, double timeout_s,
-                                         rapidjson::Document* doc, bool watch) {
+                                         rapidjson::Document* doc, Kind kind) {
+  const bool watch = kind == Kind::kWatch;
   StateResult result;
   net::HttpClient& client = watch ? watch_ : http_;
+  const uint64_t highest = highest_;
+  const uint64_t generation = generation_;
   const net::ClientResult answer = co_await client.Request(
       std::move(method), std::move(target), std::move(body), timeout_s);
   if (answer.outcome == net::Outcome::kUnknown) {
@@ -92,14 +97,34 @@
     last_bad_ = loop_.Now();
   }
   if (doc->IsObject()) result.revision = json::GetUint(*doc, "ledger_no");
+  if (result.revision == 0 || watch || generation != generation_) {
+    co_return result;
+  }
+  // A change takes a new revision; whatever else is told is as of one that is
+  // no lower. A late answer is judged by what was known when it was asked for.
+  const bool applied = kind == Kind::kChange && result.ok();
+  if (result.revision < highest || (applied && result.revision == highest)) {
+    SteppedBack(applied, &result);
+  } else {
+    highest_ = std::max(highest_, result.revision);
+  }
   co_return result;
 }
 
+void StateClient::SteppedBack(bool applied, StateResult* result) {
+  result->stepped_back = true;
+  result->status = applied ? StateStatus::kUnknown : StateStatus::kNotExecuted;
+  if (on_step_back) on_step_back();
+}
+
 net::Task<StateResult> StateClient::Get(std::string key, Urgency urgency) {
   if (!requests_.Take(urgency, 1, loop_.Now())) co_return StateResult{};
   rapidjson::Document doc;
   StateResult result = co_await Call("GET", "/kv/" + key, "", timeout_s_, &doc);
-  if (result.ok()) ReadItem(doc, &result);
+  if (result.ok()) {
+    ReadItem(doc, &result);
+    highest_ = std::max(highest_, result.items[0].stamp);
+  }
   co_return result;
 }
 
@@ -127,6 +152,7 @@
                                           std::vector<KeyChange> changes,
                                           Urgency urgency, uint64_t lease_id) {
   const net::Time now = loop_.Now();
+  const Kind kind = changes.empty() ? Kind::kRead : Kind::kChange;
   const auto amount = static_cast<double>(changes.size());
   if (!writes_.Take(urgency, amount, now) || !requests_.Take(urgency, 1, now)) {
     co_return StateResult{};
@@ -155,7 +181,7 @@
       w.Key("v");
       const std::string value = wire::EncodeRecord(change.record);
       w.RawValue(value.data(), value.size(), rapidjson::kObjectType);
-      if (lease_id != 0) {
+      if (lease_id != 0 && change.key == keys::kLeader) {
         w.Key("permit");
         w.Uint64(lease_id);
       }
@@ -166,7 +192,7 @@
   w.EndObject();
   rapidjson::Document doc;
   StateResult result =
-      co_await Call("POST", "/txn", json::Text(buffer), timeout_s_, &doc);
+      co_await Call("POST", "/txn", json::Text(buffer), timeout_s_, &doc, kind);
   if (result.status == StateStatus::kConflict) {
     const auto* failed = json::Find(doc, "failed");
     if (failed != nullptr && failed->IsArray()) {
@@ -207,13 +233,18 @@
 net::Task<StateResult> StateClient::Follow(std::string prefix, uint64_t after,
                                            double block_s) {
   requests_.Take(Urgency::kLease, 1, loop_.Now());
+  const uint64_t generation = generation_;
   rapidjson::Document doc;
   StateResult result = co_await Call(
       "GET",
       "/follow?prefix=" + prefix + "&after=" + std::to_string(after) +
           "&block_ms=" + std::to_string(static_cast<int64_t>(block_s * 1000)),
-      "", block_s + 2 * timeout_s_, &doc, /*watch=*/true);
+      "", block_s + 2 * timeout_s_, &doc, Kind::kWatch);
   if (!result.ok()) co_return result;
+  if (result.revision < after && generation == generation_) {
+    SteppedBack(/*applied=*/false, &result);
+    co_return result;
+  }
   const auto* log = json::Find(doc, "log");
   if (log != nullptr && log->IsArray()) {
     for (const auto& event : log->GetArray()) ReadEvent(event, &result);
--- a/clients/state.h
+++ b/clients/state.h
@@ -4,6 +4,7 @@
 #include <rapidjson/document.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -29,6 +30,7 @@
   std::string key;
   Record record;  // monostate: deleted, or of no kind we know
   uint64_t stamp = 0;
+  uint64_t lease = 0;  // that the key is attached to; told by single reads
 };
 
 struct StateResult {
@@ -38,6 +40,10 @@
   std::vector<std::string> failed;
   std::vector<KeyValue> items;
   bool more = false;
+  // The answer is older than another that was there before this request was
+  // sent: from a service that has lost data, or from a stale copy. It is told
+  // as kUnknown or kNotExecuted.
+  bool stepped_back = false;
 
   bool ok() const { return status == StateStatus::kOk; }
 };
@@ -65,10 +71,23 @@
   net::Time last_bad() const { return last_bad_; }
   bool Failing() const { return last_bad_ > last_good_; }
 
+  // The highest revision that an answer has told.
+  uint64_t highest() const { return highest_; }
+  // A new epoch, from that revision on: what was told before does not count.
+  void Restart(uint64_t revision) {
+    highest_ = revision;
+    ++generation_;
+  }
+  std::function<void()> on_step_back;  // may be empty
+
  private:
+  enum class Kind { kRead, kChange, kWatch };
+  // Notes that the answer is older than what was known.
+  void SteppedBack(bool applied, StateResult* result);
   net::Task<StateResult> Call(std::string method, std::string target,
                               std::string body, double timeout_s,
-                              rapidjson::Document* doc, bool watch = false);
+                              rapidjson::Document* doc,
+                              Kind kind = Kind::kRead);
 
   net::Loop& loop_;
   net::HttpClient http_;
@@ -78,6 +97,8 @@
   double timeout_s_;
   net::Time last_good_ = -1e9;
   net::Time last_bad_ = -1e9;
+  uint64_t highest_ = 0;
+  uint64_t generation_ = 0;
 };
 
 }  // namespace oxbow::clients
--- a/core/controller/actions.h
+++ b/core/controller/actions.h
@@ -89,6 +89,11 @@
   std::string why;
 };
 
+// A task runs whose job is not known here: read how it stands.
+struct AskJob {
+  std::string id;
+};
+
 struct Resign {
   std::string reason;
   bool unfit = false;  // others should go first
@@ -99,9 +104,10 @@
   bool detail = false;
 };
 
-using Action = std::variant<SendOrders, Probe, WriteTransaction, ReadKeys,
-                            RentMachines, DeleteMachines, JobFinal,
-                            CheckInstance, AskReach, OfferLead, Resign, Note>;
+using Action =
+    std::variant<SendOrders, Probe, WriteTransaction, ReadKeys, RentMachines,
+                 DeleteMachines, JobFinal, CheckInstance, AskReach, OfferLead,
+                 AskJob, Resign, Note>;
 
 // --- answers
 
--- a/core/controller/catalog.cc
+++ b/core/controller/catalog.cc
@@ -1,6 +1,7 @@
 #include "core/controller/catalog.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace oxbow {
 namespace {
@@ -36,13 +37,8 @@
   return 0;
 }
 
-bool Catalog::Put(const std::string& key, const Record& record,
-                  uint64_t stamp) {
-  const uint64_t known = StampOf(key);
-  if (known >= stamp) return false;
-  // The watch has passed this revision and the key is not there: it has been
-  // deleted since, and this value comes from an older read.
-  if (known == 0 && stamp <= followed_) return false;
+void Catalog::Store(const std::string& key, const Record& record,
+                    uint64_t stamp) {
   if (const auto* leader = std::get_if<LeaderRecord>(&record)) {
     leader_ = *leader;
     leader_.stamp = stamp;
@@ -67,12 +63,34 @@
     entry = *rollout;
     entry.stamp = stamp;
   }
-  return true;
 }
 
-bool Catalog::Erase(const std::string& key, uint64_t stamp) {
-  const uint64_t known = StampOf(key);
-  if (known == 0 || known > stamp) return false;
+void Catalog::SetStamp(const std::string& key, uint64_t stamp) {
+  const auto set = [&](auto& map, std::string_view prefix) {
+    if (!key.starts_with(prefix)) return;
+    if (auto* r = Find(map, key, prefix)) r->stamp = stamp;
+  };
+  set(jobs_, keys::kJob);
+  set(machines_, keys::kMachine);
+  set(rentals_, keys::kRental);
+  set(rollouts_, keys::kRollout);
+}
+
+Record Catalog::RecordOf(const std::string& key) const {
+  Record out;
+  const auto get = [&](const auto& map, std::string_view prefix) {
+    if (!key.starts_with(prefix)) return;
+    if (const auto* r = Find(map, key, prefix)) out = *r;
+  };
+  get(jobs_, keys::kJob);
+  get(machines_, keys::kMachine);
+  get(rentals_, keys::kRental);
+  get(rollouts_, keys::kRollout);
+  return out;
+}
+
+void Catalog::Remove(const std::string& key) {
+  owed_.erase(key);
   if (key == keys::kLeader) {
     leader_ = {};
   } else if (key.starts_with(keys::kJob)) {
@@ -84,6 +102,176 @@
   } else if (key.starts_with(keys::kRollout)) {
     rollouts_.erase(key.substr(keys::kRollout.size()));
   }
+}
+
+bool Catalog::Put(const std::string& key, const Record& record,
+                  uint64_t stamp) {
+  if (key == keys::kEpoch || key.starts_with(keys::kEpochMark)) {
+    return PutEpoch(key, record, stamp);
+  }
+  if (owed_.contains(key)) return PutOverOwed(key, record, stamp);
+  const uint64_t known = StampOf(key);
+  if (known >= stamp) return false;
+  // The watch has passed this revision and the key is not there: it has been
+  // deleted since, and this value comes from an older read.
+  if (known == 0 && stamp <= followed_) return false;
+  Store(key, record, stamp);
+  const auto* job = std::get_if<JobRecord>(&record);
+  if (job != nullptr && job->final_state == FinalState::kNone &&
+      epoch_.number > 1 && stamp <= opened()) {
+    // An older copy has come back, and the job has ended since.
+    const std::string id = key.substr(keys::kJob.size());
+    const FinalState end = ended_.Find(id);
+    if (end != FinalState::kNone) {
+      jobs_.at(id).final_state = end;
+      owed_[key] = {epoch_.number - 1, stamp};
+    }
+  }
+  return true;
+}
+
+bool Catalog::PutEpoch(const std::string& key, const Record& record,
+                       uint64_t stamp) {
+  if (std::get_if<EpochMark>(&record) != nullptr) {
+    mark_id_ = key.substr(keys::kEpochMark.size());
+    mark_stamp_ = stamp;
+    return true;
+  }
+  const auto* epoch = std::get_if<EpochRecord>(&record);
+  if (epoch == nullptr || epoch->number < epoch_.number) return false;
+  if (epoch->number == epoch_.number && stamp <= epoch_.stamp) return false;
+  if (epoch_.number > 0 && epoch->number > epoch_.number) Rebase();
+  epoch_ = *epoch;
+  epoch_.stamp = stamp;
+  return true;
+}
+
+// What is remembered against what the state service is seen to hold.
+bool Catalog::PutOverOwed(const std::string& key, const Record& record,
+                          uint64_t stamp) {
+  const Version there{stamp > opened() ? epoch_.number : epoch_.number - 1,
+                      stamp};
+  const auto ended = [](const Record& r) {
+    const auto* job = std::get_if<JobRecord>(&r);
+    return job != nullptr && job->final_state != FinalState::kNone;
+  };
+  const Version mine = owed_.at(key);
+  const bool mine_ended = ended(RecordOf(key));
+  // An end beats everything; else the later of the two.
+  const bool keep = mine_ended != ended(record) ? mine_ended : mine > there;
+  if (keep) {
+    SetStamp(key, stamp);  // what the write that replaces it is conditioned on
+    return false;
+  }
+  owed_.erase(key);
+  Store(key, record, stamp);
+  return true;
+}
+
+void Catalog::Rebase() {
+  const auto owe = [this](auto& map, std::string_view prefix) {
+    for (auto& [name, record] : map) {
+      // What was owed already keeps the version that it is remembered by.
+      owed_.try_emplace(keys::Of(prefix, name),
+                        Version{epoch_.number, record.stamp});
+      record.stamp = 0;
+    }
+  };
+  owe(jobs_, keys::kJob);
+  owe(machines_, keys::kMachine);
+  owe(rentals_, keys::kRental);
+  owe(rollouts_, keys::kRollout);
+  leader_ = {};
+  followed_ = 0;
+}
+
+std::pair<std::string, uint64_t> Catalog::Guard() const {
+  if (epoch_.number == 0) return {std::string(keys::kEpoch), 0};
+  return {keys::Of(keys::kEpochMark, epoch_.id), opened()};
+}
+
+Version Catalog::VersionOf(const std::string& key) const {
+  const auto owed = owed_.find(key);
+  if (owed != owed_.end()) return owed->second;
+  const uint64_t stamp = StampOf(key);
+  return {stamp > opened() || epoch_.number == 0 ? epoch_.number
+                                                 : epoch_.number - 1,
+          stamp};
+}
+
+bool Catalog::Remember(const std::string& key, const Record& record,
+                       Version version) {
+  const auto* job = std::get_if<JobRecord>(&record);
+  const std::string id =
+      job != nullptr ? key.substr(keys::kJob.size()) : std::string();
+  if (job != nullptr && job->final_state == FinalState::kNone &&
+      ended_.Find(id) != FinalState::kNone) {
+    return false;
+  }
+  const Record mine = RecordOf(key);
+  uint64_t there = 0;  // what the state service holds of it
+  if (!std::holds_alternative<std::monostate>(mine)) {
+    const auto* my_job = std::get_if<JobRecord>(&mine);
+    const bool my_end =
+        my_job != nullptr && my_job->final_state != FinalState::kNone;
+    const bool their_end =
+        job != nullptr && job->final_state != FinalState::kNone;
+    if (my_end != their_end ? my_end : VersionOf(key) >= version) return false;
+    there = StampOf(key);
+  }
+  Store(key, record, there);
+  owed_[key] = version;
+  return true;
+}
+
+std::vector<std::string> Catalog::NewestKeys(size_t count) const {
+  std::vector<std::pair<uint64_t, std::string>> all;
+  const auto collect = [&](const auto& map, std::string_view prefix) {
+    for (const auto& [name, record] : map) {
+      if (record.stamp > 0) {
+        all.emplace_back(record.stamp, keys::Of(prefix, name));
+      }
+    }
+  };
+  collect(jobs_, keys::kJob);
+  collect(machines_, keys::kMachine);
+  const size_t kept = std::min(count, all.size());
+  std::partial_sort(all.begin(), all.begin() + static_cast<long>(kept),
+                    all.end(), std::greater<>());
+  std::vector<std::string> out;
+  for (size_t i = 0; i < kept; ++i) out.push_back(std::move(all[i].second));
+  return out;
+}
+
+std::vector<std::string> Catalog::LatestEnds(size_t count) const {
+  const size_t kept = std::min(count, finals_order_.size());
+  return {finals_order_.end() - static_cast<long>(kept), finals_order_.end()};
+}
+
+void Catalog::ForgetOwed() {
+  if (owed_.empty()) return;
+  const auto owed = owed_;
+  for (const auto& [key, version] : owed) Remove(key);
+  followed_ = 0;  // what is read again is no older value
+}
+
+void Catalog::Missing(const std::string& key, uint64_t revision) {
+  if (owed_.contains(key)) {
+    SetStamp(key, 0);
+  } else {
+    Erase(key, revision);
+  }
+}
+
+bool Catalog::Erase(const std::string& key, uint64_t stamp) {
+  if (owed_.contains(key)) {
+    if (stamp <= opened()) return false;
+    Remove(key);
+    return true;
+  }
+  const uint64_t known = StampOf(key);
+  if (known == 0 || known > stamp) return false;
+  Remove(key);
   return true;
 }
 
@@ -93,7 +281,8 @@
   const auto collect = [&](const auto& map, std::string_view prefix) {
     for (const auto& [name, record] : map) {
       std::string key = keys::Of(prefix, name);
-      if (record.stamp <= revision && !listed.contains(key)) {
+      if (record.stamp <= revision && !listed.contains(key) &&
+          !owed_.contains(key)) {
         gone.push_back(std::move(key));
       }
     }
@@ -121,7 +310,13 @@
   return it == finals_.end() ? FinalRecord{} : it->second;
 }
 
+FinalState Catalog::FindFinal(const std::string& id) const {
+  const FinalState state = FindEnd(id).state;
+  return state != FinalState::kNone ? state : ended_.Find(id);
+}
+
 void Catalog::RememberEnd(const std::string& id, const FinalRecord& end) {
+  ended_.Add(id, end.state);
   if (!finals_.try_emplace(id, end).second) return;
   finals_order_.push_back(id);
   if (finals_order_.size() > kFinalsKept) {
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -5,15 +5,19 @@
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "core/model/job.h"
 #include "core/model/machine.h"
+#include "core/recovery/epoch.h"
+#include "core/recovery/finals_index.h"
 #include "core/rollout/rollout.h"
 
 namespace oxbow {
@@ -23,6 +27,10 @@
 namespace keys {
 inline constexpr std::string_view kLive = "ob/live/";
 inline constexpr std::string_view kLeader = "ob/live/leader";
+// In the order of keys these two come before all other live ones, so the first
+// page of a listing tells whose the rest is.
+inline constexpr std::string_view kEpochMark = "ob/live/e/";
+inline constexpr std::string_view kEpoch = "ob/live/epoch";
 inline constexpr std::string_view kJob = "ob/live/j/";
 inline constexpr std::string_view kMachine = "ob/live/m/";
 inline constexpr std::string_view kRental = "ob/live/r/";
@@ -50,9 +58,9 @@
 };
 
 // monostate: the key does not exist.
-using Record =
-    std::variant<std::monostate, LeaderRecord, JobRecord, MachineRecord,
-                 RentalRecord, FinalRecord, RolloutRecord>;
+using Record = std::variant<std::monostate, LeaderRecord, JobRecord,
+                            MachineRecord, RentalRecord, FinalRecord,
+                            RolloutRecord, EpochRecord, EpochMark>;
 
 class Catalog {
  public:
@@ -69,6 +77,33 @@
   // as the listing, and returns those keys.
   std::vector<std::string> EraseMissing(
       const std::unordered_set<std::string>& listed, uint64_t revision);
+  // A fresh read has not found the key. What is owed to the state service is
+  // not there yet, and stays known here.
+  void Missing(const std::string& key, uint64_t revision);
+
+  // --- epochs: see docs/recovery.md for what beats what
+  const EpochRecord& epoch() const { return epoch_; }
+  // The stamp of the epoch's mark; 0 while it is not known.
+  uint64_t opened() const { return mark_id_ == epoch_.id ? mark_stamp_ : 0; }
+  // What a write has to be conditioned on to belong to this epoch.
+  std::pair<std::string, uint64_t> Guard() const;
+  // Records from before the epoch that the state service does not hold, or
+  // holds an older copy of, with the version that is remembered.
+  const std::map<std::string, Version>& owed() const { return owed_; }
+  // Takes in what another controller remembers. False when it is no news.
+  bool Remember(const std::string& key, const Record& record, Version version);
+  Version VersionOf(const std::string& key) const;
+  // monostate if it is not known.
+  Record RecordOf(const std::string& key) const;
+  // What changed last of all that is known here: live keys, and jobs that have
+  // ended. An older copy lacks some of it.
+  std::vector<std::string> NewestKeys(size_t count) const;
+  std::vector<std::string> LatestEnds(size_t count) const;
+  // The watch may have waited for revisions that came a second time.
+  void FollowAnew() { followed_ = 0; }
+  // The epoch has been rebuilt, by another: what is still owed here was of no
+  // use to it, and the state service is read anew.
+  void ForgetOwed();
 
   const std::unordered_map<std::string, JobRecord>& jobs() const {
     return jobs_;
@@ -86,13 +121,22 @@
   const JobRecord* FindJob(const std::string& id) const;
   // End of a job, from its record or remembered; kNone if unknown.
   FinalRecord FindEnd(const std::string& id) const;
-  FinalState FindFinal(const std::string& id) const {
-    return FindEnd(id).state;
-  }
+  // The same without its number of tasks, remembered for longer.
+  FinalState FindFinal(const std::string& id) const;
+  const FinalsIndex& ended() const { return ended_; }
+  FinalsIndex& ended() { return ended_; }
   void RememberEnd(const std::string& id, const FinalRecord& end);
 
  private:
   uint64_t StampOf(const std::string& key) const;
+  void SetStamp(const std::string& key, uint64_t stamp);
+  void Store(const std::string& key, const Record& record, uint64_t stamp);
+  void Remove(const std::string& key);
+  bool PutEpoch(const std::string& key, const Record& record, uint64_t stamp);
+  bool PutOverOwed(const std::string& key, const Record& record,
+                   uint64_t stamp);
+  // A new epoch: all that is known is from before, and owed to it.
+  void Rebase();
 
   std::unordered_map<std::string, JobRecord> jobs_;
   std::unordered_map<std::string, MachineRecord> machines_;
@@ -103,6 +147,11 @@
   // Bounded: an older one is read from the state service again.
   std::unordered_map<std::string, FinalRecord> finals_;
   std::deque<std::string> finals_order_;
+  FinalsIndex ended_;
+  EpochRecord epoch_;
+  std::string mark_id_;
+  uint64_t mark_stamp_ = 0;
+  std::map<std::string, Version> owed_;
 };
 
 }  // namespace oxbow
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -26,15 +26,16 @@
       tuning_(tuning),
       catalog_(catalog),
       revision_(revision),
+      term_(TermOf(catalog.epoch(), revision)),
       started_(now),
       wall_minus_steady_(wall_minus_steady),
       patience_(Patience::From(settings.workers, tuning)),
-      numbers_(revision),
+      numbers_(term_),
       placer_(tuning, seed),
-      writes_(settings, revision, *this, actions_),
+      writes_(settings, Mandate(catalog, revision), *this, actions_),
       ears_(settings, tuning, patience_, machines_, now, seed, actions_) {
   for (const TeamSettings& team : settings.teams)
-    teams_.push_back({team, {}, {}});
+    teams_.push_back({team, {}, {}, {}});
   for (const Objective& objective : settings.objectives) {
     ClassAims& aims = aims_[objective.job_class];
     std::vector<double>* times =
@@ -95,6 +96,8 @@
   if (record.final_state == FinalState::kAborted) {
     job->Change(JobState::kAborted);
   }
+  // What is written back gets a new stamp, but is as old as it was.
+  job->from_before = record.stamp <= revision_;
   Job& added = *job;
   jobs_[record.spec->id] = std::move(job);
   // A worker may have told of the job before its record was read here.
@@ -103,9 +106,14 @@
          it != m->residents.end() && it->first.job_id == added.id(); ++it) {
       Resident& r = it->second;
       if (r.job != nullptr || r.task >= added.size()) continue;
+      const bool there = r.phase != TaskPhase::kExited;
+      if (IsOrphan(r)) --m->orphans;
       r.job = &added;
       added.ChangePresence(m->index(), 0, 1);
-      if (r.phase != TaskPhase::kExited) Hold(*m, r);
+      if (there) Hold(*m, r);
+      // It has run on since its record was lost: it is the job's task, not a
+      // second copy of it.
+      if (Careful() && there && !r.stopping) Claim(added, *m, r, there);
     }
   }
   if (!added.live()) RetireIfClear(added);
@@ -193,7 +201,7 @@
 
 bool Controller::View(const std::string& id, JobView* out) const {
   const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return false;
+  if (it == jobs_.end()) return ViewOrphans(id, out);
   const Job& job = *it->second;
   out->done = job.done();
   out->running = job.running();
@@ -252,6 +260,7 @@
     }
   }
   TickRollouts(now);
+  TickRestore(now);
   std::erase_if(refused_until_,
                 [now](const auto& e) { return e.second <= now; });
   if (now >= next_supply_) {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -33,6 +33,7 @@
 
 class Controller : private WriteQueue::Owner {
  public:
+  // `revision`: of the leader key, in the catalog's epoch.
   Controller(const Settings& settings, const Tuning& tuning, Catalog& catalog,
              uint64_t revision, Time now, double wall_minus_steady,
              uint64_t seed);
@@ -68,6 +69,10 @@
   }
   // Asks for the job to be cancelled; a JobFinal follows. False: unknown job.
   bool Cancel(const std::string& id, Time now);
+  // How jobs ended that the state service does not hold any more.
+  // `whole`: everybody who may have accepted a job was there to tell.
+  void OnEndsOwed(std::vector<std::pair<std::string, FinalState>> ends,
+                  bool whole);
   void Tick(Time now);
   // Runs a placement pass now if anything has changed since the last.
   void ScheduleIfNeeded(Time now);
@@ -78,7 +83,9 @@
   bool log_detail = false;
 
   // --- questions
-  uint64_t revision() const { return revision_; }
+  // Which leadership this is. Unlike the leader key's revision it never comes
+  // again, even if the state service has lost data.
+  uint64_t revision() const { return term_; }
   bool View(const std::string& id, JobView* out) const;
   bool AllAccounted() const;
   const Rollout* FindRollout(const std::string& id) const;
@@ -86,7 +93,7 @@
   const Hearing& hearing() const { return ears_.hearing(); }
   // What the leader keeps from doing at this moment, for whoever asks; a line
   // each.
-  std::vector<std::string> Alarms() const { return ears_.Alarms(); }
+  std::vector<std::string> Alarms() const;
   const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const {
     return jobs_;
   }
@@ -98,7 +105,8 @@
   struct Team {
     TeamSettings settings;
     Resources used;
-    Resources held;  // in this pass, for jobs that wait for the limit
+    Resources held;     // in this pass, for jobs that wait for the limit
+    Resources orphans;  // in this pass, what tasks of no known job may use
     bool capped() const {
       return settings.cpus_max > 0 || settings.gpus_max > 0;
     }
@@ -158,8 +166,32 @@
   // What is certain, or was allowed before, has no limit.
   void AskDelete(Machine& m, Time now, const char* why);
   bool Usable(const Machine& m, Time now) const;
+  // Makes the attempt the task's current one, if it has none.
+  void Claim(Job& job, Machine& m, Resident& r, bool there);
   bool Suspect(const Machine& m, Time now) const;
 
+  // restore.cc
+  static std::vector<Condition> Mandate(const Catalog& catalog,
+                                        uint64_t revision);
+  // Whether what has no record has to be left alone.
+  bool Careful() const { return tuning_.recovery_checks > 0; }
+  // Whether a task of no known job may be stopped, its exit forgotten: the job
+  // is known to have ended. Else asks, now and then, how it stands.
+  bool MayDropUnknown(const Resident& r, Time now);
+  bool IsOrphan(const Resident& r) const {
+    return r.job == nullptr && r.phase != TaskPhase::kExited && Careful();
+  }
+  // Queues what is owed to the state service, a transaction's worth at a time.
+  void TickRestore(Time now);
+  // Owed keys, the most urgent last.
+  std::vector<std::string> RestoreOrder() const;
+  bool BuildRestore(const WriteOp& op, WriteTransaction* txn) const;
+  void RestoreDone(const WriteOp& op, uint64_t revision);
+  // A job without a record, by its tasks that are seen.
+  bool ViewOrphans(const std::string& id, JobView* out) const;
+  // What orphans may use of a team's limit at the most.
+  Resources OrphanBound() const;
+
   // controller.cc
   void AddJob(const JobRecord& record, Time now);
   void FinishJob(Job& job, FinalState state);
@@ -274,7 +306,8 @@
   const Settings& settings_;
   const Tuning& tuning_;
   Catalog& catalog_;
-  const uint64_t revision_;
+  const uint64_t revision_;  // of the leader key
+  const uint64_t term_;      // the upper part of its tokens
   const Time started_;
   const double wall_minus_steady_;
   const Patience patience_;
@@ -306,6 +339,11 @@
   Time next_consolidation_ = 0;
   Time quiet_since_ = 1e18;  // no job has come or waited since
   uint64_t next_batch_ = 1;
+  std::vector<std::string> restore_;  // owed keys, the most urgent last
+  std::vector<std::pair<std::string, FinalState>> ends_owed_;
+  bool ends_compared_ = false;
+  bool memory_whole_ = false;
+  std::unordered_map<std::string, Time> asked_jobs_;  // not again before
   // The largest task with accelerators seen; zero when there was none.
   Resources accelerator_shape_;
 
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -43,7 +43,7 @@
                                 const MachineRecord& record) {
   const auto index = static_cast<int32_t>(machines_.size());
   machines_.push_back(
-      std::make_unique<Machine>(host, record, index, FirstToken(revision_)));
+      std::make_unique<Machine>(host, record, index, FirstToken(term_)));
   Machine& m = *machines_.back();
   machine_index_[host] = index;
   const auto type = types_.find(record.type);
@@ -78,7 +78,7 @@
   ReportReply reply;
   if (gone_hosts_.contains(report.host)) {
     // A late message from a deleted machine.
-    reply.token = FirstToken(revision_);
+    reply.token = FirstToken(term_);
     return reply;
   }
   Machine& m = MachineOf(report, now);
@@ -117,7 +117,7 @@
       (report.session == m.session.number() && report.seq <= m.seq)) {
     return;
   }
-  if (report.token > m.token && (report.token >> kTokenBits) > revision_) {
+  if (report.token > m.token && (report.token >> kTokenBits) > term_) {
     if (!resigned_) {
       actions_.push_back(Resign{m.host() + " has seen a newer leader's token"});
     }
@@ -192,20 +192,21 @@
     if (task.phase != TaskPhase::kExited) {
       m.QueueImage(job.spec().image, job.spec().image_gb, now);
     }
-    const TaskSlot& slot = job.task(task.task);
-    if (slot.state == TaskState::kPending) {
-      job.Place(task.task, m.index(), task.attempt);
-      if (task.phase != TaskPhase::kExited) {
-        job.ChangeTask(task.task, TaskState::kStarting);
-      }
-    }
+    Claim(job, m, r, task.phase != TaskPhase::kExited);
   }
   const bool there = task.phase != TaskPhase::kExited;
   UpdateResident(m, Put(m, std::move(r), there), task, now);
 }
 
+void Controller::Claim(Job& job, Machine& m, Resident& r, bool there) {
+  if (job.task(r.task).state != TaskState::kPending) return;
+  job.Place(r.task, m.index(), r.attempt);
+  if (there) job.ChangeTask(r.task, TaskState::kStarting);
+}
+
 Resident& Controller::Put(Machine& m, Resident r, bool there) {
   if (r.job != nullptr) r.job->ChangePresence(m.index(), 0, 1);
+  if (IsOrphan(r)) ++m.orphans;
   Resident& added = m.residents.emplace(KeyOf(r), std::move(r)).first->second;
   if (added.job != nullptr && there) Hold(m, added);
   return added;
@@ -245,6 +246,7 @@
   const bool recording = r.job != nullptr && IsCurrent(m, r) &&
                          (r.job->state() == JobState::kRecordingAbort ||
                           r.job->state() == JobState::kRecordingDone);
+  if (r.job == nullptr && !MayDropUnknown(r, now)) return;
   if (!wanted && !recording && !r.stopping) QueueStop(m, r, 0, now);
 }
 
@@ -307,12 +309,13 @@
 void Controller::OnExit(Machine& m, Resident& r, const TaskReport& task,
                         Time now) {
   Release(m, r);
+  if (IsOrphan(r)) --m.orphans;
   const bool was_running = r.phase == TaskPhase::kRunning;
   r.phase = TaskPhase::kExited;
   r.reason = task.reason;
   Job* job = r.job;
   if (job == nullptr || !IsCurrent(m, r) || !job->live()) {
-    QueueForget(m, r);
+    if (job != nullptr || MayDropUnknown(r, now)) QueueForget(m, r);
     if (job != nullptr) {
       // Its place may be the last that holds the job's record.
       if (IsCurrent(m, r) && task.reason != ExitReason::kDone &&
@@ -396,6 +399,7 @@
   if (it == m.residents.end()) return;
   Resident& r = it->second;
   Release(m, r);
+  if (IsOrphan(r)) --m.orphans;
   Job* job = r.job;
   if (job != nullptr && IsCurrent(m, r)) {
     const TaskState state = job->task(r.task).state;
@@ -624,8 +628,8 @@
 bool Controller::Usable(const Machine& m, Time now) const {
   return m.state() == MachineState::kUp && m.type != nullptr && m.recorded_up &&
          m.reported && m.confirmed() && !m.batch_lost && m.session.alive() &&
-         now >= m.distrusted_until && now >= m.direct_broken_until &&
-         !Suspect(m, now);
+         m.orphans == 0 && now >= m.distrusted_until &&
+         now >= m.direct_broken_until && !Suspect(m, now);
 }
 
 void Controller::Drain(Machine& m, Time now, const char* why) {
@@ -749,15 +753,18 @@
   for (auto& [key, r] : m.residents) {
     if (r.phase == TaskPhase::kExited) {
       ++exited;
-      const bool over = r.job == nullptr || !r.job->live() ||
-                        r.reason != ExitReason::kDone || !IsCurrent(m, r);
+      const bool over = r.job == nullptr
+                            ? MayDropUnknown(r, now)
+                            : !r.job->live() || r.reason != ExitReason::kDone ||
+                                  !IsCurrent(m, r);
       if (over) QueueForget(m, r);
       continue;
     }
     const double again = r.stop_grace + 2 * settings_.workers.report_s;
-    const bool unwanted = r.job == nullptr ||
-                          r.job->state() == JobState::kDone ||
-                          r.job->state() == JobState::kAborted;
+    const bool unwanted = r.job == nullptr
+                              ? MayDropUnknown(r, now)
+                              : r.job->state() == JobState::kDone ||
+                                    r.job->state() == JobState::kAborted;
     if ((r.stopping && now - r.stop_sent > again) ||
         (unwanted && !r.stopping && r.order != StartOrder::kQueued)) {
       kept.push_back(key);
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -37,15 +37,14 @@
   if (accounted) return true;
   // Tasks of a job accepted under this leader are nowhere else. In a capped
   // team, unheard machines may hold what fills the limit.
-  const JobRecord* record = catalog_.FindJob(job.id());
-  return record != nullptr && record->stamp > revision_ &&
-         (job.team() < 0 || !teams_[job.team()].capped());
+  return !job.from_before && (job.team() < 0 || !teams_[job.team()].capped());
 }
 
 bool Controller::TeamAllows(const Job& job, double tasks) const {
   if (job.team() < 0) return true;
   const Team& team = teams_[job.team()];
-  const Resources want = team.used + team.held + job.spec().need * tasks;
+  const Resources want =
+      team.used + team.held + team.orphans + job.spec().need * tasks;
   constexpr double kEpsilon = 1e-6;
   return (team.settings.cpus_max <= 0 ||
           want.cpus <= team.settings.cpus_max + kEpsilon) &&
@@ -143,7 +142,11 @@
   dirty_ = urgent_dirty_ = false;
   const bool accounted = AllAccounted();
   ComputeGuarantees();
-  for (Team& team : teams_) team.held = {};
+  const Resources orphans = OrphanBound();
+  for (Team& team : teams_) {
+    team.held = {};
+    team.orphans = orphans;
+  }
   part_is_held_ = false;
   std::vector<Job*> order;
   for (auto& [id, job] : jobs_) {
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -98,7 +98,7 @@
     for (const auto& [kind, count] : PlanRentals(input)) {
       constexpr int kMostInRequest = 20;
       const std::string name =
-          "r-" + std::to_string(revision_) + "-" + std::to_string(NextNumber());
+          "r-" + std::to_string(term_) + "-" + std::to_string(NextNumber());
       if (resigned_) return;
       Rental& rental = rentals_[name];
       rental.record = {kind.type, kind.zone, kind.spot,
--- a/core/controller/write_queue.cc
+++ b/core/controller/write_queue.cc
@@ -102,7 +102,7 @@
     }
   }
   txn.id = ++id_;
-  txn.conditions.push_back({std::string(keys::kLeader), leader_revision_});
+  txn.conditions.insert(txn.conditions.end(), mandate_.begin(), mandate_.end());
   Change(WriteEvent::kSent);
   actions_.push_back(std::move(txn));
 }
@@ -132,9 +132,10 @@
       break;
     }
     case WriteOutcome::kConflict:
-      if (std::find(failed.begin(), failed.end(), keys::kLeader) !=
-          failed.end()) {
-        return false;
+      for (const Condition& c : mandate_) {
+        if (std::find(failed.begin(), failed.end(), c.key) != failed.end()) {
+          return false;
+        }
       }
       [[fallthrough]];
     case WriteOutcome::kUnknown:
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -1,7 +1,7 @@
 // The leader's writes on their way to the state service: what waits, what goes
 // into one transaction, and what an answer means. Knows nothing of jobs or
 // machines; what a write changes, and what follows once it stands, its owner
-// says. One transaction at a time, each conditioned on the leader key: one that
+// says. One transaction at a time, each conditioned on the mandate: one that
 // is applied late, after another leader or this one has gone on, fails instead
 // of undoing newer facts.
 #pragma once
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/controller/actions.h"
@@ -25,6 +26,9 @@
   kRental,
   kRentalSettle,
   kRollout,
+  kRestore,       // a record that is owed to the state service
+  kRestoreFinal,  // how a job ended, likewise
+  kRebuilt,       // nothing is owed any more
 };
 
 // What the leader wants recorded. Of the same kind and name, one waits at most.
@@ -61,11 +65,12 @@
     virtual void Done(const WriteOp& op, uint64_t revision, Time now) = 0;
   };
 
-  // `leader_revision`: of the leader key, which every write is conditioned on.
-  WriteQueue(const Settings& settings, uint64_t leader_revision, Owner& owner,
-             std::vector<Action>& actions)
+  // `mandate`: what this leadership rests on, the leader key and the mark of
+  // the epoch; every write is conditioned on it.
+  WriteQueue(const Settings& settings, std::vector<Condition> mandate,
+             Owner& owner, std::vector<Action>& actions)
       : settings_(settings),
-        leader_revision_(leader_revision),
+        mandate_(std::move(mandate)),
         owner_(owner),
         actions_(actions) {}
 
@@ -73,7 +78,7 @@
   void Queue(WriteOp op, bool lazy = false);
   // Sends what waits, if nothing is under way.
   void Flush(Time now);
-  // False when the leader key is another's: this leadership is over.
+  // False when the mandate does not stand: this leadership is over.
   [[nodiscard]] bool OnAnswer(uint64_t id, WriteOutcome outcome,
                               uint64_t revision,
                               const std::vector<std::string>& failed, Time now);
@@ -90,7 +95,7 @@
   void PutBack();
 
   const Settings& settings_;
-  const uint64_t leader_revision_;
+  const std::vector<Condition> mandate_;
   Owner& owner_;
   std::vector<Action>& actions_;
   std::deque<WriteOp> urgent_;
--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -84,6 +84,10 @@
     }
     case WriteKind::kRollout:
       return BuildRolloutOp(op, txn);
+    case WriteKind::kRestore:
+    case WriteKind::kRestoreFinal:
+    case WriteKind::kRebuilt:
+      return BuildRestore(op, txn);
   }
   return false;
 }
@@ -182,6 +186,11 @@
     case WriteKind::kRollout:
       RolloutOpDone(op, revision, now);
       break;
+    case WriteKind::kRestore:
+    case WriteKind::kRestoreFinal:
+    case WriteKind::kRebuilt:
+      RestoreDone(op, revision);
+      break;
   }
 }
 
--- a/core/lease/leadership.cc
+++ b/core/lease/leadership.cc
@@ -73,6 +73,19 @@
   granted_until_.clear();
 }
 
+void Leadership::Rewon(uint64_t revision, uint64_t lease_id, Time sent) {
+  if (state_ == kProlonged) Change(kLeading);
+  revision_ = revision;
+  lease_id_ = lease_id;
+  lease_until_ = sent + lease_s_ * (1 - kDrift);
+  granted_until_.clear();
+}
+
+void Leadership::Forget(Time now) {
+  started_ = now;
+  known_idle_.clear();
+}
+
 void Leadership::RenewGranted(Time sent) {
   if (state_ != kLeading && state_ != kProlonged) return;
   lease_until_ = std::max(lease_until_, sent + lease_s_ * (1 - kDrift));
--- a/core/lease/leadership.h
+++ b/core/lease/leadership.h
@@ -48,6 +48,13 @@
   // `sent` is when the request that the lease counts from was sent.
   void Won(uint64_t revision, uint64_t lease_id, Time sent);
   void RenewGranted(Time sent);
+  // The key was written anew under a right that still stood: into a state
+  // service that had lost it.
+  void Rewon(uint64_t revision, uint64_t lease_id, Time sent);
+  // The state service has lost data, and with it perhaps the key of somebody
+  // who leads by it: as after a start, everybody has to be asked, or the
+  // longest right waited out.
+  void Forget(Time now);
   // The key is known to be another's, or gone.
   void Lost();
   // Back to the ranks once the leader's state has been torn down.
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -179,6 +179,9 @@
   std::optional<Time> notice_until;
 
   std::map<ResidentKey, Resident> residents;
+  // Tasks of no known job that are there. What they hold nobody knows, so the
+  // machine gets nothing meanwhile.
+  int orphans = 0;
   Resources used;
   Resources staying;  // the part of it that services hold
   Resources lasting;  // the part of it that is no short work
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -117,6 +117,11 @@
   double distrusted_share = 0.05;
   double zone_share = 0.25;
   double service_share = 0.5;
+  // Fresh looks at whether the state service still holds all it held, in a
+  // worker lease; 0 turns the recovery from lost state off.
+  double recovery_checks = 0;
+  // Pages of its records compared with memory, in a worker lease.
+  double recovery_pages = 1;
   // Roll-outs at the same time; 0 turns the subsystem off.
   double rollouts_at_once = 0;
   // Health checks under way, as a share of the sockets.
--- /dev/null
+++ b/core/recovery/finals_index.cc
@@ -0,0 +1,81 @@
+#include "core/recovery/finals_index.h"
+
+#include <charconv>
+#include <vector>
+
+namespace oxbow {
+namespace {
+
+constexpr std::string_view kPrefix = "job-";
+constexpr size_t kDigits = 6;  // at least
+
+}  // namespace
+
+std::optional<uint32_t> FinalsIndex::NumberOf(std::string_view id) {
+  if (!id.starts_with(kPrefix)) return std::nullopt;
+  id.remove_prefix(kPrefix.size());
+  // One form for each number, or two jobs would share an end.
+  if (id.size() < kDigits || (id.size() > kDigits && id[0] == '0')) {
+    return std::nullopt;
+  }
+  uint32_t number = 0;
+  const auto [end, error] =
+      std::from_chars(id.data(), id.data() + id.size(), number);
+  if (error != std::errc() || end != id.data() + id.size()) return std::nullopt;
+  return number;
+}
+
+std::string FinalsIndex::IdOf(uint32_t number) {
+  std::string digits = std::to_string(number);
+  if (digits.size() < kDigits) digits.insert(0, kDigits - digits.size(), '0');
+  return std::string(kPrefix) + digits;
+}
+
+void FinalsIndex::Add(std::string_view id, FinalState state) {
+  const auto number = NumberOf(id);
+  if (!number || state == FinalState::kNone) return;
+  if (done_.contains(*number) || aborted_.contains(*number)) return;
+  (state == FinalState::kDone ? done_ : aborted_).add(*number);
+}
+
+FinalState FinalsIndex::Find(std::string_view id) const {
+  const auto number = NumberOf(id);
+  if (!number) return FinalState::kNone;
+  if (done_.contains(*number)) return FinalState::kDone;
+  if (aborted_.contains(*number)) return FinalState::kAborted;
+  return FinalState::kNone;
+}
+
+void FinalsIndex::ForEachMissing(
+    const FinalsIndex& other,
+    const std::function<void(const std::string& id, FinalState state)>& what)
+    const {
+  for (const FinalState state : {FinalState::kDone, FinalState::kAborted}) {
+    const Roaring missing = Part(state) - (other.done_ | other.aborted_);
+    for (const uint32_t number : missing) what(IdOf(number), state);
+  }
+}
+
+std::string FinalsIndex::Encode(FinalState part) const {
+  Roaring copy = Part(part);
+  copy.runOptimize();
+  std::string bytes(copy.getSizeInBytes(), '\0');
+  copy.write(bytes.data());
+  return bytes;
+}
+
+bool FinalsIndex::Merge(FinalState part, const std::string& bytes) {
+  try {
+    const Roaring told = Roaring::readSafe(bytes.data(), bytes.size());
+    if (part == FinalState::kDone) {
+      done_ |= told - aborted_;
+    } else {
+      aborted_ |= told - done_;
+    }
+    return true;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+}  // namespace oxbow
--- /dev/null
+++ b/core/recovery/finals_index.h
@@ -0,0 +1,47 @@
+// How every job that this controller knows to have ended did end: two
+// compressed bitmaps over the numbers in the ids, a few megabytes for millions
+// of jobs. What it knows is never taken back.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <roaring/roaring.hh>
+#include <string>
+#include <string_view>
+
+#include "core/model/job.h"
+
+namespace oxbow {
+
+class FinalsIndex {
+ public:
+  // The number of a job id in its usual form; nothing for another, which is
+  // not indexed.
+  static std::optional<uint32_t> NumberOf(std::string_view id);
+  static std::string IdOf(uint32_t number);
+
+  // The first end that is told stays.
+  void Add(std::string_view id, FinalState state);
+  FinalState Find(std::string_view id) const;
+  uint64_t size() const { return done_.cardinality() + aborted_.cardinality(); }
+  // Those that `other` does not hold.
+  void ForEachMissing(const FinalsIndex& other,
+                      const std::function<void(const std::string& id,
+                                               FinalState state)>& what) const;
+
+  // For another controller. Both parts, done first.
+  std::string Encode(FinalState part) const;
+  // Adds what the bytes hold; false if they are no such part.
+  bool Merge(FinalState part, const std::string& bytes);
+
+ private:
+  const Roaring& Part(FinalState state) const {
+    return state == FinalState::kDone ? done_ : aborted_;
+  }
+
+  Roaring done_;
+  Roaring aborted_;
+};
+
+}  // namespace oxbow
--- /dev/null
+++ b/core/recovery/trust.h
@@ -0,0 +1,82 @@
+// Whether this controller may believe what the state service says. A missing
+// record proves something only while it may. Signs of a loss lead to doubt;
+// doubt is settled by fresh checks, this controller's and the others'.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "core/model/settings.h"
+#include "core/model/state_machine.h"
+
+namespace oxbow {
+
+enum class TrustState : uint8_t {
+  kSound,       // what it does not hold is not there
+  kDoubt,       // a sign of a loss is being looked at
+  kLost,        // it has lost data; a new epoch has to be opened
+  kRebuilding,  // one is open, and what is remembered is being written back
+};
+
+enum class LossSign : uint8_t {
+  kNone,
+  kStepBack,       // a lower revision than an earlier answer's
+  kEpochMissing,   // the epoch's records are not there, or are another's
+  kRecordMissing,  // a record that nobody deleted
+  kTermAbove,      // a worker shows a token that no leader here can have given
+  kUnknownTask,    // a task runs whose job has no record
+  kOtherEpoch,     // another controller remembers another epoch
+};
+std::string_view NameOf(LossSign sign);
+
+// What a fresh look at the state service says, with everything that the sign
+// asks for looked at again.
+enum class CheckSays : uint8_t { kNoAnswer, kStands, kGone };
+
+enum class TrustEvent : uint8_t {
+  kSign,
+  kCleared,
+  kConfirmed,
+  kOpened,   // a later epoch that is not yet rebuilt has been seen
+  kRebuilt,  // one that is
+};
+
+class Trust {
+ public:
+  TrustState state() const { return state_; }
+  LossSign sign() const { return sign_; }
+
+  // A sign was seen. True when it is news: the doubt has to be settled.
+  bool Note(LossSign sign);
+  // A round of checks is over, in doubt, or later while nobody has opened a new
+  // epoch. `others_stand`: another controller that looked
+  // at the same moment finds nothing wrong.
+  void OnRound(CheckSays mine, bool others_stand);
+  // The epoch as recorded now.
+  void OnEpoch(uint64_t number, bool rebuilt);
+
+  // A record that nobody remembers was never there, and may be denied.
+  bool MayDeny() const { return state_ == TrustState::kSound; }
+  // A submission may be accepted: by anybody, or, while the memory is being
+  // written back, by the leader, which holds all of it.
+  bool MayAccept(bool leading) const {
+    return state_ == TrustState::kSound ||
+           (state_ == TrustState::kRebuilding && leading);
+  }
+  // The free leader key means that nobody leads.
+  bool MaySeek() const {
+    return state_ == TrustState::kSound || state_ == TrustState::kRebuilding;
+  }
+
+ private:
+  // The one function for a change.
+  void Change(TrustEvent event);
+
+  TrustState state_ = TrustState::kSound;
+  LossSign sign_ = LossSign::kNone;
+  uint64_t epoch_ = 0;
+  bool rebuilt_ = true;
+  int agreeing_ = 0;  // rounds in a row that found it gone
+};
+
+}  // namespace oxbow
--- /dev/null
+++ b/tests/cluster.h
@@ -0,0 +1,225 @@
+// Three real controllers on loopback, as processes that are killed and started
+// again, against stand-ins for everything else.
+#pragma once
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidjson/document.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "tests/stand_ins.h"
+#include "wire/json.h"
+
+namespace oxbow::test {
+
+inline constexpr int kControllers = 3;
+inline constexpr double kLease = 6;     // s
+inline constexpr double kReport = 0.3;  // s
+
+class Cluster {
+ public:
+  // `tuning`: the operators' file, of those under deploy/.
+  Cluster(uint64_t seed, std::string tuning)
+      : random(seed), tuning_(std::move(tuning)), state_(loop), cloud_(loop) {
+    cloud_.listed = [this] {
+      std::string all;
+      for (const auto& w : workers) {
+        if (!all.empty()) all += ",";
+        all += w->ListItem();
+      }
+      return all;
+    };
+    cloud_.on_delete = [this](const std::string& host) {
+      for (const auto& w : workers) {
+        if (w->host() == host) w->Die();
+      }
+      std::erase_if(workers, [&](const auto& w) {
+        if (w->host() != host) return false;
+        buried_.push_back(w);
+        return true;
+      });
+    };
+    for (int i = 0; i < kControllers; ++i) {
+      listen_.push_back(Local(FreePort()));
+      back_.push_back(Local(FreePort()));
+    }
+    for (int i = 0; i < kControllers; ++i) {
+      WriteSettings(i);
+      std::remove((ConfigOf(i) + ".log").c_str());
+      pids_.push_back(-1);
+      Launch(i);
+      clients_.push_back(
+          std::make_unique<net::HttpClient>(loop, listen_[i], 100'000, 1));
+    }
+    for (int i = 0; i < 6; ++i) AddWorker();
+  }
+  ~Cluster() {
+    for (int i = 0; i < kControllers; ++i) Kill(i);
+  }
+
+  void AddWorker() {
+    ++added_;
+    std::vector<std::pair<std::string, net::Address>> controllers;
+    for (int i = 0; i < kControllers; ++i) {
+      controllers.emplace_back(Name(i), listen_[i]);
+    }
+    workers.push_back(std::make_shared<FakeWorker>(
+        loop, fmt::format("n-{:06}", added_),
+        fmt::format("127.0.{}.{}", 1 + added_ / 200, 1 + added_ % 200),
+        added_ % 2 ? "a" : "b",
+        FakeWorker::Timing{kReport, kLease, health_port},
+        std::move(controllers), cues));
+    workers.back()->Start();
+  }
+
+  static std::string Name(int i) { return fmt::format("c-{}", i); }
+  int Leader() const {
+    rapidjson::Document doc;
+    doc.Parse(state_.Value("ob/live/leader").c_str());
+    for (int i = 0; i < kControllers; ++i) {
+      if (json::GetString(doc, "node") == Name(i)) return i;
+    }
+    return -1;
+  }
+  void Kill(int i) {
+    if (pids_[i] <= 0) return;
+    kill(pids_[i], SIGKILL);
+    waitpid(pids_[i], nullptr, 0);
+    pids_[i] = -1;
+  }
+  void Launch(int i) {
+    const std::string config = ConfigOf(i);
+    const std::string log = config + ".log";
+    const std::string conf = OXBOW_DEPLOY "/" + tuning_;
+    const pid_t pid = fork();
+    ASSERT_GE(pid, 0);
+    if (pid == 0) {
+      // Whatever becomes of the test, no controller stays behind.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+      dup2(fd, STDERR_FILENO);
+      execl(OXBOW_PROGRAM, OXBOW_PROGRAM, "serve", "--config", config.c_str(),
+            "--tuning", conf.c_str(), nullptr);
+      _exit(127);
+    }
+    pids_[i] = pid;
+  }
+  // Whether a controller has ended that nobody has killed.
+  bool AnyDied() {
+    for (pid_t& pid : pids_) {
+      if (pid > 0 && waitpid(pid, nullptr, WNOHANG) == pid) {
+        pid = -1;
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // As users do: another controller, a little later, until it is answered.
+  net::Task<net::ClientResult> Ask(std::string method, std::string path,
+                                   std::string body) {
+    net::ClientResult answer;
+    for (int i = 0; i < 300; ++i) {
+      answer = co_await clients_[next_++ % kControllers]->Request(method, path,
+                                                                  body, 3);
+      if (answer.outcome == net::Outcome::kAnswered && answer.status != 503 &&
+          answer.status != 429 && answer.status != 504) {
+        break;
+      }
+      co_await loop.Sleep(0.1);
+    }
+    co_return answer;
+  }
+
+  // One question to one controller, which may not answer.
+  net::Task<net::ClientResult> AskOne(int i, std::string method,
+                                      std::string path, std::string body) {
+    co_return co_await clients_[i]->Request(method, path, body, 3);
+  }
+
+  int SessionsLost() const {
+    int n = 0;
+    for (const auto& w : workers) n += w->sessions_lost();
+    return n;
+  }
+  size_t deleted() const { return buried_.size(); }
+
+  int Well(const std::string& job) const {
+    int n = 0;
+    for (const auto& w : workers) n += w->Well(job);
+    return n;
+  }
+  int Sick(const std::string& job) const {
+    int n = 0;
+    for (const auto& w : workers) n += w->Sick(job);
+    return n;
+  }
+  int Present(const std::string& job) const {
+    int n = 0;
+    for (const auto& w : workers) n += w->Present(job);
+    return n;
+  }
+
+  net::Loop loop;
+  // Free on one address, so hardly taken on another of this machine.
+  const uint16_t health_port = FreePort();
+  std::mt19937_64 random;
+  std::map<std::string, Cue> cues;
+  std::vector<std::shared_ptr<FakeWorker>> workers;
+  FakeState& state() { return state_; }
+
+ private:
+  std::string ConfigOf(int i) const {
+    return testing::TempDir() +
+           fmt::format("oxbow-{}-{}.json", getpid(), Name(i));
+  }
+  void WriteSettings(int i) {
+    std::string known;
+    for (int other = 0; other < kControllers; ++other) {
+      if (other == i) continue;
+      if (!known.empty()) known += ",";
+      known += fmt::format(R"({{"host_name":"{}","site":"a","address":"{}"}})",
+                           Name(other), back_[other].ToString());
+    }
+    std::ofstream(ConfigOf(i)) << fmt::format(
+        R"({{"host_name":"{}","site":"a","public_addr":"{}","back":"{}",
+        "known":[{}],"outside":{{"cloud":"{}","state":"{}"}},
+        "cluster":{{"count":{},"zones":["a","b"],
+        "teams":[{{"name":"t","cpus":0.0,"cpus_max":0.0,"gpus":0.0,
+        "gpus_max":0.0}}],"objectives":[],
+        "workers":{{"report_s":{},"lease_s":{},"gang_wait_s":40.0,
+        "gang_peer_s":4.0,"cancel_s":40.0}},
+        "state":{{"rps":2000.0,"write_rps":1000.0,"value_kb":8.0,
+        "txn_ops":16}},"cloud":{{"rps":20.0,"list_lag_s":1.0}},
+        "quota":{{"cpu":0.5,"mem_mb":256.0,"max_sockets":700}},
+        "clock_error_ms":25.0}}}})",
+        Name(i), listen_[i].ToString(), back_[i].ToString(), known,
+        Local(cloud_.port()).ToString(), Local(state_.port()).ToString(),
+        kControllers, kReport, kLease);
+  }
+
+  const std::string tuning_;
+  FakeState state_;
+  FakeCloud cloud_;
+  std::vector<net::Address> listen_;
+  std::vector<net::Address> back_;
+  std::vector<pid_t> pids_;
+  std::vector<std::unique_ptr<net::HttpClient>> clients_;
+  std::vector<std::shared_ptr<FakeWorker>> buried_;
+  size_t next_ = 0;
+  int added_ = 0;
+};
+
+}  // namespace oxbow::test
--- /dev/null
+++ b/tests/recovery_test.cc
@@ -0,0 +1,324 @@
+// Epochs, the trust in the state service, what is remembered against what it
+// holds, and how jobs ended: each by itself.
+
+#include <gtest/gtest.h>
+
+#include "clients/memory_page.h"
+#include "core/controller/catalog.h"
+#include "core/lease/leadership.h"
+#include "core/lease/token.h"
+#include "core/recovery/epoch.h"
+#include "core/recovery/finals_index.h"
+#include "core/recovery/trust.h"
+
+namespace oxbow {
+namespace {
+
+using enum TrustState;
+
+JobRecord JobOf(const std::string& id, FinalState end = FinalState::kNone) {
+  auto spec = std::make_shared<JobSpec>();
+  spec->id = id;
+  return {spec, 0, end, 0};
+}
+
+std::string JobKey(const std::string& id) { return keys::Of(keys::kJob, id); }
+
+void OpenEpoch(Catalog& catalog, uint64_t number, uint64_t stamp) {
+  EpochRecord epoch;
+  epoch.number = number;
+  epoch.id = "e" + std::to_string(number);
+  epoch.rebuilt = number == 1;
+  catalog.Put(keys::Of(keys::kEpochMark, epoch.id), EpochMark{number, 0},
+              stamp);
+  catalog.Put(std::string(keys::kEpoch), epoch, stamp);
+}
+
+// --- terms
+
+// Whatever the service counts from after a loss, a later epoch's leaders are
+// above all that were shown; those of one nobody heard of are within the leap.
+TEST(Epoch, TermsOfALaterEpochAreAboveAllBefore) {
+  const uint64_t shown = 4711;
+  EpochRecord next;
+  next.base = NextBase(shown, 1.7e9);
+  EXPECT_GT(TermOf(next, 1), shown + 1'000'000);
+  EpochRecord after;
+  after.base = NextBase(TermOf(next, 90'000), 1.7e9);
+  EXPECT_GT(TermOf(after, 1), TermOf(next, 90'000'000));
+}
+
+TEST(Epoch, WithNothingRememberedTheClockKeepsEpochsApart) {
+  const double opened = 1.8e9;
+  EpochRecord first;
+  first.base = NextBase(0, opened);
+  // Two thousand changes a second for an hour, then everything is lost again.
+  const uint64_t last = TermOf(first, 2000 * 3600);
+  EXPECT_GT(NextBase(0, opened + 3600), last);
+}
+
+TEST(Epoch, ATermFitsItsBitsForEver) {
+  EXPECT_LT(NextBase(0, 1e12), uint64_t{1} << kTermBits);
+  const uint64_t token = FirstToken(NextBase(0, 1e12));
+  EXPECT_EQ(token >> kTokenBits, NextBase(0, 1e12));
+}
+
+// --- trust
+
+class Doubting : public testing::Test {
+ public:
+  Doubting() { trust_.OnEpoch(1, true); }
+  Trust trust_;
+};
+
+TEST_F(Doubting, ASignAloneIsNoLoss) {
+  EXPECT_TRUE(trust_.Note(LossSign::kStepBack));
+  EXPECT_FALSE(trust_.Note(LossSign::kEpochMissing));  // looked at already
+  EXPECT_FALSE(trust_.MayDeny());
+  trust_.OnRound(CheckSays::kStands, false);
+  EXPECT_EQ(trust_.state(), kSound);
+  EXPECT_TRUE(trust_.MayDeny());
+}
+
+TEST_F(Doubting, ALossTakesRoundsThatAgree) {
+  trust_.Note(LossSign::kEpochMissing);
+  trust_.OnRound(CheckSays::kGone, false);
+  EXPECT_EQ(trust_.state(), kDoubt);
+  trust_.OnRound(CheckSays::kNoAnswer, false);  // an outage settles nothing
+  EXPECT_EQ(trust_.state(), kDoubt);
+  trust_.OnRound(CheckSays::kGone, false);
+  EXPECT_EQ(trust_.state(), kLost);
+  EXPECT_FALSE(trust_.MayAccept(true));
+  EXPECT_FALSE(trust_.MaySeek());
+}
+
+// It reads a stale copy: the others find everything in its place.
+TEST_F(Doubting, AHoleThatOnlyOneSeesIsNoLoss) {
+  trust_.Note(LossSign::kStepBack);
+  for (int i = 0; i < 20; ++i) trust_.OnRound(CheckSays::kGone, true);
+  EXPECT_EQ(trust_.state(), kDoubt);
+  EXPECT_FALSE(trust_.MaySeek());
+  trust_.OnRound(CheckSays::kStands, true);
+  EXPECT_EQ(trust_.state(), kSound);
+}
+
+TEST_F(Doubting, DuringTheRebuildOnlyTheLeaderAccepts) {
+  trust_.Note(LossSign::kEpochMissing);
+  trust_.OnRound(CheckSays::kGone, false);
+  trust_.OnRound(CheckSays::kGone, false);
+  trust_.OnEpoch(2, false);
+  EXPECT_EQ(trust_.state(), kRebuilding);
+  EXPECT_TRUE(trust_.MayAccept(true));
+  EXPECT_FALSE(trust_.MayAccept(false));
+  EXPECT_FALSE(trust_.MayDeny());
+  trust_.OnEpoch(2, true);
+  EXPECT_EQ(trust_.state(), kSound);
+}
+
+TEST_F(Doubting, LostAgainInMidRebuild) {
+  trust_.OnEpoch(2, false);
+  EXPECT_TRUE(trust_.Note(LossSign::kStepBack));
+  trust_.OnRound(CheckSays::kGone, false);
+  trust_.OnRound(CheckSays::kGone, false);
+  EXPECT_EQ(trust_.state(), kLost);
+  trust_.OnEpoch(3, false);
+  EXPECT_EQ(trust_.state(), kRebuilding);
+}
+
+// An epoch's record read late tells nothing of the one that stands.
+TEST_F(Doubting, AnEarlierEpochIsNoNews) {
+  trust_.OnEpoch(2, false);
+  trust_.OnEpoch(1, true);
+  EXPECT_EQ(trust_.state(), kRebuilding);
+}
+
+// --- what is remembered
+
+class Remembering : public testing::Test {
+ public:
+  Remembering() {
+    OpenEpoch(catalog_, 1, 5);
+    catalog_.Put(JobKey("job-000001"), JobOf("job-000001"), 10);
+    catalog_.Put(JobKey("job-000002"), JobOf("job-000002"), 20);
+    catalog_.Followed(20);
+  }
+  FinalState EndOf(const std::string& id) {
+    return catalog_.FindJob(id)->final_state;
+  }
+  Catalog catalog_;
+};
+
+// An empty listing of a new epoch must not erase the last memory there is.
+TEST_F(Remembering, ANewEpochIsOwedEverything) {
+  OpenEpoch(catalog_, 2, 3);
+  catalog_.EraseMissing({}, 100);
+  EXPECT_EQ(catalog_.owed().size(), 2U);
+  ASSERT_NE(catalog_.FindJob("job-000001"), nullptr);
+  EXPECT_EQ(catalog_.FindJob("job-000001")->stamp, 0U);
+  // A read that does not find it either.
+  catalog_.Missing(JobKey("job-000001"), 100);
+  EXPECT_NE(catalog_.FindJob("job-000001"), nullptr);
+}
+
+TEST_F(Remembering, AnOlderCopyIsReplacedUnderItsStamp) {
+  OpenEpoch(catalog_, 2, 15);
+  EXPECT_FALSE(catalog_.Put(JobKey("job-000002"), JobOf("job-000002"), 8));
+  EXPECT_TRUE(catalog_.owed().contains(JobKey("job-000002")));
+  EXPECT_EQ(catalog_.FindJob("job-000002")->stamp, 8U);
+}
+
+TEST_F(Remembering, WhatTheServiceStillHoldsIsNotOwed) {
+  OpenEpoch(catalog_, 2, 15);
+  EXPECT_TRUE(catalog_.Put(JobKey("job-000001"), JobOf("job-000001"), 10));
+  EXPECT_FALSE(catalog_.owed().contains(JobKey("job-000001")));
+}
+
+TEST_F(Remembering, AChangeInTheNewEpochBeatsMemory) {
+  OpenEpoch(catalog_, 2, 3);
+  catalog_.Put(JobKey("job-000001"), JobOf("job-000001", FinalState::kAborted),
+               4);
+  EXPECT_EQ(EndOf("job-000001"), FinalState::kAborted);
+  EXPECT_FALSE(catalog_.owed().contains(JobKey("job-000001")));
+}
+
+TEST_F(Remembering, AnEndBeatsALaterLiveRecord) {
+  // This controller lags behind: another one has seen the cancellation.
+  OpenEpoch(catalog_, 2, 3);
+  EXPECT_TRUE(catalog_.Remember(JobKey("job-000001"),
+                                JobOf("job-000001", FinalState::kAborted),
+                                {1, 12}));
+  EXPECT_FALSE(
+      catalog_.Remember(JobKey("job-000001"), JobOf("job-000001"), {1, 19}));
+  EXPECT_EQ(EndOf("job-000001"), FinalState::kAborted);
+}
+
+TEST_F(Remembering, AJobThatHasEndedIsNotRevivedByAnOlderCopy) {
+  catalog_.Put(JobKey("job-000001"), JobOf("job-000001", FinalState::kAborted),
+               21);
+  catalog_.Erase(JobKey("job-000001"), 22);
+  ASSERT_EQ(catalog_.FindJob("job-000001"), nullptr);
+  OpenEpoch(catalog_, 2, 15);
+  catalog_.Put(JobKey("job-000001"), JobOf("job-000001"), 10);
+  EXPECT_EQ(EndOf("job-000001"), FinalState::kAborted);
+  // Nor by another controller that remembers it alive.
+  EXPECT_FALSE(
+      catalog_.Remember(JobKey("job-000001"), JobOf("job-000001"), {1, 10}));
+}
+
+TEST_F(Remembering, WithinAnEpochTheHigherStampWins) {
+  OpenEpoch(catalog_, 2, 3);
+  EXPECT_FALSE(
+      catalog_.Remember(JobKey("job-000002"), JobOf("job-000002"), {1, 19}));
+  EXPECT_TRUE(
+      catalog_.Remember(JobKey("job-000003"), JobOf("job-000003"), {1, 25}));
+  EXPECT_TRUE(catalog_.owed().contains(JobKey("job-000003")));
+}
+
+TEST_F(Remembering, LostTwiceItKeepsTheVersionItIsRememberedBy) {
+  OpenEpoch(catalog_, 2, 3);
+  OpenEpoch(catalog_, 3, 3);
+  EXPECT_EQ(catalog_.VersionOf(JobKey("job-000002")), (Version{1, 20}));
+  EXPECT_EQ(catalog_.owed().size(), 2U);
+}
+
+TEST_F(Remembering, AnEarlierEpochsRecordIsNotTakenBack) {
+  OpenEpoch(catalog_, 2, 3);
+  OpenEpoch(catalog_, 1, 50);
+  EXPECT_EQ(catalog_.epoch().number, 2U);
+}
+
+// The key's name belongs to the epoch: a write of the one before finds nothing
+// under its condition, even if the stamps come out the same.
+TEST_F(Remembering, TheGuardsOfTwoEpochsNeverMeet) {
+  const auto before = catalog_.Guard();
+  OpenEpoch(catalog_, 2, 5);
+  EXPECT_EQ(catalog_.Guard().second, before.second);
+  EXPECT_NE(catalog_.Guard().first, before.first);
+}
+
+// --- ends
+
+TEST(FinalsIndex, OnlyOneFormOfAnIdIsKnown) {
+  EXPECT_EQ(FinalsIndex::NumberOf("job-000412"), 412U);
+  EXPECT_EQ(FinalsIndex::NumberOf("job-1234567"), 1234567U);
+  for (const char* id : {"job-412", "job-0000412", "job-00041x", "run-000412",
+                         "job-99999999999", "job-", ""}) {
+    EXPECT_FALSE(FinalsIndex::NumberOf(id)) << id;
+  }
+  EXPECT_EQ(FinalsIndex::IdOf(412), "job-000412");
+}
+
+TEST(FinalsIndex, AnEndIsNeverTakenBack) {
+  FinalsIndex index;
+  index.Add("job-000001", FinalState::kAborted);
+  index.Add("job-000001", FinalState::kDone);
+  EXPECT_EQ(index.Find("job-000001"), FinalState::kAborted);
+  FinalsIndex other;
+  other.Add("job-000001", FinalState::kDone);
+  other.Add("job-000002", FinalState::kDone);
+  EXPECT_TRUE(index.Merge(FinalState::kDone, other.Encode(FinalState::kDone)));
+  EXPECT_EQ(index.Find("job-000001"), FinalState::kAborted);
+  EXPECT_EQ(index.Find("job-000002"), FinalState::kDone);
+  EXPECT_FALSE(index.Merge(FinalState::kDone, "no such bytes"));
+}
+
+TEST(FinalsIndex, AMillionEndsTakeAFewMegabytes) {
+  FinalsIndex index;
+  for (uint32_t i = 0; i < 1'000'000; ++i) {
+    index.Add(FinalsIndex::IdOf(i),
+              i % 7 == 0 ? FinalState::kAborted : FinalState::kDone);
+  }
+  EXPECT_EQ(index.size(), 1'000'000U);
+  constexpr size_t kMost = 1'000'000;  // bytes
+  EXPECT_LT(index.Encode(FinalState::kDone).size() +
+                index.Encode(FinalState::kAborted).size(),
+            kMost);
+}
+
+TEST(MemoryPage, ComesBackAsItWasAndRefusesWhatIsBroken) {
+  const std::vector<clients::Memory> page = {
+      {"ob/live/j/job-000001", {1, 10}, R"({"t":1.0})"},
+      {"ob/live/m/n-1", {2, 0}, "{}"}};
+  const std::string bytes = clients::EncodeMemory(page);
+  std::vector<clients::Memory> out;
+  ASSERT_TRUE(clients::DecodeMemory(bytes, &out));
+  ASSERT_EQ(out.size(), 2U);
+  EXPECT_EQ(out[0].record, page[0].record);
+  EXPECT_EQ(out[1].version, page[1].version);
+  for (size_t cut = 0; cut < bytes.size(); cut += 3) {
+    out.clear();
+    EXPECT_FALSE(clients::DecodeMemory(bytes.substr(0, cut), &out));
+  }
+}
+
+// --- the right to lead
+
+// Who leads by lost data can't be read: the longest right is waited out, unless
+// all others say that they don't lead.
+TEST(LeadershipAfterALoss, EverybodyIsAskedAnew) {
+  Leadership leadership({"b", "c"}, 2.5, 6, 0);
+  for (const char* peer : {"b", "c"}) leadership.PeerDoesNotLead(peer);
+  EXPECT_TRUE(leadership.MaySeek(1));
+  leadership.Forget(10);
+  EXPECT_FALSE(leadership.MaySeek(12));
+  leadership.PeerDoesNotLead("b");
+  EXPECT_FALSE(leadership.MaySeek(12));
+  leadership.PeerDoesNotLead("c");
+  EXPECT_TRUE(leadership.MaySeek(12));
+  leadership.Forget(20);
+  EXPECT_TRUE(leadership.MaySeek(20 + 6.1));
+}
+
+TEST(LeadershipAfterALoss, ARightThatStandsGoesOnUnderTheNewKey) {
+  Leadership leadership({"b"}, 2.5, 6, -100);
+  leadership.SeekStarted(0);
+  leadership.Won(41, 1, 0);
+  ASSERT_TRUE(leadership.Valid(1));
+  leadership.Rewon(7, 2, 1);
+  EXPECT_TRUE(leadership.Valid(3));
+  EXPECT_EQ(leadership.revision(), 7U);
+  EXPECT_FALSE(leadership.Valid(4));
+}
+
+}  // namespace
+}  // namespace oxbow
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -726,6 +726,16 @@
         AnswerReach(*ask);
       } else if (const auto* offer = std::get_if<OfferLead>(&action)) {
         AnswerOffer(*offer);
+      } else if (const auto* job = std::get_if<AskJob>(&action)) {
+        // The shell reads the live record, then how it ended.
+        After(kLatency, [this, leader, id = job->id] {
+          const auto end = store_.find(keys::Of(keys::kFinal, id));
+          if (!leader_ || leader_->revision() != leader || state_down ||
+              end == store_.end()) {
+            return;
+          }
+          catalog_.RememberEnd(id, std::get<FinalRecord>(end->second.first));
+        });
       } else if (const auto* quit = std::get_if<Resign>(&action)) {
         After(0, [this, leader, unfit = quit->unfit] {
           if (!leader_ || leader_->revision() != leader) return;
--- a/tests/stand_ins.cc
+++ b/tests/stand_ins.cc
@@ -40,6 +40,30 @@
   return it == keys_.end() ? std::string() : it->second.value;
 }
 
+std::shared_ptr<const FakeState::Copy> FakeState::Save() const {
+  return std::make_shared<Copy>(
+      Copy{keys_, log_, leases_, next_lease_, revision_});
+}
+
+void FakeState::Restore(const Copy& copy, bool revision_goes_on) {
+  keys_ = copy.keys;
+  log_ = copy.log;
+  leases_ = copy.leases;
+  for (auto& [id, lease] : leases_) lease.until = loop_.Now() + lease.ttl_s;
+  if (revision_goes_on) return;
+  next_lease_ = copy.next_lease;
+  revision_ = copy.revision;
+}
+
+void FakeState::LoseAll(bool revision_goes_on) {
+  Restore(Copy(), revision_goes_on);
+}
+
+void FakeState::Lose(const std::string& prefix) {
+  std::erase_if(keys_,
+                [&](const auto& e) { return e.first.starts_with(prefix); });
+}
+
 Task<HttpResponse> FakeState::Follow(const HttpRequest& request) {
   HttpResponse response;
   const std::string prefix(request.query("prefix"));
@@ -69,8 +93,8 @@
     co_return response;
   }
   const auto item = [](const Change& c) {
-    return fmt::format(R"({{"key":"{}","v":{},"stamp":{}}})", c.key, c.value,
-                       c.stamp);
+    return fmt::format(R"({{"key":"{}","v":{},"stamp":{},"permit":{}}})", c.key,
+                       c.value, c.stamp, c.lease);
   };
   if (path == "/kv") {
     const std::string prefix(request.query("prefix"));
@@ -117,7 +141,8 @@
     response->body = "{\"failed\":[" + failed + "]," + Ledger() + "}";
     return;
   }
-  ++revision_;
+  // One without changes only compares.
+  if (!doc["then"].GetArray().Empty()) ++revision_;
   for (const auto& c : doc["then"].GetArray()) {
     if (!c.HasMember("set")) {
       Delete(c["delete"].GetString());
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -26,6 +26,15 @@
 
   explicit FakeState(net::Loop& loop);
   uint16_t port() const { return server_.port(); }
+  // Data is lost, in the ways that are known of such services.
+  struct Copy;
+  std::shared_ptr<const Copy> Save() const;
+  // An older copy comes back; `revision_goes_on`: from where it is.
+  void Restore(const Copy& copy, bool revision_goes_on);
+  void LoseAll(bool revision_goes_on);
+  void Lose(const std::string& prefix);
+  void LoseLeases() { leases_.clear(); }
+
   // The value of a key, as JSON; empty when it does not exist.
   std::string Value(const std::string& key) const;
 
@@ -49,15 +58,25 @@
   net::Task<void> EndLeases();
   std::string Ledger() const;
 
+  static constexpr uint64_t kFirstRevision = 5;
+
   net::Loop& loop_;
   std::map<std::string, Change> keys_;
   std::vector<Change> log_;
   std::map<uint64_t, Lease> leases_;
   uint64_t next_lease_ = 1;
-  uint64_t revision_ = 5;
+  uint64_t revision_ = kFirstRevision;
   net::HttpServer server_;
 };
 
+struct FakeState::Copy {
+  std::map<std::string, Change> keys;
+  std::vector<Change> log;
+  std::map<uint64_t, Lease> leases;
+  uint64_t next_lease = 1;
+  uint64_t revision = kFirstRevision;
+};
+
 // One machine type in two zones; never has a machine to rent.
 class FakeCloud {
  public:
--- a/tests/write_queue_test.cc
+++ b/tests/write_queue_test.cc
@@ -40,7 +40,8 @@
   std::set<std::string> already_so_;
   int changes_each_ = 1;
   std::vector<std::pair<std::string, uint64_t>> done_;
-  WriteQueue queue_{settings_, 77, *this, actions_};
+  WriteQueue queue_{
+      settings_, {{std::string(keys::kLeader), 77}}, *this, actions_};
 };
 
 TEST_F(Writes, EachTransactionIsConditionedOnTheLeaderKey) {
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -64,6 +64,23 @@
     Key(w, "t");
     w.Double(r.declared_wall);
   }
+  void operator()(const EpochRecord& r) const {
+    Key(w, "number");
+    w.Uint64(r.number);
+    Field(w, "id", r.id);
+    Key(w, "base");
+    w.Uint64(r.base);
+    Key(w, "whole");
+    w.Bool(r.whole);
+    Key(w, "rebuilt");
+    w.Bool(r.rebuilt);
+    Key(w, "t");
+    w.Double(r.opened_wall);
+  }
+  void operator()(const EpochMark& r) const {
+    Key(w, "number");
+    w.Uint64(r.number);
+  }
 };
 
 }  // namespace
@@ -85,7 +102,19 @@
     TermOf(kFinals, json::GetString(value, "final"), &state);
     return state;
   };
-  if (key == keys::kLeader) {
+  if (key == keys::kEpoch) {
+    EpochRecord epoch;
+    epoch.number = json::GetUint(value, "number");
+    epoch.id = json::GetString(value, "id");
+    epoch.base = json::GetUint(value, "base");
+    epoch.whole = json::GetBool(value, "whole");
+    epoch.rebuilt = json::GetBool(value, "rebuilt");
+    epoch.opened_wall = json::GetDouble(value, "t");
+    if (epoch.number == 0 || epoch.id.empty()) return false;
+    *out = std::move(epoch);
+  } else if (key.starts_with(keys::kEpochMark)) {
+    *out = EpochMark{json::GetUint(value, "number"), 0};
+  } else if (key == keys::kLeader) {
     *out = LeaderRecord{json::GetString(value, "node"),
                         json::GetString(value, "incarnation"), 0};
   } else if (key.starts_with(keys::kJob)) {
