--- a/app/election.cc
+++ b/app/election.cc
@@ -141,18 +141,16 @@
         next_promise_ = now + lease_s_ / 5;
         for (const auto& peer : peers_) net::Spawn(AskPromise(peer.get()));
       }
-    } else if (follower_.synced() && recovery_.trust().MaySeek() &&
+    } else if (follower_.synced() && recovery_.MaySeek() &&
                leadership_.MaySeek(now)) {
       const LeaderRecord& leader = catalog_.leader();
       // The key names this controller's former life: it is certainly dead, so
       // nobody has to wait for its lease.
-      // Or this life's, whose lease the state service has lost: the key would
-      // stand for ever.
-      const bool mine =
-          leader.stamp > 0 && leader.node == settings_.node &&
-          (leader.incarnation != incarnation_ ||
-           (recovery_.on() && now > stepped_down_ + 2 * lease_s_));
-      if (mine ||
+      const bool mine = leader.stamp > 0 && leader.node == settings_.node &&
+                        leader.incarnation != incarnation_;
+      // A key whose lease is lost would stand for ever.
+      const bool orphan = leader.stamp > 0 && leader.stamp == orphan_stamp_;
+      if (mine || orphan ||
           (leader.stamp == 0 && fitness_desk_.MaySeek(now - key_free_since_))) {
         co_await Seek();
         if (leadership_.state() == LeaderState::kFollower) {
@@ -182,8 +180,9 @@
   conditions.push_back({key, leadership_.seen()});
   std::vector<KeyChange> changes = founding.changes;
   changes.push_back({key, record});
-  const StateResult won = co_await Take(std::move(conditions),
-                                        std::move(changes), granted.lease_id);
+  const StateResult won =
+      co_await Take(std::move(conditions), std::move(changes), granted.lease_id,
+                    leadership_.seen());
   if (!won.ok()) {
     leadership_.SeekFailed();
     recovery_.GuardFailed(won.failed);
@@ -198,7 +197,34 @@
   spdlog::info("{} won leadership, revision {}", settings_.node, won.revision);
 }
 
-// A lease never ends early, so one that has is lost, perhaps with all else.
+// A lease never ends early, so one that has is lost. If the key is still there
+// as this leader wrote it, nobody else can have taken it.
+net::Task<bool> Election::Retake() {
+  const std::string key(keys::kLeader);
+  const LeaderRecord record{settings_.node, incarnation_, 0};
+  const net::Time sent = loop_.Refresh();
+  const StateResult granted = co_await state_.CreateLease(lease_s_);
+  if (!granted.ok()) co_return false;
+  std::vector<Condition> conditions{{key, leadership_.revision()}};
+  recovery_.AddGuard(&conditions);
+  std::vector<KeyChange> changes{{key, record}};
+  const StateResult won =
+      co_await Take(std::move(conditions), std::move(changes), granted.lease_id,
+                    leadership_.revision());
+  if (!won.ok() || !Valid()) {
+    co_await state_.EndLease(granted.lease_id);
+    co_return false;
+  }
+  seams_.leave_office();
+  leadership_.Rewon(won.revision, granted.lease_id, sent);
+  next_renewal_ = loop_.Now();
+  follower_.Apply(key, record, won.revision);
+  spdlog::info("{} has lost its lease and taken the key again, revision {}",
+               settings_.node, won.revision);
+  co_return true;
+}
+
+// Not there as this leader wrote it: perhaps lost with all else.
 bool Election::LeaseLost(uint64_t lease_id) {
   if (lease_missing_ != lease_id) {
     lease_missing_ = lease_id;
@@ -209,7 +235,7 @@
 
 net::Task<StateResult> Election::Take(std::vector<Condition> conditions,
                                       std::vector<KeyChange> changes,
-                                      uint64_t lease_id) {
+                                      uint64_t lease_id, uint64_t before) {
   StateResult won = co_await state_.Write(
       std::move(conditions), std::move(changes), Urgency::kLease, lease_id);
   if (won.status != StateStatus::kUnknown) co_return won;
@@ -219,7 +245,7 @@
                          ? nullptr
                          : std::get_if<LeaderRecord>(&won.items[0].record);
   if (!won.ok() || seen == nullptr || seen->node != settings_.node ||
-      seen->incarnation != incarnation_) {
+      seen->incarnation != incarnation_ || won.items[0].stamp == before) {
     won.status = StateStatus::kConflict;
   } else {
     won.revision = won.items[0].stamp;
@@ -247,7 +273,8 @@
   changes.push_back({key, record});
   if (!led) leadership_.SeekStarted(0);
   const StateResult won =
-      co_await Take(opening.conditions, std::move(changes), granted.lease_id);
+      co_await Take(opening.conditions, std::move(changes), granted.lease_id,
+                    opening.conditions[1].stamp);
   if (!won.ok()) {
     if (!led) leadership_.SeekFailed();
     co_await state_.EndLease(granted.lease_id);
@@ -279,6 +306,14 @@
   const net::Time sent = loop_.Refresh();
   const uint64_t lease_id = leadership_.lease_id();
   const StateResult result = co_await state_.Renew(lease_id, lease_s_ / 3);
+  if (result.status == StateStatus::kNotFound && recovery_.on() && Valid() &&
+      lease_id == leadership_.lease_id()) {
+    const bool retaken = co_await Retake();
+    if (retaken) {
+      renewing_ = false;
+      co_return;
+    }
+  }
   renewing_ = false;
   if (lease_id != leadership_.lease_id()) co_return;
   if (result.ok()) {
@@ -326,7 +361,6 @@
 void Election::StepDown(const std::string& why) {
   if (leadership_.state() == LeaderState::kFollower) return;
   spdlog::info("{} no longer leads: {}", settings_.node, why);
-  stepped_down_ = loop_.Now();
   leadership_.Lost();
   leadership_.Retire();
   seams_.leave_office();
--- a/app/election.h
+++ b/app/election.h
@@ -38,6 +38,8 @@
   void StateLost();
   // Another controller has opened a new epoch.
   void OtherEpoch();
+  // The leader key of that stamp has outlived its lease.
+  void Orphaned(uint64_t stamp) { orphan_stamp_ = stamp; }
   // Whether it could take office, were the key free.
   bool MayLead();
   // Empty when not known; null when it is this controller or not known.
@@ -57,11 +59,13 @@
   // Opens a new epoch and takes the key in it.
   net::Task<void> Reopen();
   // Whether the transaction that was sent has made this controller leader.
-  // Looks, if it was not answered.
+  // Looks, if it was not answered; `before` is the stamp that the key had.
   net::Task<clients::StateResult> Take(std::vector<Condition> conditions,
                                        std::vector<KeyChange> changes,
-                                       uint64_t lease_id);
+                                       uint64_t lease_id, uint64_t before);
   net::Task<void> Renew();
+  // The lease is lost, and the right stands: the key is written again.
+  net::Task<bool> Retake();
   bool LeaseLost(uint64_t lease_id);
   net::Task<void> AskPromise(clients::PeerClient* peer);
   net::Task<void> MeetPeers();
@@ -79,8 +83,8 @@
   RecoveryDesk& recovery_;
   Seams seams_;
   Leadership leadership_;
-  net::Time met_from_;  // when the others began to be asked who leads
-  net::Time stepped_down_ = -1e9;
+  net::Time met_from_;          // when the others began to be asked who leads
+  uint64_t orphan_stamp_ = 0;   // of a leader key that is nobody's
   uint64_t lease_missing_ = 0;  // once: a lease that ended before its time
   bool meeting_ = false;
   bool reopening_ = false;
--- a/app/node.cc
+++ b/app/node.cc
@@ -65,6 +65,7 @@
                 {[this] { election_.StateLost(); },
                  [this] { election_.OtherEpoch(); },
                  [this] { return dealings_.Leading() != nullptr; },
+                 [this](uint64_t stamp) { election_.Orphaned(stamp); },
                  [this](uint64_t revision, const auto& event) {
                    dealings_.Tell(revision, event);
                  }}),
--- a/app/recovery_desk.cc
+++ b/app/recovery_desk.cc
@@ -55,6 +55,8 @@
 void RecoveryDesk::Start() {
   if (!on()) return;
   state_.on_step_back = [this] { Sign(LossSign::kStepBack); };
+  leader_heard_ = loop_.Now();
+  net::Spawn(Introduce());
   net::Spawn(CheckLoop());
   if (tuning_.recovery_pages > 0) net::Spawn(AuditLoop());
 }
@@ -204,6 +206,9 @@
     }
     const CheckSays says = co_await Check();
     if (says == CheckSays::kGone) Sign(LossSign::kEpochMissing);
+    if (says == CheckSays::kStands && !seams_.leading()) {
+      co_await WatchLeader();
+    }
   }
 }
 
@@ -279,6 +284,7 @@
     case LossSign::kRecordMissing:
       co_return co_await LookForRecord(key);
     case LossSign::kStepBack:
+    case LossSign::kEpochMissing:
       co_return co_await LookForNewest();
     default:
       co_return CheckSays::kStands;
@@ -334,17 +340,94 @@
 }
 
 net::Task<bool> RecoveryDesk::Orphaned(const clients::KeyValue& leader) {
-  // Asking lengthens a lease that is there, so it is asked seldom.
-  const double patience = settings_.workers.lease_s;
-  if (leader.stamp != leader_stamp_) {
+  // Asking lengthens a lease that is there, so each controller asks once, when
+  // the lease of one that is gone must have ended.
+  const double ttl = tuning_.leader_lease_ratio * settings_.workers.lease_s;
+  constexpr double kPatience = 1.2;
+  constexpr double kAgain = 10;  // worker leases
+  const uint64_t lease = leader.lease;
+  const net::Time now = loop_.Now();
+  if (leader.stamp != leader_stamp_ ||
+      now > leader_since_ + kAgain * settings_.workers.lease_s) {
     leader_stamp_ = leader.stamp;
-    leader_since_ = loop_.Now();
+    leader_since_ = now;
+    leader_probed_ = false;
+  }
+  if (leader_probed_ || now < leader_since_ + kPatience * ttl) co_return false;
+  leader_probed_ = true;
+  const StateResult there = co_await state_.Renew(lease, ttl / 3);
+  if (there.status == StateStatus::kNotFound) {
+    leader_probed_ = false;  // as surely the next time
+    co_return true;
+  }
+  if (!there.ok()) leader_probed_ = false;
+  co_return false;
+}
+
+net::Task<void> RecoveryDesk::Introduce() {
+  const double pause = kRoundPause * settings_.workers.report_s;
+  while (!introduced_) {
+    const std::vector<PeerMessage> answers = co_await AskAll();
+    const EpochRecord& mine = catalog_.epoch();
+    uint64_t term = 0;
+    bool elder = false;
+    for (const PeerMessage& a : answers) {
+      elder = elder || a.done > mine.number ||
+              (a.done == mine.number && a.done > 0 && a.text != mine.id);
+      if (a.text == mine.id) term = std::max(term, a.stamp);
+    }
+    // Somebody remembers another state service than the one that is read here:
+    // it will open a new epoch, and nothing may be founded beside it.
+    if (elder || (mine.number == 0 && follower_.ever_synced() && term > 0)) {
+      co_await loop_.Sleep(pause);
+      continue;
+    }
+    // How jobs have ended is followed from the start on; what was before that
+    // the others know, and the state service may lose it once they are gone.
+    for (const auto& peer : peers_) co_await GatherEnds(peer.get());
+    introduced_ = true;
+    if (mine.number == 0 || term <= HighestTerm()) break;
+    const CheckSays says = co_await Check();
+    if (says == CheckSays::kStands && term > HighestTerm()) {
+      state_.Restart(term - mine.base);
+      Sign(LossSign::kStepBack);
+    }
   }
-  if (loop_.Now() < leader_since_ + patience) co_return false;
-  leader_since_ = loop_.Now();
-  const StateResult lease =
-      co_await state_.Renew(leader.lease, kAskRatio * patience);
-  co_return lease.status == StateStatus::kNotFound;
+}
+
+net::Task<void> RecoveryDesk::WatchLeader() {
+  const LeaderRecord leader = catalog_.leader();
+  clients::PeerClient* named = nullptr;
+  for (const auto& peer : peers_) {
+    if (peer->name() == leader.node) named = peer.get();
+  }
+  if (named == nullptr || leader.stamp == 0) {
+    leader_heard_ = loop_.Now();
+    co_return;
+  }
+  PeerMessage hello;
+  hello.kind = PeerKind::kHello;
+  hello.node = settings_.node;
+  const double ttl = tuning_.leader_lease_ratio * settings_.workers.lease_s;
+  const auto answer = co_await named->Ask(std::move(hello), ttl / 3);
+  if (answer.ok && answer.message.leads) leader_heard_ = loop_.Now();
+  if (loop_.Now() < leader_heard_ + ttl) co_return;
+  const StateResult key =
+      co_await state_.Get(std::string(keys::kLeader), Urgency::kLease);
+  if (!key.ok() || key.items[0].stamp != leader.stamp) co_return;
+  const bool orphaned = co_await Orphaned(key.items[0]);
+  if (orphaned) seams_.orphaned(leader.stamp);
+}
+
+net::Task<bool> RecoveryDesk::AnybodyKnows(std::string id) {
+  PeerMessage ask;
+  ask.kind = PeerKind::kKnown;
+  ask.node = settings_.node;
+  ask.job_id = std::move(id);
+  const std::vector<PeerMessage> answers = co_await AskAll(std::move(ask));
+  co_return std::any_of(answers.begin(), answers.end(), [](const auto& a) {
+    return a.answer == PeerAnswer::kYes;
+  });
 }
 
 net::Task<bool> RecoveryDesk::Prepare(Opening* out, bool led) {
@@ -379,7 +462,7 @@
   uint64_t term = std::max(HighestTerm(), foreign_term_);
   for (const PeerMessage& answer : answers) {
     number = std::max<uint64_t>(number, answer.done);
-    term = std::max(term, answer.stamp);
+    term = std::max({term, answer.stamp, answer.term});
   }
   out->epoch = {
       number + 1,        NewId(),        NextBase(term, net::WallNow()),
@@ -414,38 +497,46 @@
 }
 
 bool RecoveryDesk::Gathered(uint64_t revision) {
+  // By its term: after a second loss the revision may be the same again, and
+  // the leader would wait for ever for what it took to be under way.
+  const uint64_t term = TermOf(catalog_.epoch(), revision);
   if (!on() || catalog_.epoch().number == 0 || catalog_.epoch().rebuilt ||
-      gathered_ == revision) {
+      gathered_ == term) {
     return true;
   }
-  if (gathering_ != revision && follower_.synced()) {
-    gathering_ = revision;
-    net::Spawn(Gather(revision));
+  if (gathering_ != term && follower_.synced()) {
+    gathering_ = term;
+    net::Spawn(Gather(term));
   }
   return false;
 }
 
-net::Task<void> RecoveryDesk::Gather(uint64_t revision) {
+net::Task<void> RecoveryDesk::Gather(uint64_t term) {
   // A controller that was not there before the loss does not know what it, in
   // its former life, may have accepted last.
   bool whole = whole_before_ && first_epoch_ < catalog_.epoch().number;
+  // All ends first: what has ended is not revived by another's older memory.
+  for (const auto& peer : peers_) {
+    const bool told = co_await GatherEnds(peer.get());
+    whole = whole && told;
+  }
+  catalog_.ApplyEnds();
   for (const auto& peer : peers_) {
-    const bool witness = co_await GatherFrom(peer.get());
+    const bool witness = co_await GatherMemory(peer.get());
     whole = whole && witness;
   }
-  if (gathering_ != revision) co_return;
-  gathered_ = revision;
+  if (gathering_ != term || TermOf(catalog_.epoch(), 0) > term) co_return;
+  gathered_ = term;
   spdlog::info(
       "memory gathered: {} jobs, {} machines, {} ends; {} records are owed, {}",
       catalog_.jobs().size(), catalog_.machines().size(),
       catalog_.ended().size(), catalog_.owed().size(),
       whole ? "all controllers were there" : "something may be missing");
-  net::Spawn(CompareEnded(revision, whole));
+  net::Spawn(CompareEnded(term, whole));
 }
 
-net::Task<bool> RecoveryDesk::GatherFrom(clients::PeerClient* peer) {
+net::Task<bool> RecoveryDesk::GatherEnds(clients::PeerClient* peer) {
   const double timeout = kPageRatio * settings_.workers.lease_s;
-  // Ends first: what has ended is not revived by an older memory of it.
   for (const FinalState part : {FinalState::kDone, FinalState::kAborted}) {
     std::string bytes;
     for (bool more = true; more;) {
@@ -463,6 +554,11 @@
     }
     if (!catalog_.ended().Merge(part, bytes)) co_return false;
   }
+  co_return true;
+}
+
+net::Task<bool> RecoveryDesk::GatherMemory(clients::PeerClient* peer) {
+  const double timeout = kPageRatio * settings_.workers.lease_s;
   bool witness = false;
   std::string after;
   for (;;) {
@@ -496,14 +592,14 @@
   co_return witness;
 }
 
-net::Task<void> RecoveryDesk::CompareEnded(uint64_t revision, bool whole) {
+net::Task<void> RecoveryDesk::CompareEnded(uint64_t term, bool whole) {
   const uint64_t epoch = catalog_.epoch().number;
   FinalsIndex there;
   std::string after;
   for (;;) {
     const StateResult page =
         co_await state_.List(std::string(keys::kFinal), after);
-    if (catalog_.epoch().number != epoch || gathered_ != revision) co_return;
+    if (catalog_.epoch().number != epoch || gathered_ != term) co_return;
     if (!page.ok()) {
       co_await loop_.Sleep(kRoundPause * settings_.workers.report_s);
       continue;
@@ -523,8 +619,8 @@
   });
   // The leader may not have taken office yet.
   bool told = false;
-  while (!told && gathered_ == revision) {
-    seams_.tell(TermOf(catalog_.epoch(), revision), [&](Controller& c) {
+  while (!told && gathered_ == term) {
+    seams_.tell(term, [&](Controller& c) {
       told = true;
       c.OnEndsOwed(std::move(owed), whole);
     });
@@ -627,36 +723,41 @@
 
 // --- among the controllers
 
-net::Task<void> RecoveryDesk::AskOne(std::shared_ptr<Ask> ask,
-                                     clients::PeerClient* peer) {
+PeerMessage RecoveryDesk::Ledger() const {
   PeerMessage message;
   message.kind = PeerKind::kLedger;
   message.node = settings_.node;
   message.done = static_cast<uint32_t>(catalog_.epoch().number);
   message.text = catalog_.epoch().id;
+  message.term = foreign_term_;
   if (!trust_.MaySeek()) {
     message.running = static_cast<uint32_t>(trust_.sign());
     message.job_id = sign_key_;
-    message.stamp = foreign_term_;
   }
+  return message;
+}
+
+net::Task<void> RecoveryDesk::AskOne(std::shared_ptr<Ask> ask,
+                                     clients::PeerClient* peer,
+                                     PeerMessage message) {
   const auto answer = co_await peer->Ask(std::move(message),
                                          kAskRatio * settings_.workers.lease_s);
   if (answer.ok) ask->answers.push_back(answer.message);
   if (--ask->left == 0) ask->done.Set();
 }
 
-net::Task<std::vector<PeerMessage>> RecoveryDesk::AskAll() {
+net::Task<std::vector<PeerMessage>> RecoveryDesk::AskAll(PeerMessage message) {
   if (peers_.empty()) co_return std::vector<PeerMessage>{};
   auto ask = std::make_shared<Ask>(loop_);
   ask->left = peers_.size();
-  for (const auto& peer : peers_) net::Spawn(AskOne(ask, peer.get()));
+  for (const auto& peer : peers_) net::Spawn(AskOne(ask, peer.get(), message));
   co_await ask->done.Wait(1.5 * kAskRatio * settings_.workers.lease_s);
   co_return ask->answers;
 }
 
 bool RecoveryDesk::Takes(PeerKind kind) {
   return kind == PeerKind::kLedger || kind == PeerKind::kMemory ||
-         kind == PeerKind::kEnded;
+         kind == PeerKind::kEnded || kind == PeerKind::kKnown;
 }
 
 net::Task<void> RecoveryDesk::OnPeer(PeerMessage message, PeerMessage* reply) {
@@ -675,13 +776,24 @@
       if (sign == LossSign::kRecordMissing || sign == LossSign::kUnknownTask) {
         Sign(sign, message.job_id);
       }
-      TermSeen(message.stamp);
+      TermSeen(message.term);
       CheckSays says = CheckSays::kNoAnswer;
       if (number > 0) says = co_await Check();
-      if (says == CheckSays::kGone) Sign(LossSign::kEpochMissing);
+      // One who doubts asks for more than a revision, which may have grown past
+      // what was lost.
+      if (says == CheckSays::kStands && sign != LossSign::kNone) {
+        says = co_await LookForNewest();
+      }
+      if (says == CheckSays::kGone) Sign(LossSign::kStepBack);
       FillLedger(says, reply);
       break;
     }
+    case PeerKind::kKnown:
+      if (catalog_.FindJob(message.job_id) != nullptr ||
+          catalog_.FindFinal(message.job_id) != FinalState::kNone) {
+        reply->answer = PeerAnswer::kYes;
+      }
+      break;
     case PeerKind::kMemory:
       FillMemory(message.job_id, reply);
       break;
@@ -696,7 +808,9 @@
 void RecoveryDesk::FillLedger(CheckSays says, PeerMessage* reply) const {
   if (says == CheckSays::kStands) reply->answer = PeerAnswer::kYes;
   reply->done = static_cast<uint32_t>(catalog_.epoch().number);
-  reply->stamp = std::max(HighestTerm(), foreign_term_);
+  reply->text = catalog_.epoch().id;
+  reply->stamp = HighestTerm();
+  reply->term = foreign_term_;
 }
 
 void RecoveryDesk::FillMemory(const std::string& after, PeerMessage* reply) {
--- a/app/recovery_desk.h
+++ b/app/recovery_desk.h
@@ -29,6 +29,8 @@
     // An epoch that this controller has not opened: who led before does not.
     std::function<void()> other_epoch;
     std::function<bool()> leading;
+    // The leader key of that stamp is nobody's.
+    std::function<void(uint64_t stamp)> orphaned;
     std::function<void(uint64_t revision,
                        const std::function<void(Controller&)>&)>
         tell;
@@ -41,8 +43,21 @@
 
   bool on() const { return tuning_.recovery_checks > 0; }
   const Trust& trust() const { return trust_; }
+  // Whether a leader key that is free, or not there, means that nobody leads.
+  bool MaySeek() const { return !on() || (introduced_ && trust_.MaySeek()); }
+  // Whether any controller knows of the job. For one who is about to deny it.
+  net::Task<bool> AnybodyKnows(std::string id);
   // Whether a job that is neither recorded nor remembered may be denied.
   bool MayDeny() const;
+  // Whether a live record that was read here, of that stamp, says how its job
+  // stands. One from before an epoch may be an older copy, of a job whose end
+  // is remembered elsewhere.
+  bool MayTellLive(uint64_t stamp) const {
+    if (!on()) return true;
+    return introduced_ && (trust_.state() == TrustState::kSound ||
+                           (trust_.state() == TrustState::kRebuilding &&
+                            stamp > catalog_.opened()));
+  }
   // Whether a submission may be accepted here.
   bool MayAccept() const { return !on() || trust_.MayAccept(seams_.leading()); }
 
@@ -97,6 +112,11 @@
 
   // Whether nobody can hold the key any more: it has outlived its lease.
   net::Task<bool> Orphaned(const clients::KeyValue& leader);
+  // As a newcomer: others may remember more than the state service holds.
+  net::Task<void> Introduce();
+  // Whether the named leader is there; a key may outlive its holder and its
+  // lease.
+  net::Task<void> WatchLeader();
   net::Task<void> CheckLoop();
   net::Task<void> LookAtTerm();
   net::Task<void> AuditLoop();
@@ -113,11 +133,18 @@
   net::Task<CheckSays> LookForNewest();
   // Whether a job has neither a live record nor an end.
   net::Task<CheckSays> LookForJob(std::string id);
-  net::Task<std::vector<clients::PeerMessage>> AskAll();
-  net::Task<void> AskOne(std::shared_ptr<Ask> ask, clients::PeerClient* peer);
-  net::Task<void> Gather(uint64_t revision);
-  net::Task<bool> GatherFrom(clients::PeerClient* peer);
-  net::Task<void> CompareEnded(uint64_t revision, bool whole);
+  net::Task<std::vector<clients::PeerMessage>> AskAll(
+      clients::PeerMessage message);
+  net::Task<std::vector<clients::PeerMessage>> AskAll() {
+    return AskAll(Ledger());
+  }
+  net::Task<void> AskOne(std::shared_ptr<Ask> ask, clients::PeerClient* peer,
+                         clients::PeerMessage message);
+  clients::PeerMessage Ledger() const;
+  net::Task<void> Gather(uint64_t term);
+  net::Task<bool> GatherEnds(clients::PeerClient* peer);
+  net::Task<bool> GatherMemory(clients::PeerClient* peer);
+  net::Task<void> CompareEnded(uint64_t term, bool whole);
   void FillLedger(CheckSays says, clients::PeerMessage* reply) const;
   void FillMemory(const std::string& after, clients::PeerMessage* reply);
   void FillEnded(const clients::PeerMessage& ask, clients::PeerMessage* reply);
@@ -137,6 +164,9 @@
   std::string other_id_;
   uint64_t leader_stamp_ = 0;  // of a leader key in lost data, and since when
   net::Time leader_since_ = 0;
+  bool leader_probed_ = false;
+  net::Time leader_heard_ = 0;  // the named one, saying that it leads
+  bool introduced_ = false;
   uint64_t foreign_term_ = 0;  // the highest a worker has shown
   uint64_t seen_epoch_ = 0;
   // The first epoch that this process has known: of what was lost before, it
@@ -145,7 +175,7 @@
   bool whole_before_ = true;  // the epoch before this one was
   bool whole_now_ = true;
   net::Time founded_ = -1e9;  // when a first epoch was seen to be young
-  uint64_t gathered_ = 0;     // for the leader of that revision
+  uint64_t gathered_ = 0;     // for the leader of that term
   uint64_t gathering_ = 0;
   std::vector<std::string> memory_keys_;  // as it is being sent, in pages
   std::string ended_part_;                // as it is being sent, in pieces
--- a/app/users.cc
+++ b/app/users.cc
@@ -132,6 +132,16 @@
     dealings_.Perform();
     const auto* job = std::get_if<JobRecord>(&live.items[0].record);
     if (job == nullptr) co_return status;
+    if (recovery_.on() && job->final_state == FinalState::kNone &&
+        catalog_.FindJob(id) == nullptr) {
+      // The watch has passed it, and it was deleted: an older copy is back.
+      recovery_.Sign(LossSign::kStepBack);
+      co_return status;
+    }
+    if (job->final_state == FinalState::kNone &&
+        !recovery_.MayTellLive(live.items[0].stamp)) {
+      co_return status;
+    }
     status.found = api::Status::Found::kYes;
     if (job->final_state != FinalState::kNone) {
       status.status = WordOf(job->final_state);
@@ -178,6 +188,11 @@
   }
   const CheckSays says = co_await recovery_.Check();
   if (says != CheckSays::kStands || !recovery_.MayDeny()) co_return status;
+  const bool known = co_await recovery_.AnybodyKnows(id);
+  if (known || !recovery_.MayDeny()) {
+    recovery_.Sign(LossSign::kRecordMissing, keys::Of(keys::kJob, id));
+    co_return status;
+  }
   status.found = api::Status::Found::kNo;
   co_return status;
 }
--- a/clients/peer.h
+++ b/clients/peer.h
@@ -31,6 +31,7 @@
   kStandAside,  // another has agreed to: let it go first
   kLedger,      // what do you find in the state service at this moment?
   kMemory,      // a page of what you remember, after that key
+  kKnown,       // do you know of this job?
   kEnded,       // how the jobs that you know to have ended did end
 };
 
@@ -49,10 +50,11 @@
   std::string text;  // a status word, or a record
   uint32_t done = 0;
   uint32_t running = 0;
+  uint64_t term = 0;  // the highest that a worker has shown
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(kind, answer, leads, request, stamp, done, running);
+    archive(kind, answer, leads, request, stamp, done, running, term);
     for (std::string* field : {&node, &job_id, &text}) {
       // The length is checked before it is believed: cereal's own string
       // support would allocate whatever a broken frame says.
@@ -65,7 +67,7 @@
   }
 };
 
-inline constexpr uint8_t kPeerVersion = 1;
+inline constexpr uint8_t kPeerVersion = 2;
 
 std::string EncodeFrame(const PeerMessage& message);
 
--- a/core/controller/catalog.cc
+++ b/core/controller/catalog.cc
@@ -111,12 +111,23 @@
   }
   if (owed_.contains(key)) return PutOverOwed(key, record, stamp);
   const uint64_t known = StampOf(key);
+  const auto* job = std::get_if<JobRecord>(&record);
+  if (job != nullptr && job->final_state != FinalState::kNone) {
+    const std::string id = key.substr(keys::kJob.size());
+    RememberEnd(id, {job->final_state, job->spec->tasks, 0});
+    // An end that was read may have been told, so it is never set aside for a
+    // live record that looks newer: the service has gone back since that one.
+    const auto live = jobs_.find(id);
+    if (live != jobs_.end() && live->second.final_state == FinalState::kNone) {
+      Store(key, record, stamp);
+      return true;
+    }
+  }
   if (known >= stamp) return false;
   // The watch has passed this revision and the key is not there: it has been
   // deleted since, and this value comes from an older read.
   if (known == 0 && stamp <= followed_) return false;
   Store(key, record, stamp);
-  const auto* job = std::get_if<JobRecord>(&record);
   if (job != nullptr && job->final_state == FinalState::kNone &&
       epoch_.number > 1 && stamp <= opened()) {
     // An older copy has come back, and the job has ended since.
@@ -224,6 +235,16 @@
   return true;
 }
 
+void Catalog::ApplyEnds() {
+  for (auto& [id, job] : jobs_) {
+    if (job.final_state != FinalState::kNone) continue;
+    job.final_state = ended_.Find(id);
+    if (job.final_state == FinalState::kNone) continue;
+    std::string key = keys::Of(keys::kJob, id);
+    owed_.try_emplace(key, VersionOf(key));
+  }
+}
+
 std::vector<std::string> Catalog::NewestKeys(size_t count) const {
   std::vector<std::pair<uint64_t, std::string>> all;
   const auto collect = [&](const auto& map, std::string_view prefix) {
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -92,6 +92,8 @@
   const std::map<std::string, Version>& owed() const { return owed_; }
   // Takes in what another controller remembers. False when it is no news.
   bool Remember(const std::string& key, const Record& record, Version version);
+  // Ends that others know of have been added: no job that has one stays live.
+  void ApplyEnds();
   Version VersionOf(const std::string& key) const;
   // monostate if it is not known.
   Record RecordOf(const std::string& key) const;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -43,7 +43,9 @@
     };
     cloud_.on_delete = [this](const std::string& host) {
       for (const auto& w : workers) {
-        if (w->host() == host) w->Die();
+        if (w->host() != host) continue;
+        deleted_alive_ += w->present() > 0;
+        w->Die();
       }
       std::erase_if(workers, [&](const auto& w) {
         if (w->host() != host) return false;
@@ -154,7 +156,8 @@
     for (const auto& w : workers) n += w->sessions_lost();
     return n;
   }
-  size_t deleted() const { return buried_.size(); }
+  // Machines with living tasks.
+  int deleted_alive() const { return deleted_alive_; }
 
   int Well(const std::string& job) const {
     int n = 0;
@@ -219,6 +222,7 @@
   std::vector<std::unique_ptr<net::HttpClient>> clients_;
   std::vector<std::shared_ptr<FakeWorker>> buried_;
   size_t next_ = 0;
+  int deleted_alive_ = 0;
   int added_ = 0;
 };
 
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -8,10 +8,10 @@
 #include <map>
 
 #include "app/node.h"
-#include "wire/json.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "tests/stand_ins.h"
+#include "wire/json.h"
 
 // Servers run until their process ends, so a test that stops its loop leaves
 // their suspended coroutines behind.
--- a/tests/recovery_test.cc
+++ b/tests/recovery_test.cc
@@ -205,6 +205,24 @@
       catalog_.Remember(JobKey("job-000001"), JobOf("job-000001"), {1, 10}));
 }
 
+// One that lagged behind tells its memory before another tells of the end.
+TEST_F(Remembering, AnEndThatOthersKnowOfIsAppliedToWhatLives) {
+  OpenEpoch(catalog_, 2, 3);
+  catalog_.ended().Add("job-000001", FinalState::kAborted);
+  catalog_.ApplyEnds();
+  EXPECT_EQ(EndOf("job-000001"), FinalState::kAborted);
+  EXPECT_TRUE(catalog_.owed().contains(JobKey("job-000001")));
+  EXPECT_EQ(EndOf("job-000002"), FinalState::kNone);
+}
+
+// It may have been told to its user, in a service that had stepped back.
+TEST_F(Remembering, AnEndThatWasReadIsNeverSetAside) {
+  EXPECT_TRUE(catalog_.Put(JobKey("job-000002"),
+                           JobOf("job-000002", FinalState::kAborted), 15));
+  EXPECT_EQ(EndOf("job-000002"), FinalState::kAborted);
+  EXPECT_EQ(catalog_.FindFinal("job-000002"), FinalState::kAborted);
+}
+
 TEST_F(Remembering, WithinAnEpochTheHigherStampWins) {
   OpenEpoch(catalog_, 2, 3);
   EXPECT_FALSE(
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -7,10 +7,10 @@
 #include <cstdlib>
 #include <ctime>
 
-#include "wire/rollout_json.h"
 #include "core/rollout/latency.h"
 #include "script/verdict.h"
 #include "tests/sim.h"
+#include "wire/rollout_json.h"
 
 namespace oxbow::test {
 namespace {
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -6,8 +6,8 @@
 #include <fstream>
 #include <sstream>
 
-#include "wire/names.h"
 #include "tests/sim.h"
+#include "wire/names.h"
 
 namespace oxbow::test {
 namespace {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -6,8 +6,8 @@
 #include <cstdio>
 #include <fstream>
 
-#include "wire/job_json.h"
 #include "app/options.h"
+#include "wire/job_json.h"
 #include "wire/worker_json.h"
 
 namespace oxbow {
@@ -168,8 +168,7 @@
   EXPECT_FALSE(r.notice_s);
   // A task that can't be understood must not look like one that is not there.
   WorkerReport bad;
-  EXPECT_FALSE(
-      wire::ParseReport(Replace(good, "job-000412/3", "job"), &bad));
+  EXPECT_FALSE(wire::ParseReport(Replace(good, "job-000412/3", "job"), &bad));
   EXPECT_FALSE(wire::ParseReport("[]", &bad));
 }
 
--- a/tests/stand_ins.cc
+++ b/tests/stand_ins.cc
@@ -429,6 +429,12 @@
       }));
 }
 
+int FakeWorker::present() const {
+  return static_cast<int>(
+      std::count_if(instances_.begin(), instances_.end(),
+                    [&](const auto& e) { return !dead_ && !e.second.exited; }));
+}
+
 Task<HttpResponse> FakeWorker::Health(HttpRequest request) {
   HttpResponse response;
   response.status = 404;
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -130,6 +130,7 @@
   // Instances of the job that are well, by the worker's own account.
   int Well(const std::string& job) const;
   int Present(const std::string& job) const;
+  int present() const;  // of all jobs
   // Instances that run and are not well.
   int Sick(const std::string& job) const;
 
