--- a/app/recovery_desk.cc
+++ b/app/recovery_desk.cc
@@ -249,6 +249,14 @@
                                                         : CheckSays::kGone;
 }
 
+net::Task<bool> RecoveryDesk::Finds(std::string key) {
+  const StateResult there = co_await state_.Get(key, Urgency::kLeader);
+  if (there.ok() || !key.starts_with(keys::kJob)) co_return there.ok();
+  const StateResult ended = co_await state_.Get(
+      keys::Of(keys::kFinal, key.substr(keys::kJob.size())), Urgency::kLeader);
+  co_return ended.ok();
+}
+
 // A revision that has stepped back may have grown past what was seen before
 // anybody looks again; what was recorded in between is missing all the same.
 net::Task<CheckSays> RecoveryDesk::LookForNewest() {
@@ -260,7 +268,10 @@
   CheckSays all = CheckSays::kStands;
   for (const std::string& key : looked) {
     const CheckSays says = co_await LookForRecord(key);
-    if (says == CheckSays::kGone) co_return says;
+    if (says == CheckSays::kGone) {
+      sign_key_ = key;  // what another is asked for
+      co_return says;
+    }
     if (says == CheckSays::kNoAnswer) all = says;
   }
   co_return all;
@@ -494,6 +505,9 @@
     follower_.Apply(opening.changes[i].key, opening.changes[i].record,
                     revision);
   }
+  // Until the others know of it they follow nothing, and what is recorded now
+  // is remembered here alone.
+  net::Spawn(SpreadWord());
 }
 
 bool RecoveryDesk::Gathered(uint64_t revision) {
@@ -784,6 +798,12 @@
       if (says == CheckSays::kStands && sign != LossSign::kNone) {
         says = co_await LookForNewest();
       }
+      // A newcomer knows nothing of what is missed, and may read as far by now:
+      // it stands by what it finds.
+      if (says == CheckSays::kStands && !message.job_id.empty()) {
+        const bool found = co_await Finds(message.job_id);
+        if (!found) says = CheckSays::kNoAnswer;
+      }
       if (says == CheckSays::kGone) Sign(LossSign::kStepBack);
       FillLedger(says, reply);
       break;
--- a/app/recovery_desk.h
+++ b/app/recovery_desk.h
@@ -129,7 +129,9 @@
   net::Task<CheckSays> Examine();
   // Whether a record that is known here is gone, or older there.
   net::Task<CheckSays> LookForRecord(std::string key);
-  // The same of what changed last.
+  // Whether the state service holds it, a job's end included.
+  net::Task<bool> Finds(std::string key);
+  // Whether any of what changed last is gone, or older there.
   net::Task<CheckSays> LookForNewest();
   // Whether a job has neither a live record nor an end.
   net::Task<CheckSays> LookForJob(std::string id);
