Keepers: workers kept alive while nobody can lead, restarts in a fraction of a second

Answering reports without orders is no longer tied to leading. A starting controller takes a free key as a keeper until it is proven that nobody rests on a promise; in an outage tenders hold everybody's short promise not to seek. A leader by promises takes no session for over.

--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -118,7 +118,7 @@
     co_await loop_.Sleep(kTick * settings_.workers.report_s);
     if (Leading() == nullptr) continue;
     Tell(controller_->revision(),
-         [this](Controller& c) { c.Tick(loop_.Now()); });
+         [this](Controller& c) { c.Tick(loop_.Now(), election_.ByLease()); });
   }
 }
 
--- a/app/election.cc
+++ b/app/election.cc
@@ -19,6 +19,9 @@
 // Shares of the workers' lease.
 constexpr double kPromiseRatio = 0.6;
 constexpr double kPromiseWaitRatio = 0.15;
+// Of the leader's lease: how long a free key is left to those who may lead by
+// one who could only keep it.
+constexpr double kLeadersFirst = 0.1;
 
 std::string NewIncarnation() {
   std::random_device device;
@@ -51,7 +54,8 @@
       recovery_(recovery),
       seams_(std::move(seams)),
       leadership_(PeerNames(settings), lease_s_,
-                  kPromiseRatio * settings.workers.lease_s, loop.Now()),
+                  kPromiseRatio * settings.workers.lease_s,
+                  tuning.keeper_ratio * settings.workers.lease_s, loop.Now()),
       met_from_(loop.Now()) {}
 
 void Election::Start() {
@@ -66,6 +70,64 @@
   co_return leadership_.AskedToPromise(fails, loop_.Refresh());
 }
 
+net::Task<bool> Election::PromiseToTender(const PeerMessage& ask) {
+  const std::string node = ask.node;
+  const std::string life = ask.text;
+  const uint64_t number = ask.stamp;
+  co_await ProbeState();
+  const bool fails = state_.Failing() || !recovery_.trust().MaySeek();
+  co_return leadership_.AskedToTend(node, life, number, fails, loop_.Refresh());
+}
+
+bool Election::Keeps(uint64_t term) {
+  const net::Time now = loop_.Refresh();
+  if (leadership_.state() == LeaderState::kKeeping) {
+    // A worker that knows a later leader is not this one's to keep.
+    return term < TermOf(catalog_.epoch(), leadership_.revision()) &&
+           leadership_.Keeps(now);
+  }
+  constexpr double kWanted = 2;  // reports
+  wanted_until_ = now + kWanted * settings_.workers.report_s;
+  return leadership_.Keeps(now);
+}
+
+void Election::Tend(net::Time now) {
+  if (leadership_.tend_s() <= 0) return;
+  if (!state_.Failing()) {
+    const uint64_t number = leadership_.TendOver(now);
+    if (number == 0) return;
+    for (const auto& peer : peers_) {
+      PeerMessage over;
+      over.kind = PeerKind::kTendOver;
+      over.node = settings_.node;
+      over.text = incarnation_;
+      over.stamp = number;
+      net::Spawn(peer->Tell(std::move(over)));
+    }
+    return;
+  }
+  if (now >= wanted_until_ || now < next_tend_) return;
+  constexpr double kAgain = 0.25;
+  next_tend_ = now + kAgain * leadership_.tend_s();
+  const uint64_t number = leadership_.TendAsked(now);
+  for (const auto& peer : peers_) {
+    net::Spawn(AskToTend(peer.get(), number, now));
+  }
+}
+
+net::Task<void> Election::AskToTend(clients::PeerClient* peer, uint64_t number,
+                                    net::Time sent) {
+  PeerMessage ask;
+  ask.kind = PeerKind::kTend;
+  ask.node = settings_.node;
+  ask.text = incarnation_;
+  ask.stamp = number;
+  const auto answer = co_await peer->Ask(ask, leadership_.tend_s());
+  if (answer.ok && answer.message.answer == PeerAnswer::kYes) {
+    leadership_.TendGranted(peer->name(), sent);
+  }
+}
+
 std::string Election::LeaderName() const {
   return catalog_.leader().stamp > 0 ? catalog_.leader().node : std::string();
 }
@@ -91,10 +153,9 @@
       hello.kind = PeerKind::kHello;
       hello.node = settings_.node;
       const auto answer = co_await peer->Ask(hello, pause);
-      if (answer.ok && !answer.message.leads) {
-        leadership_.PeerDoesNotLead(peer->name());
-      }
+      if (answer.ok) leadership_.PeerIs(peer->name(), answer.message.role);
     }
+    met_once_ = true;
     co_await loop_.Sleep(pause);
   }
   meeting_ = false;
@@ -102,6 +163,9 @@
 
 void Election::StateLost() {
   if (Valid()) return;  // nobody else can lead; it opens the epoch itself
+  if (leadership_.state() == LeaderState::kKeeping) {
+    StepDown("the state service has lost data");
+  }
   met_from_ = loop_.Now();
   leadership_.Forget(met_from_);
   net::Spawn(MeetPeers());
@@ -141,8 +205,15 @@
         next_promise_ = now + lease_s_ / 5;
         for (const auto& peer : peers_) net::Spawn(AskPromise(peer.get()));
       }
+    } else if (leadership_.state() == LeaderState::kKeeping) {
+      if (leadership_.Promote(now)) {
+        spdlog::info("{} leads, nobody rests on a promise", settings_.node);
+        continue;
+      }
+      if (!renewing_ && now >= next_renewal_) net::Spawn(Renew());
     } else if (follower_.synced() && recovery_.MaySeek() &&
-               leadership_.MaySeek(now)) {
+               (leadership_.MaySeek(now) || leadership_.MayKeep(now))) {
+      const bool proven = leadership_.MaySeek(now);
       const LeaderRecord& leader = catalog_.leader();
       // The key names this controller's former life: it is certainly dead, so
       // nobody has to wait for its lease.
@@ -150,9 +221,14 @@
                         leader.incarnation != incarnation_;
       // A key whose lease is lost would stand for ever.
       const bool orphan = leader.stamp > 0 && leader.stamp == orphan_stamp_;
-      if (mine || orphan ||
-          (leader.stamp == 0 && fitness_desk_.MaySeek(now - key_free_since_))) {
-        co_await Seek();
+      const double free_for = now - key_free_since_;
+      const bool own = mine && !leader.keeping && met_once_ &&
+                       leadership_.tend_s() > 0 && leadership_.OwnProven(now);
+      const bool first =
+          proven || free_for >= kLeadersFirst * lease_s_ || (mine && met_once_);
+      if ((first && mine) || (proven && orphan) ||
+          (first && leader.stamp == 0 && fitness_desk_.MaySeek(free_for))) {
+        co_await Seek(proven || own);
         if (leadership_.state() == LeaderState::kFollower) {
           std::uniform_real_distribution<double> jitter(0.02, 0.1);
           co_await loop_.Sleep(lease_s_ * jitter(random));
@@ -160,11 +236,12 @@
         continue;
       }
     }
+    if (leadership_.state() == LeaderState::kFollower) Tend(now);
     co_await loop_.Sleep(lease_s_ / 50);
   }
 }
 
-net::Task<void> Election::Seek() {
+net::Task<void> Election::Seek(bool leads) {
   leadership_.SeekStarted(catalog_.leader().stamp);
   const net::Time sent = loop_.Refresh();
   StateResult granted = co_await state_.CreateLease(lease_s_);
@@ -173,7 +250,7 @@
     co_return;
   }
   const std::string key(keys::kLeader);
-  const LeaderRecord record{settings_.node, incarnation_, 0};
+  const LeaderRecord record{settings_.node, incarnation_, 0, !leads};
   const RecoveryDesk::Opening founding = recovery_.Found();
   std::vector<Condition> conditions = founding.conditions;
   if (conditions.empty()) recovery_.AddGuard(&conditions);
@@ -190,18 +267,24 @@
     co_await state_.EndLease(granted.lease_id);
     co_return;
   }
-  leadership_.Won(won.revision, granted.lease_id, sent);
+  leadership_.Won(won.revision, granted.lease_id, sent, leads);
   next_renewal_ = loop_.Now();
   recovery_.Opened(founding, won.revision);
   follower_.Apply(key, record, won.revision);
-  spdlog::info("{} won leadership, revision {}", settings_.node, won.revision);
+  if (leads) {
+    spdlog::info("{} won leadership, revision {}", settings_.node,
+                 won.revision);
+  } else {
+    spdlog::info("{} keeps the workers until it may lead, revision {}",
+                 settings_.node, won.revision);
+  }
 }
 
 // A lease never ends early, so one that has is lost. If the key is still there
 // as this leader wrote it, nobody else can have taken it.
 net::Task<bool> Election::Retake() {
   const std::string key(keys::kLeader);
-  const LeaderRecord record{settings_.node, incarnation_, 0};
+  const LeaderRecord record{settings_.node, incarnation_, 0, false};
   const net::Time sent = loop_.Refresh();
   const StateResult granted = co_await state_.CreateLease(lease_s_);
   if (!granted.ok()) co_return false;
@@ -268,7 +351,7 @@
   const StateResult granted = co_await state_.CreateLease(lease_s_);
   if (!granted.ok()) co_return;
   const std::string key(keys::kLeader);
-  const LeaderRecord record{settings_.node, incarnation_, 0};
+  const LeaderRecord record{settings_.node, incarnation_, 0, false};
   std::vector<KeyChange> changes = opening.changes;
   changes.push_back({key, record});
   if (!led) leadership_.SeekStarted(0);
--- a/app/election.h
+++ b/app/election.h
@@ -47,15 +47,31 @@
   clients::PeerClient* LeaderPeer();
 
   // --- as one who is asked
-  bool SaysItLeads() const {
-    return leadership_.state() == LeaderState::kLeading ||
-           leadership_.state() == LeaderState::kProlonged;
-  }
+  LeaderRole Role() const { return leadership_.Role(loop_.Now()); }
   net::Task<bool> Promise();
+  net::Task<bool> PromiseToTender(const clients::PeerMessage& ask);
+  void TendReleased(const clients::PeerMessage& over) {
+    leadership_.TendReleased(over.node, over.text, over.stamp);
+  }
+
+  // --- keeping workers alive while nobody leads
+  // Whether a report of a worker that has seen a token of that term may be
+  // answered here, without orders. Its asking is what tenders begin for.
+  bool Keeps(uint64_t term);
+  // Whether the right to lead rests on the lease of the key, not on promises.
+  bool ByLease() {
+    return leadership_.Valid(loop_.Refresh()) &&
+           leadership_.state() == LeaderState::kLeading;
+  }
 
  private:
   net::Task<void> Run();
-  net::Task<void> Seek();
+  // `leads`: it is proven that it may, as far as is known now.
+  net::Task<void> Seek(bool leads);
+  // Asks to be let tend while it is wanted, and lets go once it is not.
+  void Tend(net::Time now);
+  net::Task<void> AskToTend(clients::PeerClient* peer, uint64_t number,
+                            net::Time sent);
   // Opens a new epoch and takes the key in it.
   net::Task<void> Reopen();
   // Whether the transaction that was sent has made this controller leader.
@@ -93,6 +109,9 @@
   net::Time next_renewal_ = 0;
   net::Time next_promise_ = 0;
   net::Time key_free_since_ = 1e18;
+  bool met_once_ = false;        // every other controller has been asked
+  net::Time wanted_until_ = -1;  // workers ask here that nobody answers
+  net::Time next_tend_ = 0;
 };
 
 }  // namespace oxbow::app
--- a/app/node.cc
+++ b/app/node.cc
@@ -112,7 +112,7 @@
 net::Task<PeerMessage> Node::OnPeer(PeerMessage message) {
   PeerMessage reply;
   reply.node = settings_.node;
-  reply.leads = election_.SaysItLeads();
+  reply.role = election_.Role();
   if (Users::Takes(message.kind)) {
     co_await users_.OnPeer(std::move(message), &reply);
     co_return reply;
@@ -127,6 +127,14 @@
       if (promised) reply.answer = PeerAnswer::kYes;
       break;
     }
+    case PeerKind::kTend: {
+      const bool promised = co_await election_.PromiseToTender(message);
+      if (promised) reply.answer = PeerAnswer::kYes;
+      break;
+    }
+    case PeerKind::kTendOver:
+      election_.TendReleased(message);
+      break;
     case PeerKind::kReach:
     case PeerKind::kSilent:
       co_await fitness_desk_.OnReach(std::move(message), &reply);
--- a/app/recovery_desk.cc
+++ b/app/recovery_desk.cc
@@ -428,7 +428,10 @@
   hello.node = settings_.node;
   const double ttl = tuning_.leader_lease_ratio * settings_.workers.lease_s;
   const auto answer = co_await named->Ask(std::move(hello), ttl / 3);
-  if (answer.ok && answer.message.leads) leader_heard_ = loop_.Now();
+  const LeaderRole role = answer.message.role;
+  if (answer.ok && (role == LeaderRole::kLeads || role == LeaderRole::kKeeps)) {
+    leader_heard_ = loop_.Now();
+  }
   if (loop_.Now() < leader_heard_ + ttl) co_return;
   const StateResult key =
       co_await state_.Get(std::string(keys::kLeader), Urgency::kLease);
--- a/app/users.cc
+++ b/app/users.cc
@@ -382,6 +382,13 @@
     if (dealings_.in_office()) out.result = api::Reported::Result::kAnswered;
     return out;
   }
+  // Answered with the token that the worker knows, and without orders: it lives
+  // on, and whoever leads next counts from when it takes office.
+  if (report.token > 0 && election_.Keeps(report.token >> kTokenBits)) {
+    out.reply.token = report.token;
+    out.result = api::Reported::Result::kAnswered;
+    return out;
+  }
   out.leader = election_.LeaderName();
   if (out.leader != settings_.node) {
     out.result = api::Reported::Result::kElsewhere;
--- a/clients/peer.h
+++ b/clients/peer.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "core/lease/leadership.h"
 #include "net/loop.h"
 #include "net/socket.h"
 
@@ -33,6 +34,9 @@
   kMemory,      // a page of what you remember, after that key
   kKnown,       // do you know of this job?
   kEnded,       // how the jobs that you know to have ended did end
+  // I answer reports while nobody can lead: do not seek for a moment.
+  kTend,
+  kTendOver,  // I do not any more
 };
 
 enum class PeerAnswer : uint8_t { kNo, kYes, kUnknownJob, kKnownJob };
@@ -42,7 +46,7 @@
 struct PeerMessage {
   PeerKind kind = PeerKind::kHello;
   PeerAnswer answer = PeerAnswer::kNo;
-  bool leads = false;
+  LeaderRole role = LeaderRole::kNone;  // of the sender of an answer
   uint64_t request = 0;
   uint64_t stamp = 0;
   std::string node;
@@ -54,7 +58,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(kind, answer, leads, request, stamp, done, running, term);
+    archive(kind, answer, role, request, stamp, done, running, term);
     for (std::string* field : {&node, &job_id, &text}) {
       // The length is checked before it is believed: cereal's own string
       // support would allocate whatever a broken frame says.
@@ -67,7 +71,7 @@
   }
 };
 
-inline constexpr uint8_t kPeerVersion = 2;
+inline constexpr uint8_t kPeerVersion = 3;
 
 std::string EncodeFrame(const PeerMessage& message);
 
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -49,6 +49,8 @@
   std::string node;
   std::string incarnation;  // of the process, which a restart changes
   uint64_t stamp = 0;
+  // Taken to keep the workers alive, not to lead (Leadership).
+  bool keeping = false;
 };
 
 struct FinalRecord {
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -250,9 +250,9 @@
   actions_.push_back(Note{std::move(text), false});
 }
 
-void Controller::Tick(Time now) {
+void Controller::Tick(Time now, bool by_lease) {
   ears_.Count(now);
-  for (auto& m : machines_) TickMachine(*m, now);
+  for (auto& m : machines_) TickMachine(*m, now, by_lease);
   ears_.Ask(now);
   for (auto& [name, rental] : rentals_) {
     if (rental.state == kRequesting && now >= rental.next_try) {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -73,7 +73,10 @@
   // `whole`: everybody who may have accepted a job was there to tell.
   void OnEndsOwed(std::vector<std::pair<std::string, FinalState>> ends,
                   bool whole);
-  void Tick(Time now);
+  // `by_lease`: the right to lead rests on the lease of the key at this moment.
+  // While it rests on promises somebody who does not know of them may keep
+  // workers alive, so no session is taken for over.
+  void Tick(Time now, bool by_lease = true);
   // Runs a placement pass now if anything has changed since the last.
   void ScheduleIfNeeded(Time now);
 
@@ -157,7 +160,7 @@
   void SettleBatch(Machine& m);
   void DirectFailed(Machine& m, Time now);
   void RaiseToken(Machine& m);
-  void TickMachine(Machine& m, Time now);
+  void TickMachine(Machine& m, Time now, bool by_lease);
   void Drain(Machine& m, Time now, const char* why);
   // Stops what has to leave a machine that is being emptied and may now.
   void StopLeaving(Machine& m, Time now);
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -702,12 +702,12 @@
   actions_.push_back(DeleteMachines{{m.host()}});
 }
 
-void Controller::TickMachine(Machine& m, Time now) {
+void Controller::TickMachine(Machine& m, Time now, bool by_lease) {
   if (m.state() == MachineState::kGone) return;
   const double lease = settings_.workers.lease_s;
   const bool may_hold =
       !m.residents.empty() || m.batch || (m.recorded_up && !m.reported);
-  if (may_hold && m.session.state() != SessionState::kOver &&
+  if (by_lease && may_hold && m.session.state() != SessionState::kOver &&
       now > m.session.MayLiveUntil(lease)) {
     Expire(m, now);
   }
--- a/core/lease/leadership.h
+++ b/core/lease/leadership.h
@@ -16,15 +16,26 @@
 enum class LeaderState : uint8_t {
   kFollower,   // somebody else leads, or nobody
   kSeeking,    // a lease is asked for, the key is being written
+  kKeeping,    // holds the key, but somebody may still lead by a promise that
+               // this process has forgotten: keeps workers alive, no orders
   kLeading,    // the lease is known to be granted
   kProlonged,  // the service is out; every other controller has promised
   kLapsed,     // was leader, the right has run out; becomes follower again
 };
 
+// What a controller is to the others, told with every answer to them.
+enum class LeaderRole : uint8_t {
+  kNone,   // relies on no promise
+  kLeads,  // may come to rely on promises, for the longest right there is
+  kKeeps,  // holds the key and relies on no promise
+  kTends,  // relies on promises, for a short right
+};
+
 class Leadership {
  public:
+  // `tend_s`: how long a promise to a tender lasts; 0: there are no keepers.
   Leadership(std::vector<std::string> peers, double lease_s, double promise_s,
-             Time started);
+             double tend_s, Time started);
 
   LeaderState state() const { return state_; }
   uint64_t revision() const { return revision_; }
@@ -39,14 +50,25 @@
   // A starting controller has forgotten what it promised. It waits out the
   // longest promise, unless every other one says that it does not lead.
   bool MaySeek(Time now) const;
+  // Whether it may take a free key, at least as a keeper.
+  bool MayKeep(Time now) const;
+  // Whether nobody can rest on a promise that this process has forgotten.
+  bool Proven(Time now) const;
+  // The same where the key is this controller's own, from a life in which it
+  // led: nobody has led since, so only tenders have to be waited for. Who leads
+  // by data that the state service has lost would have said so.
+  bool OwnProven(Time now) const;
   // `seen` is the leader key's revision that the search was decided on. The
   // write has to be conditioned on it, not on what the watch brings meanwhile:
   // that may be the key of somebody who has just won.
   void SeekStarted(uint64_t seen);
   uint64_t seen() const { return seen_; }
   void SeekFailed();
-  // `sent` is when the request that the lease counts from was sent.
-  void Won(uint64_t revision, uint64_t lease_id, Time sent);
+  // `sent` is when the request that the lease counts from was sent. `leads`:
+  // it was proven by then; else it keeps.
+  void Won(uint64_t revision, uint64_t lease_id, Time sent, bool leads = true);
+  // A keeper for whom it is proven by now leads. True if it does.
+  bool Promote(Time now);
   void RenewGranted(Time sent);
   // The key was written anew under a right that still stood: into a state
   // service that had lost it.
@@ -68,13 +90,40 @@
   // `state_fails`: this controller itself cannot reach the state service. One
   // that can must refuse, or a leader cut off alone would lead on for ever.
   bool AskedToPromise(bool state_fails, Time now);
-  void PeerDoesNotLead(const std::string& peer);
+  void PeerIs(const std::string& peer, LeaderRole role);
+  void PeerDoesNotLead(const std::string& peer) {
+    PeerIs(peer, LeaderRole::kNone);
+  }
   Time promised_until() const { return promised_until_; }
   double promise_s() const { return promise_s_; }
+  LeaderRole Role(Time now) const;
+
+  // --- keeping: answering reports without orders, so that workers live on
+  // while nobody can lead. Any number of controllers may at the same time; what
+  // must not be is a leader who takes a session for over that another keeps
+  // alive. So a tender holds every other controller's promise not to seek, and
+  // a keeper holds the key; a leader by promises, of whom a keeper may not
+  // know, takes no session for over (Controller::Tick).
+  bool Keeps(Time now);
+  double tend_s() const { return tend_s_; }
+  // The number goes into the question, and back with TendOver.
+  uint64_t TendAsked(Time sent);
+  void TendGranted(const std::string& peer, Time sent);
+  // Relies on no promise any more; the number up to which. 0: did not.
+  uint64_t TendOver(Time now);
+  // As the one who promises. `life`: the asker's incarnation.
+  bool AskedToTend(const std::string& peer, const std::string& life,
+                   uint64_t number, bool state_fails, Time now);
+  // A release that was held back on its way may be older than the promise.
+  void TendReleased(const std::string& peer, const std::string& life,
+                    uint64_t number);
 
  private:
   void Change(LeaderState next);
   Time PromisedUntil() const;
+  bool Bound(Time now) const;
+  bool AllIdle(bool tends_are_over) const;
+  bool TendsAreOver(Time now) const;
 
   LeaderState state_ = LeaderState::kFollower;
   std::vector<std::string> peers_;
@@ -87,7 +136,21 @@
   Time lease_until_ = -1e9;
   std::map<std::string, Time> granted_until_;
   Time promised_until_ = -1e9;
-  std::set<std::string> known_idle_;
+  std::set<std::string> known_idle_;  // rely on nothing forgotten here
+  std::set<std::string> tending_;     // at the most for tend_s_ from the start
+  std::set<std::string> leading_;     // when last asked
+  // Tending.
+  struct TendPromise {
+    std::string life;
+    uint64_t number = 0;
+    Time until = -1e9;
+  };
+  double tend_s_;
+  uint64_t tend_number_ = 0;
+  Time tend_asked_ = -1e9;  // the last question
+  Time tend_over_ = -1e9;   // what was granted to questions before is void
+  std::map<std::string, Time> tend_granted_;
+  std::map<std::string, TendPromise> tend_promised_;
 };
 
 }  // namespace oxbow
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -89,6 +89,10 @@
   double price_weight = 0.2;
   // Leadership lease, as a share of the workers' lease.
   double leader_lease_ratio = 0.25;
+  // How long the others promise one who keeps workers alive in an outage of
+  // the state service not to seek, as a share of the workers' lease; 0: nobody
+  // keeps workers alive without leading.
+  double keeper_ratio = 0;
   // A machine that has not reported for this share of its lease gets nothing
   // new; after the second share it is given up.
   double suspect_ratio = 0.3;
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -11,7 +11,7 @@
 constexpr double kPromise = 6;
 
 Leadership Leading(Time now) {
-  Leadership l({"b", "c"}, kLease, kPromise, 0);
+  Leadership l({"b", "c"}, kLease, kPromise, 0, 0);
   l.PeerDoesNotLead("b");
   l.PeerDoesNotLead("c");
   l.SeekStarted(0);
@@ -61,7 +61,7 @@
 }
 
 TEST(Leadership, PromiserSeeksAlthoughItPromised) {
-  Leadership l({"a", "c"}, kLease, kPromise, 0);
+  Leadership l({"a", "c"}, kLease, kPromise, 0, 0);
   l.PeerDoesNotLead("a");
   l.PeerDoesNotLead("c");
   EXPECT_TRUE(l.AskedToPromise(/*state_fails=*/true, 20));
@@ -72,25 +72,25 @@
 TEST(Leadership, RestartedPromiserForgetsItsPromise) {
   // It promised just before it crashed. The new process can't know, so it
   // waits the longest promise out, unless nobody leads who could rely on it.
-  Leadership l({"a", "c"}, kLease, kPromise, 30);
+  Leadership l({"a", "c"}, kLease, kPromise, 0, 30);
   EXPECT_FALSE(l.MaySeek(31));
   l.PeerDoesNotLead("a");
   EXPECT_FALSE(l.MaySeek(31));
   l.PeerDoesNotLead("c");
   EXPECT_TRUE(l.MaySeek(31));
-  Leadership alone({"a", "c"}, kLease, kPromise, 30);
+  Leadership alone({"a", "c"}, kLease, kPromise, 0, 30);
   EXPECT_TRUE(alone.MaySeek(30 + kPromise * (1 + 2 * kDrift)));
 }
 
 TEST(Leadership, LeaderCutOffAloneFromTheStateServiceLeadsOnForEver) {
   // The promiser reaches the service: it refuses, the leader lapses, and
   // somebody who can record takes over.
-  Leadership l({"a", "c"}, kLease, kPromise, 0);
+  Leadership l({"a", "c"}, kLease, kPromise, 0, 0);
   EXPECT_FALSE(l.AskedToPromise(/*state_fails=*/false, 20));
 }
 
 TEST(Leadership, PromiseGivenWhileItsOwnSearchMaySucceed) {
-  Leadership l({"a", "c"}, kLease, kPromise, 0);
+  Leadership l({"a", "c"}, kLease, kPromise, 0, 0);
   l.SeekStarted(0);
   EXPECT_FALSE(l.AskedToPromise(/*state_fails=*/true, 20));
 }
@@ -99,7 +99,7 @@
   // The search began on a key that was gone; while its lease was being made
   // another controller won, and the watch said so. The write must still be
   // conditioned on the key that was gone.
-  Leadership l({"a", "c"}, kLease, kPromise, 0);
+  Leadership l({"a", "c"}, kLease, kPromise, 0, 0);
   l.SeekStarted(0);
   EXPECT_EQ(l.seen(), 0U);
   EXPECT_THROW(l.SeekStarted(620), IllegalTransition);
@@ -125,5 +125,115 @@
   EXPECT_FALSE(l.Valid(12 + kLease));
 }
 
+// --- keeping workers alive without leading
+
+constexpr double kTend = 1.5;
+
+Leadership Started(Time now) {
+  return Leadership({"b", "c"}, kLease, kPromise, kTend, now);
+}
+
+TEST(Keeper, AllWorkersLostThoughTheFirstOneIsBackBeforeTheirLeaseEnds) {
+  // Nobody else is there to say that nobody rests on a promise of its former
+  // life, so it may not lead: it keeps, and leads once they are.
+  Leadership l = Started(30);
+  EXPECT_FALSE(l.MaySeek(30.5));
+  EXPECT_TRUE(l.MayKeep(30.5));
+  l.SeekStarted(0);
+  l.Won(42, 7, 30.5, /*leads=*/false);
+  EXPECT_FALSE(l.Valid(30.6));
+  EXPECT_TRUE(l.Keeps(30.6));
+  l.PeerDoesNotLead("b");
+  EXPECT_FALSE(l.Promote(31));
+  l.PeerDoesNotLead("c");
+  EXPECT_TRUE(l.Promote(31));
+  EXPECT_TRUE(l.Valid(31));
+}
+
+TEST(Keeper, KeepsOnBeyondItsLease) {
+  Leadership l = Started(30);
+  l.SeekStarted(0);
+  l.Won(42, 7, 30.5, /*leads=*/false);
+  EXPECT_FALSE(l.Keeps(30.5 + kLease));
+  EXPECT_EQ(l.state(), LeaderState::kLapsed);
+}
+
+TEST(Keeper, TendsWithoutEverybodysPromise) {
+  Leadership l = Started(30);
+  l.TendAsked(31);
+  l.TendGranted("b", 31);
+  EXPECT_FALSE(l.Keeps(31.1));
+  l.TendGranted("c", 31);
+  EXPECT_TRUE(l.Keeps(31.1));
+  EXPECT_FALSE(l.Keeps(31 + kTend));
+}
+
+TEST(Keeper, PromisesLeftOverFromBeforeItHeldTheKey) {
+  // Whoever was told that it holds the key counts with none of them.
+  Leadership l = Started(30);
+  l.TendAsked(31);
+  l.TendGranted("b", 31);
+  l.TendGranted("c", 31);
+  l.SeekStarted(0);
+  l.Won(42, 7, 31.1, /*leads=*/false);
+  l.Lost();
+  l.Retire();
+  EXPECT_FALSE(l.Keeps(31.2));
+  l.TendGranted("b", 31);  // late
+  l.TendGranted("c", 31);
+  EXPECT_FALSE(l.Keeps(31.2));
+}
+
+TEST(Keeper, PromiserIsBackWithinAFractionOfASecond) {
+  // It asks who relies on what it may have promised. A tender says so from its
+  // question on: the answer may still be under way.
+  Leadership tender = Started(0);
+  tender.TendAsked(31);
+  EXPECT_EQ(tender.Role(31.2), LeaderRole::kTends);
+  Leadership back = Started(31.1);
+  back.PeerIs("b", tender.Role(31.2));
+  back.PeerIs("c", LeaderRole::kNone);
+  EXPECT_FALSE(back.MaySeek(31.3));
+  EXPECT_TRUE(back.MaySeek(31.1 + kTend * (1 + 2 * kDrift)));
+  EXPECT_EQ(tender.Role(31 + kTend), LeaderRole::kNone);
+}
+
+TEST(Keeper, LeaderTakesItsOwnKeyAgainWhileATenderRestsOnItsPromise) {
+  // Between two lives it led in, one that only started may have promised.
+  Leadership back = Started(31);
+  back.PeerIs("b", LeaderRole::kTends);
+  EXPECT_FALSE(back.OwnProven(31.2));
+  EXPECT_TRUE(back.OwnProven(31 + kTend * (1 + 2 * kDrift)));
+  Leadership told = Started(31);
+  told.PeerIs("b", LeaderRole::kLeads);
+  EXPECT_FALSE(told.OwnProven(40));
+}
+
+TEST(Keeper, SeeksAlthoughItPromisedATender) {
+  Leadership l = Started(0);
+  EXPECT_TRUE(l.AskedToTend("b", "life-1", 3, /*state_fails=*/true, 20));
+  EXPECT_FALSE(l.MaySeek(20.1));
+  EXPECT_FALSE(l.MayKeep(20.1));
+  l.TendReleased("b", "life-1", 3);
+  EXPECT_TRUE(l.MaySeek(20.1));
+}
+
+TEST(Keeper, ReleaseThatWasHeldBackFreesALaterPromise) {
+  Leadership l = Started(0);
+  EXPECT_TRUE(l.AskedToTend("b", "life-1", 5, /*state_fails=*/true, 20));
+  l.TendReleased("b", "life-1", 4);
+  EXPECT_FALSE(l.MaySeek(20.1));
+  // Of a former life, which had counted further.
+  l.TendReleased("b", "life-0", 50);
+  EXPECT_FALSE(l.MaySeek(20.1));
+}
+
+TEST(Keeper, OneThatReachesTheStateServicePromisesATender) {
+  Leadership l = Started(0);
+  EXPECT_FALSE(l.AskedToTend("b", "life-1", 1, /*state_fails=*/false, 20));
+  l.SeekStarted(0);
+  EXPECT_FALSE(l.AskedToTend("b", "life-1", 2, /*state_fails=*/true, 20));
+}
+
 }  // namespace
 }  // namespace oxbow
--- a/tests/recovery_test.cc
+++ b/tests/recovery_test.cc
@@ -314,7 +314,7 @@
 // Who leads by lost data can't be read: the longest right is waited out, unless
 // all others say that they don't lead.
 TEST(LeadershipAfterALoss, EverybodyIsAskedAnew) {
-  Leadership leadership({"b", "c"}, 2.5, 6, 0);
+  Leadership leadership({"b", "c"}, 2.5, 6, 0, 0);
   for (const char* peer : {"b", "c"}) leadership.PeerDoesNotLead(peer);
   EXPECT_TRUE(leadership.MaySeek(1));
   leadership.Forget(10);
@@ -328,7 +328,7 @@
 }
 
 TEST(LeadershipAfterALoss, ARightThatStandsGoesOnUnderTheNewKey) {
-  Leadership leadership({"b"}, 2.5, 6, -100);
+  Leadership leadership({"b"}, 2.5, 6, 0, -100);
   leadership.SeekStarted(0);
   leadership.Won(41, 1, 0);
   ASSERT_TRUE(leadership.Valid(1));
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -109,6 +109,9 @@
       //   refused | open | no-state | dies-on-offer | unheard HOST...
       words >> name >> word;
       ReadController(sim_.controller(name), word, words);
+    } else if (verb == "right") {
+      words >> word;
+      sim_.by_promises = word == "by-promises";
     } else if (verb == "lead") {
       if (words >> name) {
         sim_.Lead(name);
@@ -162,6 +165,10 @@
         w.orders_cut = true;
       else if (word == "orders-open")
         w.orders_cut = false;
+      else if (word == "kept")
+        w.kept = true;
+      else if (word == "not-kept")
+        w.kept = false;
       else if (word == "sound")
         w.faulty = false;
       else if (word == "faulty")
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -218,7 +218,7 @@
   if (tuning.rollouts_at_once > 0) Watch();
   for (auto& [host, w] : workers_) AdvanceWorker(w);
   if (leader_ && now_ >= stalled_until_) {
-    leader_->Tick(now_);
+    leader_->Tick(now_, !by_promises);
     Perform();
   }
   if (!controllers_.empty()) WatchReach();
@@ -309,6 +309,10 @@
 void Sim::SendReport(SimWorker& w) {
   w.next_report = now_ + settings.workers.report_s;
   if (storm) return ReportInStorm(w);
+  if (w.kept) {
+    w.lease_from = now_;
+    return;
+  }
   if (w.reports_cut || !leader_ || !LeaderNode().Hears(w.host)) return;
   const Time sent = now_;
   const uint64_t session = w.session;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -40,6 +40,7 @@
   bool reports_cut = false;  // its reports don't arrive
   bool orders_cut = false;   // nothing sent to its address arrives
   bool faulty = false;       // every task errs
+  bool kept = false;         // another controller answers, without orders
   std::optional<double> notice;
   uint64_t session = 1;
   uint64_t seq = 0;
@@ -112,6 +113,7 @@
   std::map<std::string, int> capacity;  // per type; absent: no limit
   bool never_boot = false;
   bool state_down = false;
+  bool by_promises = false;  // what the right to lead rests on
   std::optional<Storm> storm;
   Fate next_write = Fate::kNormal;
 
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -20,6 +20,10 @@
   void operator()(const LeaderRecord& r) const {
     Field(w, "node", r.node);
     Field(w, "incarnation", r.incarnation);
+    if (r.keeping) {
+      Key(w, "keeping");
+      w.Bool(true);
+    }
   }
   void operator()(const JobRecord& r) const {
     Key(w, "spec");
@@ -116,7 +120,8 @@
     *out = EpochMark{json::GetUint(value, "number"), 0};
   } else if (key == keys::kLeader) {
     *out = LeaderRecord{json::GetString(value, "node"),
-                        json::GetString(value, "incarnation"), 0};
+                        json::GetString(value, "incarnation"), 0,
+                        json::GetBool(value, "keeping")};
   } else if (key.starts_with(keys::kJob)) {
     const auto* spec = json::Find(value, "spec");
     auto parsed = std::make_shared<JobSpec>();
