--- a/api/api.cc
+++ b/api/api.cc
@@ -33,7 +33,7 @@
   const bool post = request.method == "POST";
   if (path == "/v1/report") {
     if (!post) co_return WrongMethod("POST");
-    co_return Report(request.body);
+    co_return co_await Report(std::move(request.body));
   }
   if (path == "/ready") {
     if (!get) co_return WrongMethod("GET");
@@ -99,7 +99,8 @@
   if (!malformed.empty()) co_return co_await Refuse(id, 400, malformed);
   const auto* types = service_.Types();
   if (types == nullptr) co_return TryLater("machine types unknown");
-  const std::string impossible = wire::WhyImpossible(*spec, *types, service_.Teams());
+  const std::string impossible =
+      wire::WhyImpossible(*spec, *types, service_.Teams());
   if (!impossible.empty()) co_return co_await Refuse(id, 422, impossible);
   const Submitted submitted = co_await service_.Submit(spec);
   switch (submitted.result) {
@@ -178,15 +179,19 @@
   return response;
 }
 
-net::HttpResponse Api::Report(const std::string& body) {
+net::Task<net::HttpResponse> Api::Report(std::string body) {
   WorkerReport report;
-  if (!wire::ParseReport(body, &report)) return Error(400, "not a report");
-  const Reported reported = service_.Report(report);
+  if (!wire::ParseReport(body, &report)) co_return Error(400, "not a report");
+  Reported reported =
+      co_await service_.Report(std::move(report), std::move(body));
   net::HttpResponse response;
   switch (reported.result) {
     case Reported::Result::kAnswered:
       response.body = wire::EncodeReply(reported.reply);
       break;
+    case Reported::Result::kRelayed:
+      response.body = std::move(reported.relayed);
+      break;
     case Reported::Result::kElsewhere: {
       response.status = 421;
       rapidjson::StringBuffer buffer;
@@ -203,7 +208,7 @@
       response = Error(503, "taking over");
       break;
   }
-  return response;
+  co_return response;
 }
 
 }  // namespace oxbow::api
--- a/api/api.h
+++ b/api/api.h
@@ -29,10 +29,11 @@
 };
 
 struct Reported {
-  enum class Result { kAnswered, kElsewhere, kUnavailable };
+  enum class Result { kAnswered, kRelayed, kElsewhere, kUnavailable };
   Result result = Result::kUnavailable;
   ReportReply reply;
-  std::string leader;  // empty when not known
+  std::string relayed;  // the leader's answer, as it is to be given
+  std::string leader;   // empty when not known
 };
 
 // Who leads, and what the leader does not do and why.
@@ -56,7 +57,8 @@
   virtual net::Task<Status> Poll(std::string id) = 0;
   virtual net::Task<Submitted> Submit(std::shared_ptr<const JobSpec> spec) = 0;
   virtual net::Task<Status> Cancel(std::string id) = 0;
-  virtual Reported Report(const WorkerReport& report) = 0;
+  // `body`: the same, as it came.
+  virtual net::Task<Reported> Report(WorkerReport report, std::string body) = 0;
   virtual LeaderView Leader() = 0;
 };
 
@@ -73,7 +75,7 @@
   net::Task<net::HttpResponse> Cancel(std::string id);
   net::Task<net::HttpResponse> Refuse(std::string id, int status,
                                       std::string why);
-  net::HttpResponse Report(const std::string& body);
+  net::Task<net::HttpResponse> Report(std::string body);
   net::HttpResponse Leader();
 
   Service& service_;
--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -23,7 +23,8 @@
                    const Tuning& tuning, Catalog& catalog,
                    clients::StateClient& state, clients::CloudClient& cloud,
                    Follower& follower, Election& election,
-                   FitnessDesk& fitness_desk, RecoveryDesk& recovery)
+                   FitnessDesk& fitness_desk, ZoneDesk& zone_desk,
+                   RecoveryDesk& recovery)
     : loop_(loop),
       settings_(settings),
       tuning_(tuning),
@@ -33,6 +34,7 @@
       follower_(follower),
       election_(election),
       fitness_desk_(fitness_desk),
+      zone_desk_(zone_desk),
       recovery_(recovery),
       workers_(loop, kOrderTimeoutRatio * settings.workers.lease_s),
       health_(loop) {}
@@ -82,11 +84,12 @@
   final_waiters_.erase(it);
 }
 
-void Dealings::TakeOffice(uint64_t revision) {
+void Dealings::TakeOffice(uint64_t revision,
+                          const std::optional<std::set<std::string>>& keepers) {
   const net::Time now = loop_.Refresh();
   controller_ =
       std::make_unique<Controller>(settings_, tuning_, catalog_, revision, now,
-                                   net::WallNow() - now, revision);
+                                   net::WallNow() - now, revision, keepers);
   controller_->log_detail = spdlog::should_log(spdlog::level::debug);
   if (!follower_.types().empty()) {
     std::vector<MachineType> types;
@@ -163,6 +166,10 @@
         net::Spawn(fitness_desk_.DoReach(std::move(*ask), revision));
       } else if (auto* offer = std::get_if<OfferLead>(&action)) {
         net::Spawn(fitness_desk_.DoOffer(std::move(*offer), revision));
+      } else if (auto* back = std::get_if<AskStandBack>(&action)) {
+        net::Spawn(zone_desk_.DoAsk(std::move(*back), revision));
+      } else if (std::holds_alternative<ReadZoneKeepers>(action)) {
+        net::Spawn(DoReadKeepers(revision));
       } else if (auto* job = std::get_if<AskJob>(&action)) {
         net::Spawn(recovery_.AskAboutJob(std::move(job->id)));
       } else if (auto* gone = std::get_if<DeleteMachines>(&action)) {
@@ -282,6 +289,14 @@
   });
 }
 
+net::Task<void> Dealings::DoReadKeepers(uint64_t revision) {
+  const net::Time sent = loop_.Refresh();
+  const auto keepers = co_await election_.ReadKeepers();
+  if (!keepers) co_return;
+  Tell(revision,
+       [&](Controller& c) { c.OnKeepersRead(*keepers, sent, loop_.Now()); });
+}
+
 net::Task<void> Dealings::DoDelete(std::vector<std::string> hosts,
                                    uint64_t revision) {
   bool ok = false;
--- a/app/dealings.h
+++ b/app/dealings.h
@@ -13,6 +13,7 @@
 #include "app/fitness_desk.h"
 #include "app/follower.h"
 #include "app/recovery_desk.h"
+#include "app/zone_desk.h"
 #include "clients/cloud.h"
 #include "clients/health.h"
 #include "clients/state.h"
@@ -27,11 +28,14 @@
   Dealings(net::Loop& loop, const Settings& settings, const Tuning& tuning,
            Catalog& catalog, clients::StateClient& state,
            clients::CloudClient& cloud, Follower& follower, Election& election,
-           FitnessDesk& fitness_desk, RecoveryDesk& recovery);
+           FitnessDesk& fitness_desk, ZoneDesk& zone_desk,
+           RecoveryDesk& recovery);
   void Start();
 
   bool in_office() const { return controller_ != nullptr; }
-  void TakeOffice(uint64_t revision);
+  // `keepers`: see Controller.
+  void TakeOffice(uint64_t revision,
+                  const std::optional<std::set<std::string>>& keepers);
   void LeaveOffice();
   // The core, if this controller may act as the leader now; else null.
   Controller* Leading();
@@ -65,6 +69,7 @@
   net::Task<void> DoRead(ReadKeys read, uint64_t revision);
   net::Task<void> DoRent(RentMachines rent, uint64_t revision);
   net::Task<void> DoCheck(CheckInstance check, uint64_t revision);
+  net::Task<void> DoReadKeepers(uint64_t revision);
   net::Task<void> DoDelete(std::vector<std::string> hosts, uint64_t revision);
 
   net::Loop& loop_;
@@ -76,6 +81,7 @@
   Follower& follower_;
   Election& election_;
   FitnessDesk& fitness_desk_;
+  ZoneDesk& zone_desk_;
   RecoveryDesk& recovery_;
   clients::WorkerClients workers_;
   clients::HealthClient health_;
--- a/app/election.cc
+++ b/app/election.cc
@@ -23,11 +23,6 @@
 // one who could only keep it.
 constexpr double kLeadersFirst = 0.1;
 
-std::string NewIncarnation() {
-  std::random_device device;
-  return std::to_string((static_cast<uint64_t>(device()) << 32) | device());
-}
-
 std::vector<std::string> PeerNames(const Settings& settings) {
   std::vector<std::string> names;
   for (const PeerSettings& peer : settings.peers) names.push_back(peer.name);
@@ -41,10 +36,10 @@
                    const Catalog& catalog, Follower& follower,
                    const FitnessDesk& fitness_desk,
                    const FitnessDesk::Peers& peers, RecoveryDesk& recovery,
-                   Seams seams)
+                   std::string incarnation, Seams seams)
     : loop_(loop),
       settings_(settings),
-      incarnation_(NewIncarnation()),
+      incarnation_(std::move(incarnation)),
       lease_s_(tuning.leader_lease_ratio * settings.workers.lease_s),
       state_(state),
       catalog_(catalog),
@@ -198,7 +193,11 @@
       if (!seams_.in_office() && follower_.synced() &&
           catalog_.followed() >= leadership_.revision() &&
           recovery_.Gathered(leadership_.revision())) {
-        seams_.take_office(leadership_.revision());
+        const uint64_t revision = leadership_.revision();
+        auto keepers = co_await ReadKeepers();
+        if (Valid() && leadership_.revision() == revision) {
+          seams_.take_office(revision, keepers);
+        }
       }
       if (!renewing_ && now >= next_renewal_) net::Spawn(Renew());
       if (leadership_.WantsPromises(now) && now >= next_promise_) {
@@ -384,6 +383,19 @@
                opening.epoch.number, won.revision);
 }
 
+// A service that has lost data may have lost these too, and nobody would tell.
+net::Task<std::optional<std::set<std::string>>> Election::ReadKeepers() {
+  const StateResult list = co_await state_.List(std::string(keys::kZone), "");
+  if (!list.ok() || list.more || catalog_.epoch().number > 1) {
+    co_return std::nullopt;
+  }
+  std::set<std::string> keepers;
+  for (const clients::KeyValue& item : list.items) {
+    keepers.insert(item.key.substr(keys::kZone.size()));
+  }
+  co_return keepers;
+}
+
 net::Task<void> Election::Renew() {
   renewing_ = true;
   const net::Time sent = loop_.Refresh();
--- a/app/election.h
+++ b/app/election.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <functional>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "app/fitness_desk.h"
@@ -21,14 +23,18 @@
  public:
   struct Seams {
     std::function<bool()> in_office;
-    std::function<void(uint64_t revision)> take_office;
+    // With the controllers that may hold a right to keep their zone's workers,
+    // as read after the key was won; nothing if that is not known.
+    std::function<void(uint64_t revision,
+                       const std::optional<std::set<std::string>>& keepers)>
+        take_office;
     std::function<void()> leave_office;
   };
   Election(net::Loop& loop, const Settings& settings, const Tuning& tuning,
            clients::StateClient& state, const Catalog& catalog,
            Follower& follower, const FitnessDesk& fitness_desk,
            const FitnessDesk::Peers& peers, RecoveryDesk& recovery,
-           Seams seams);
+           std::string incarnation, Seams seams);
   void Start();
 
   // Whether this controller may act as the leader at this moment.
@@ -46,6 +52,9 @@
   std::string LeaderName() const;
   clients::PeerClient* LeaderPeer();
 
+  // Whose right to keep a zone's workers is recorded; nothing if not known.
+  net::Task<std::optional<std::set<std::string>>> ReadKeepers();
+
   // --- as one who is asked
   LeaderRole Role() const { return leadership_.Role(loop_.Now()); }
   net::Task<bool> Promise();
--- a/app/node.cc
+++ b/app/node.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <random>
 #include <utility>
 
 namespace oxbow::app {
@@ -26,6 +27,11 @@
   return peers;
 }
 
+std::string NewIncarnation() {
+  std::random_device device;
+  return std::to_string((static_cast<uint64_t>(device()) << 32) | device());
+}
+
 net::HttpServer::Limits ServerLimits(const Settings& settings) {
   net::HttpServer::Limits limits;
   // A part of the sockets stays for what this controller opens itself.
@@ -41,6 +47,7 @@
     : settings_(settings),
       state_(loop, AddressOf(settings.state_address), settings),
       cloud_(loop, AddressOf(settings.cloud_address), settings),
+      life_(NewIncarnation()),
       peers_(PeersOf(loop, settings)),
       follower_(loop, settings, state_, cloud_, catalog_,
                 {[this](const std::string& key) {
@@ -61,6 +68,14 @@
                        election_.StepDown(why);
                        fitness_desk_.Yielded();
                      }}),
+      zone_desk_(loop, settings, tuning, state_, peers_, life_,
+                 {[this] { return election_.LeaderPeer(); },
+                  [this] {
+                    return election_.ByLease() ? dealings_.Leading() : nullptr;
+                  },
+                  [this](uint64_t revision, const auto& event) {
+                    dealings_.Tell(revision, event);
+                  }}),
       recovery_(loop, settings, tuning, catalog_, state_, follower_, peers_,
                 {[this] { election_.StateLost(); },
                  [this] { election_.OtherEpoch(); },
@@ -70,14 +85,16 @@
                    dealings_.Tell(revision, event);
                  }}),
       election_(loop, settings, tuning, state_, catalog_, follower_,
-                fitness_desk_, peers_, recovery_,
+                fitness_desk_, peers_, recovery_, life_,
                 {[this] { return dealings_.in_office(); },
-                 [this](uint64_t revision) { dealings_.TakeOffice(revision); },
+                 [this](uint64_t revision, const auto& keepers) {
+                   dealings_.TakeOffice(revision, keepers);
+                 },
                  [this] { dealings_.LeaveOffice(); }}),
       dealings_(loop, settings, tuning, catalog_, state_, cloud_, follower_,
-                election_, fitness_desk_, recovery_),
+                election_, fitness_desk_, zone_desk_, recovery_),
       users_(loop, settings, catalog_, state_, follower_, election_, dealings_,
-             peers_, recovery_),
+             peers_, zone_desk_, recovery_),
       rollout_desk_(
           settings, tuning, catalog_, state_,
           {[this](const std::string& key, const Record& record,
@@ -106,6 +123,7 @@
   follower_.Start();
   election_.Start();
   recovery_.Start();
+  zone_desk_.Start();
   dealings_.Start();
 }
 
@@ -121,6 +139,10 @@
     co_await recovery_.OnPeer(std::move(message), &reply);
     co_return reply;
   }
+  if (ZoneDesk::Takes(message.kind)) {
+    zone_desk_.OnPeer(message, &reply);
+    co_return reply;
+  }
   switch (message.kind) {
     case PeerKind::kPromise: {
       const bool promised = co_await election_.Promise();
--- a/app/node.h
+++ b/app/node.h
@@ -15,6 +15,7 @@
 #include "app/recovery_desk.h"
 #include "app/rollout_desk.h"
 #include "app/users.h"
+#include "app/zone_desk.h"
 #include "clients/cloud.h"
 #include "clients/peer.h"
 #include "clients/state.h"
@@ -38,9 +39,11 @@
   Catalog catalog_;
   clients::StateClient state_;
   clients::CloudClient cloud_;
+  const std::string life_;  // incarnation of this process
   FitnessDesk::Peers peers_;
   Follower follower_;
   FitnessDesk fitness_desk_;
+  ZoneDesk zone_desk_;
   RecoveryDesk recovery_;
   Election election_;
   Dealings dealings_;
--- a/app/users.cc
+++ b/app/users.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "wire/records.h"
+#include "wire/worker_json.h"
 
 namespace oxbow::app {
 namespace {
@@ -77,7 +78,8 @@
 Users::Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
              clients::StateClient& state, Follower& follower,
              Election& election, Dealings& dealings,
-             const FitnessDesk::Peers& peers, RecoveryDesk& recovery)
+             const FitnessDesk::Peers& peers, ZoneDesk& zone_desk,
+             RecoveryDesk& recovery)
     : loop_(loop),
       settings_(settings),
       catalog_(catalog),
@@ -86,6 +88,7 @@
       election_(election),
       dealings_(dealings),
       peers_(peers),
+      zone_desk_(zone_desk),
       recovery_(recovery) {}
 
 bool Users::Ready() {
@@ -371,29 +374,52 @@
   co_return status;
 }
 
-api::Reported Users::Report(const WorkerReport& report) {
+bool Users::TakeReport(const WorkerReport& report, ReportReply* reply) {
+  const Controller* leading = dealings_.Leading();
+  if (leading == nullptr) return false;
+  dealings_.Tell(leading->revision(), [&](Controller& c) {
+    *reply = c.OnReport(report, loop_.Now());
+  });
+  // The report may have ended this leadership.
+  return dealings_.in_office();
+}
+
+net::Task<api::Reported> Users::Report(WorkerReport report, std::string body) {
+  using Result = api::Reported::Result;
   api::Reported out;
   recovery_.TermSeen(report.token >> kTokenBits);
   if (const Controller* leading = dealings_.Leading()) {
-    dealings_.Tell(leading->revision(), [&](Controller& c) {
-      out.reply = c.OnReport(report, loop_.Now());
-    });
-    // The report may have ended this leadership.
-    if (dealings_.in_office()) out.result = api::Reported::Result::kAnswered;
-    return out;
+    out.leader = zone_desk_.BetterPlaceFor(report, leading->revision());
+    if (!out.leader.empty()) {
+      dealings_.Tell(leading->revision(), [&](Controller& c) {
+        c.OnProbeAnswer(report, loop_.Now());
+      });
+      out.result = Result::kElsewhere;
+      co_return out;
+    }
+    if (TakeReport(report, &out.reply)) out.result = Result::kAnswered;
+    co_return out;
+  }
+  if (zone_desk_.Relays(report, body.size())) {
+    ZoneDesk::Relayed relayed = co_await zone_desk_.Relay(std::move(body));
+    if (relayed.answered) {
+      out.relayed = std::move(relayed.text);
+      out.result = Result::kRelayed;
+      co_return out;
+    }
   }
   // Answered with the token that the worker knows, and without orders: it lives
   // on, and whoever leads next counts from when it takes office.
-  if (report.token > 0 && election_.Keeps(report.token >> kTokenBits)) {
+  if ((report.token > 0 && election_.Keeps(report.token >> kTokenBits)) ||
+      zone_desk_.Keeps(report)) {
     out.reply.token = report.token;
-    out.result = api::Reported::Result::kAnswered;
-    return out;
-  }
-  out.leader = election_.LeaderName();
-  if (out.leader != settings_.node) {
-    out.result = api::Reported::Result::kElsewhere;
+    out.result = Result::kAnswered;
+    co_return out;
   }
-  return out;
+  // A worker sent to one that it can't reach would lose its time there.
+  if (!zone_desk_.CutOff()) out.leader = election_.LeaderName();
+  if (out.leader != settings_.node) out.result = Result::kElsewhere;
+  co_return out;
 }
 
 api::LeaderView Users::Leader() {
@@ -413,6 +439,7 @@
     case PeerKind::kPoll:
     case PeerKind::kCancel:
     case PeerKind::kHint:
+    case PeerKind::kReport:
     case PeerKind::kRelayPoll:
     case PeerKind::kRelayCancel:
     case PeerKind::kRelaySubmit:
@@ -458,6 +485,21 @@
       dealings_.Perform();
       break;
     }
+    case PeerKind::kReport: {
+      WorkerReport report;
+      ReportReply told;
+      if (!wire::ParseReport(message.text, &report) ||
+          !TakeReport(report, &told)) {
+        break;
+      }
+      reply->text = wire::EncodeReply(told);
+      if (reply->text.size() > ZoneDesk::kMostBytes) {
+        reply->text.clear();
+        break;
+      }
+      reply->answer = PeerAnswer::kYes;
+      break;
+    }
     case PeerKind::kRelayPoll:
       FillAnswer(co_await PollHere(message.job_id), reply);
       break;
--- a/app/users.h
+++ b/app/users.h
@@ -12,6 +12,7 @@
 #include "app/fitness_desk.h"
 #include "app/follower.h"
 #include "app/recovery_desk.h"
+#include "app/zone_desk.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/catalog.h"
@@ -23,7 +24,7 @@
   Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
         clients::StateClient& state, Follower& follower, Election& election,
         Dealings& dealings, const FitnessDesk::Peers& peers,
-        RecoveryDesk& recovery);
+        ZoneDesk& zone_desk, RecoveryDesk& recovery);
 
   // api::Service
   bool Ready() override;
@@ -34,7 +35,8 @@
   net::Task<api::Submitted> Submit(
       std::shared_ptr<const JobSpec> spec) override;
   net::Task<api::Status> Cancel(std::string id) override;
-  api::Reported Report(const WorkerReport& report) override;
+  net::Task<api::Reported> Report(WorkerReport report,
+                                  std::string body) override;
   api::LeaderView Leader() override;
 
   // A request, or news of one, from another controller; false if it is not of
@@ -54,6 +56,8 @@
   net::Task<api::Status> FreshRead(std::string id);
   // What is said of a job that has no record.
   net::Task<api::Status> NotFound(std::string id);
+  // The leader's core takes the report; false if this is not the leader.
+  bool TakeReport(const WorkerReport& report, ReportReply* reply);
   bool FinalKnown(const std::string& id, api::Status* out) const;
   bool ViewHere(const std::string& id, api::Status* out);
 
@@ -65,6 +69,7 @@
   Election& election_;
   Dealings& dealings_;
   const FitnessDesk::Peers& peers_;
+  ZoneDesk& zone_desk_;
   RecoveryDesk& recovery_;
   size_t relay_to_ = 0;  // the peer that takes what is relayed
   net::Time relay_not_before_ = 0;
--- /dev/null
+++ b/app/zone_desk.cc
@@ -0,0 +1,262 @@
+#include "app/zone_desk.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace oxbow::app {
+namespace {
+
+using clients::PeerAnswer;
+using clients::PeerKind;
+using clients::PeerMessage;
+
+// Shares of the workers' lease. A worker behind a cut has few tries before its
+// lease ends: it must find those inside ready by the first.
+constexpr double kAskEvery = 0.03;
+constexpr double kWait = 0.06;
+constexpr double kRecordEvery = 0.1;
+constexpr double kRecordWait = 0.1;
+constexpr double kUnheard = 0.25;  // since a controller has asked the leader
+constexpr double kAgain = 4;       // until a worker is sent to its zone again
+// Of the 4 s that a worker waits for its answer (protocol, "Workers ->
+// controller nodes"): for the leader, and then for the state service.
+constexpr double kRelayWait_s = 1.2;
+constexpr double kProbeWait_s = 1.6;
+constexpr double kLook_s = 0.1;
+constexpr int kStays = 2;  // reports answered here first
+
+uint32_t Milliseconds(double seconds) {
+  constexpr double kMost = 4e9;
+  return static_cast<uint32_t>(std::clamp(seconds * 1000, 0.0, kMost));
+}
+
+double Seconds(uint32_t milliseconds) { return milliseconds / 1000.0; }
+
+}  // namespace
+
+ZoneDesk::ZoneDesk(net::Loop& loop, const Settings& settings,
+                   const Tuning& tuning, clients::StateClient& state,
+                   const FitnessDesk::Peers& peers, std::string life,
+                   Seams seams)
+    : loop_(loop),
+      settings_(settings),
+      on_(tuning.keep_zones > 0),
+      state_(state),
+      peers_(peers),
+      life_(std::move(life)),
+      started_(loop.Now()),
+      seams_(std::move(seams)),
+      keeper_(settings.workers) {}
+
+void ZoneDesk::Start() {
+  if (!on_ || ZoneRight(settings_.workers) <= 0) return;
+  net::Spawn(AskLoop());
+  net::Spawn(RecordLoop());
+}
+
+PeerMessage ZoneDesk::Message(PeerKind kind) const {
+  PeerMessage message;
+  message.kind = kind;
+  message.node = settings_.node;
+  message.text = life_;
+  message.running = Milliseconds(loop_.Now() - started_);
+  return message;
+}
+
+net::Task<void> ZoneDesk::AskLoop() {
+  const double lease = settings_.workers.lease_s;
+  for (;;) {
+    const net::Time sent = loop_.Refresh();
+    if (const Controller* core = seams_.leading()) {
+      // Whoever leads next takes office after the lease has ended, and counts
+      // what this one may do from then, as if it had been granted.
+      leader_met_ = sent;
+      if (core->ZoneSettled(settings_.zone, sent)) keeper_.Granted(sent);
+    } else if (clients::PeerClient* leader = seams_.leader()) {
+      const auto answer =
+          co_await leader->Ask(Message(PeerKind::kKeepZone), kWait * lease);
+      if (answer.ok && answer.message.role == LeaderRole::kLeads) {
+        leader_met_ = sent;
+        if (answer.message.answer == PeerAnswer::kYes) keeper_.Granted(sent);
+      } else if (!answer.ok) {
+        leader_missed_ = sent;
+      }
+    }
+    co_await loop_.Sleep(kAskEvery * lease);
+  }
+}
+
+net::Task<void> ZoneDesk::Probe() {
+  if (!probing_) {
+    probing_ = true;
+    net::Spawn([](ZoneDesk* self) -> net::Task<void> {
+      co_await self->state_.Get(std::string(keys::kLeader),
+                                clients::Urgency::kLease);
+      self->probing_ = false;
+    }(this));
+  }
+  // Several may wait for it.
+  const net::Time until = loop_.Now() + kProbeWait_s;
+  while (probing_ && loop_.Now() < until) co_await loop_.Sleep(kLook_s);
+  if (probing_) state_missed_ = loop_.Now();
+}
+
+net::Task<void> ZoneDesk::RecordLoop() {
+  const double lease = settings_.workers.lease_s;
+  const std::string key = keys::Of(keys::kZone, settings_.node);
+  for (;;) {
+    const net::Time sent = loop_.Refresh();
+    if (lease_id_ != 0) {
+      const clients::StateResult result =
+          co_await state_.Renew(lease_id_, kRecordWait * lease);
+      if (result.ok()) {
+        keeper_.Recorded(sent);
+      } else if (result.status == clients::StateStatus::kNotFound) {
+        lease_id_ = 0;
+        continue;
+      }
+    } else {
+      const clients::StateResult granted =
+          co_await state_.CreateLease(ZoneRecordLease(settings_.workers));
+      if (granted.ok()) {
+        std::vector<Condition> none;
+        std::vector<KeyChange> changes{
+            {key, LeaderRecord{settings_.node, life_, 0, false}}};
+        const clients::StateResult written =
+            co_await state_.Write(std::move(none), std::move(changes),
+                                  clients::Urgency::kLease, granted.lease_id);
+        if (written.ok()) {
+          lease_id_ = granted.lease_id;
+          keeper_.RecordedAnew(sent, loop_.Refresh());
+        }
+      }
+    }
+    co_await loop_.Sleep(kRecordEvery * lease);
+  }
+}
+
+bool ZoneDesk::Relays(const WorkerReport& report, size_t bytes) const {
+  if (!on_ || report.zone != settings_.zone || bytes > kMostBytes) return false;
+  const clients::PeerClient* leader = seams_.leader();
+  if (leader == nullptr) return false;
+  return std::any_of(settings_.peers.begin(), settings_.peers.end(),
+                     [&](const PeerSettings& p) {
+                       return p.name == leader->name() &&
+                              p.zone != settings_.zone;
+                     });
+}
+
+net::Task<ZoneDesk::Relayed> ZoneDesk::Relay(std::string body) {
+  Relayed out;
+  clients::PeerClient* leader = seams_.leader();
+  if (leader == nullptr || CutOff()) co_return out;
+  PeerMessage message;
+  message.kind = PeerKind::kReport;
+  message.node = settings_.node;
+  message.text = std::move(body);
+  const net::Time sent = loop_.Refresh();
+  auto answer = co_await leader->Ask(std::move(message), kRelayWait_s);
+  if (answer.ok) {
+    leader_met_ = sent;
+    out.answered = answer.message.answer == PeerAnswer::kYes;
+    out.text = std::move(answer.message.text);
+    co_return out;
+  }
+  // A link that is refused says so at once: the worker reaches the leader by
+  // itself, or finds another. Silence may be a cut round both.
+  leader_missed_ = sent;
+  if (loop_.Refresh() - sent < kRelayWait_s / 2) co_return out;
+  co_await Probe();
+  co_return out;
+}
+
+std::string ZoneDesk::BetterPlaceFor(const WorkerReport& report,
+                                     uint64_t revision) {
+  if (!on_ || report.zone == settings_.zone) return {};
+  if (visited_ != revision) {
+    visited_ = revision;
+    visitors_.clear();
+  }
+  const double lease = settings_.workers.lease_s;
+  const net::Time now = loop_.Now();
+  Visitor& visitor = visitors_[report.host];
+  // Not before it has been answered here, and not soon again: those in its zone
+  // may have sent it back.
+  if (++visitor.reports < kStays || now - visitor.sent_away < kAgain * lease) {
+    return {};
+  }
+  std::vector<const std::string*> there;
+  for (const PeerSettings& p : settings_.peers) {
+    const auto met = peer_met_.find(p.name);
+    if (p.zone == report.zone && met != peer_met_.end() &&
+        now - met->second < kUnheard * lease) {
+      there.push_back(&p.name);
+    }
+  }
+  if (there.empty()) return {};
+  visitor.sent_away = now;
+  return *there[std::hash<std::string>{}(report.host) % there.size()];
+}
+
+bool ZoneDesk::CutOff() const {
+  const bool state_out = state_.Failing() || state_missed_ > state_.last_good();
+  if (!on_ || !state_out) return false;
+  // Its own name in the key is that of a former life, or of a right that it
+  // could not renew.
+  if (seams_.leader() == nullptr) return seams_.leading() == nullptr;
+  return leader_missed_ > leader_met_;
+}
+
+bool ZoneDesk::Keeps(const WorkerReport& report) {
+  return report.token > 0 && report.zone == settings_.zone && CutOff() &&
+         keeper_.Keep(loop_.Refresh());
+}
+
+net::Task<void> ZoneDesk::DoAsk(AskStandBack ask, uint64_t revision) {
+  for (const auto& peer : peers_) {
+    if (std::find(ask.peers.begin(), ask.peers.end(), peer->name()) !=
+        ask.peers.end()) {
+      net::Spawn(AskOne(peer.get(), revision));
+    }
+  }
+  co_return;
+}
+
+net::Task<void> ZoneDesk::AskOne(clients::PeerClient* peer, uint64_t revision) {
+  const net::Time sent = loop_.Refresh();
+  const auto answer = co_await peer->Ask(Message(PeerKind::kStandBack),
+                                         kWait * settings_.workers.lease_s);
+  const PeerMessage& said = answer.message;
+  if (!answer.ok || said.answer != PeerAnswer::kYes) co_return;
+  // One more than the time, 0 for never.
+  const double kept_ago = said.done == 0 ? -1 : Seconds(said.done - 1);
+  seams_.tell(revision, [&](Controller& c) {
+    c.OnStoodBack(peer->name(), said.text, Seconds(said.running), kept_ago,
+                  sent, loop_.Now());
+  });
+}
+
+void ZoneDesk::OnPeer(const PeerMessage& message, PeerMessage* reply) {
+  const net::Time now = loop_.Refresh();
+  if (message.kind == PeerKind::kStandBack) {
+    leader_met_ = now;
+    if (!keeper_.AskedToStandBack(now)) return;
+    const double kept_ago = keeper_.KeptAgo(now);
+    reply->done = kept_ago < 0 ? 0 : Milliseconds(kept_ago) + 1;
+    reply->running = Milliseconds(now - started_);
+    reply->text = life_;
+    reply->answer = PeerAnswer::kYes;
+    return;
+  }
+  Controller* core = seams_.leading();
+  if (core != nullptr) peer_met_[message.node] = now;
+  if (core != nullptr && core->OnKeepAsked(message.node, message.text,
+                                           Seconds(message.running), now)) {
+    reply->answer = PeerAnswer::kYes;
+  }
+}
+
+}  // namespace oxbow::app
--- /dev/null
+++ b/app/zone_desk.h
@@ -0,0 +1,102 @@
+// A controller and the workers of its zone, where the leader is in another one.
+// Their reports are handed on to the leader, so that they stay where they are
+// when the zone is cut off; then they are kept alive by a right that has been
+// asked for before. Gives no orders and leads nothing. See docs/keepers.md.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "app/fitness_desk.h"
+#include "clients/peer.h"
+#include "clients/state.h"
+#include "core/controller/controller.h"
+#include "core/lease/zone_keeping.h"
+#include "core/model/report.h"
+#include "net/loop.h"
+
+namespace oxbow::app {
+
+class ZoneDesk {
+ public:
+  struct Seams {
+    // The leader as far as is known; null: this one, or nobody.
+    std::function<clients::PeerClient*()> leader;
+    // This controller's core, where it leads by the lease of the key.
+    std::function<Controller*()> leading;
+    std::function<void(uint64_t revision,
+                       const std::function<void(Controller&)>&)>
+        tell;
+  };
+
+  ZoneDesk(net::Loop& loop, const Settings& settings, const Tuning& tuning,
+           clients::StateClient& state, const FitnessDesk::Peers& peers,
+           std::string life, Seams seams);
+  void Start();
+
+  // --- reports handed on
+  static constexpr size_t kMostBytes = 48 * 1024;  // of one, or of its answer
+  struct Relayed {
+    bool answered = false;
+    std::string text;
+  };
+  // Whether the report is one to hand on to the leader.
+  bool Relays(const WorkerReport& report, size_t bytes) const;
+  // Back within less than a worker waits; by then it is known whether this
+  // controller is cut off.
+  net::Task<Relayed> Relay(std::string body);
+  // As the leader: the controller of the worker's own zone it should report to,
+  // empty to stay here. Says so once in a while.
+  std::string BetterPlaceFor(const WorkerReport& report, uint64_t revision);
+
+  // Whether neither the state service nor the leader can be reached.
+  bool CutOff() const;
+  // Whether the worker's report may be answered here, without orders.
+  bool Keeps(const WorkerReport& report);
+
+  // --- as the leader
+  net::Task<void> DoAsk(AskStandBack ask, uint64_t revision);
+
+  static bool Takes(clients::PeerKind kind) {
+    return kind == clients::PeerKind::kKeepZone ||
+           kind == clients::PeerKind::kStandBack;
+  }
+  void OnPeer(const clients::PeerMessage& message, clients::PeerMessage* reply);
+
+ private:
+  net::Task<void> AskLoop();
+  // Whether the state service answers right now, without waiting long.
+  net::Task<void> Probe();
+  // Keeps the record of the right alive, which ends by itself.
+  net::Task<void> RecordLoop();
+  net::Task<void> AskOne(clients::PeerClient* peer, uint64_t revision);
+  clients::PeerMessage Message(clients::PeerKind kind) const;
+
+  net::Loop& loop_;
+  const Settings& settings_;
+  const bool on_;
+  clients::StateClient& state_;
+  const FitnessDesk::Peers& peers_;
+  const std::string life_;  // incarnation of this process
+  const net::Time started_;
+  Seams seams_;
+  ZoneKeeper keeper_;
+  net::Time leader_met_ = -1e9;     // asked when it answered, or was this one
+  net::Time leader_missed_ = -1e9;  // asked when it did not
+  net::Time state_missed_ = -1e9;   // probed when it did not answer in time
+  bool probing_ = false;
+  uint64_t lease_id_ = 0;  // of the record
+  // As the leader.
+  std::map<std::string, net::Time> peer_met_;  // by its asking
+  struct Visitor {
+    int reports = 0;
+    net::Time sent_away = -1e9;
+  };
+  uint64_t visited_ = 0;  // the leadership that the visitors are of
+  std::unordered_map<std::string, Visitor> visitors_;
+};
+
+}  // namespace oxbow::app
--- a/core/controller/actions.h
+++ b/core/controller/actions.h
@@ -89,6 +89,14 @@
   std::string why;
 };
 
+// Ask these controllers not to keep the workers of their zone for a moment.
+struct AskStandBack {
+  std::vector<std::string> peers;
+};
+
+// Read again whose right to keep a zone's workers is recorded.
+struct ReadZoneKeepers {};
+
 // A task runs whose job is not known here: read how it stands.
 struct AskJob {
   std::string id;
@@ -107,7 +115,7 @@
 using Action =
     std::variant<SendOrders, Probe, WriteTransaction, ReadKeys, RentMachines,
                  DeleteMachines, JobFinal, CheckInstance, AskReach, OfferLead,
-                 AskJob, Resign, Note>;
+                 AskStandBack, ReadZoneKeepers, AskJob, Resign, Note>;
 
 // --- answers
 
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -35,6 +35,8 @@
 inline constexpr std::string_view kMachine = "ob/live/m/";
 inline constexpr std::string_view kRental = "ob/live/r/";
 inline constexpr std::string_view kRollout = "ob/live/o/";
+// Rights to keep a zone's workers, each under a lease; not followed.
+inline constexpr std::string_view kZone = "ob/zone/";
 inline constexpr std::string_view kFinal = "ob/final/";
 inline constexpr std::string_view kRolloutEnd = "ob/ended/o/";
 
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -21,7 +21,8 @@
 
 Controller::Controller(const Settings& settings, const Tuning& tuning,
                        Catalog& catalog, uint64_t revision, Time now,
-                       double wall_minus_steady, uint64_t seed)
+                       double wall_minus_steady, uint64_t seed,
+                       const std::optional<std::set<std::string>>& keepers)
     : settings_(settings),
       tuning_(tuning),
       catalog_(catalog),
@@ -33,7 +34,8 @@
       numbers_(term_),
       placer_(tuning, seed),
       writes_(settings, Mandate(catalog, revision), *this, actions_),
-      ears_(settings, tuning, patience_, machines_, now, seed, actions_) {
+      ears_(settings, tuning, patience_, machines_, now, seed, actions_),
+      zones_(settings, now, keepers) {
   for (const TeamSettings& team : settings.teams)
     teams_.push_back({team, {}, {}, {}});
   for (const Objective& objective : settings.objectives) {
@@ -178,6 +180,7 @@
     return;
   }
   job.Change(state == FinalState::kDone ? JobState::kDone : JobState::kAborted);
+  job.ended = now;
   Log("job " + id + (state == FinalState::kDone ? " done" : " cancelled") +
       ", recorded");
   actions_.push_back(JobFinal{id, state});
@@ -252,7 +255,12 @@
 
 void Controller::Tick(Time now, bool by_lease) {
   ears_.Count(now);
+  in_doubt_ = false;
   for (auto& m : machines_) TickMachine(*m, now, by_lease);
+  if (in_doubt_ && now >= next_keepers_) {
+    next_keepers_ = now + StandBackFor(settings_.workers);
+    actions_.push_back(ReadZoneKeepers{});
+  }
   ears_.Ask(now);
   for (auto& [name, rental] : rentals_) {
     if (rental.state == kRequesting && now >= rental.next_try) {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -19,6 +20,7 @@
 #include "core/controller/ears.h"
 #include "core/controller/write_queue.h"
 #include "core/lease/token.h"
+#include "core/lease/zone_keeping.h"
 #include "core/limits/loss_limiter.h"
 #include "core/model/job.h"
 #include "core/model/machine.h"
@@ -33,10 +35,12 @@
 
 class Controller : private WriteQueue::Owner {
  public:
-  // `revision`: of the leader key, in the catalog's epoch.
+  // `revision`: of the leader key, in the catalog's epoch. `keepers`: who may
+  // hold a right to keep the workers of its zone (ZoneRights).
   Controller(const Settings& settings, const Tuning& tuning, Catalog& catalog,
              uint64_t revision, Time now, double wall_minus_steady,
-             uint64_t seed);
+             uint64_t seed,
+             const std::optional<std::set<std::string>>& keepers = {});
 
   // --- events
   void OnTypes(const std::vector<MachineType>& types);
@@ -67,6 +71,23 @@
   void OnOfferRefused(const std::string& why, Time now) {
     ears_.OnOfferRefused(why, now);
   }
+  // A controller asks for the right to keep the workers of its zone, should it
+  // be cut off. `life`, `age`: of its process, s.
+  bool OnKeepAsked(const std::string& peer, const std::string& life, double age,
+                   Time now);
+  // One that was asked at `sent` stands back. Ages as of its answer, s;
+  // `kept_ago` is negative if it never kept.
+  void OnStoodBack(const std::string& peer, const std::string& life, double age,
+                   double kept_ago, Time sent, Time now) {
+    zones_.StoodBack(peer, life, age, kept_ago, sent, now);
+  }
+  void OnKeepersRead(const std::set<std::string>& recorded, Time sent,
+                     Time now) {
+    zones_.RecordsRead(recorded, sent, now);
+  }
+  // Whether nothing is in a zone that must be gone before a right to keep its
+  // workers could run out.
+  bool ZoneSettled(const std::string& zone, Time now) const;
   // Asks for the job to be cancelled; a JobFinal follows. False: unknown job.
   bool Cancel(const std::string& id, Time now);
   // How jobs ended that the state service does not hold any more.
@@ -161,6 +182,9 @@
   void DirectFailed(Machine& m, Time now);
   void RaiseToken(Machine& m);
   void TickMachine(Machine& m, Time now, bool by_lease);
+  // Whether the machine's session is over: not while somebody in its zone may
+  // have kept it alive.
+  bool SessionOver(const Machine& m, Time now);
   void Drain(Machine& m, Time now, const char* why);
   // Stops what has to leave a machine that is being emptied and may now.
   void StopLeaving(Machine& m, Time now);
@@ -331,6 +355,9 @@
   std::map<std::string, ClassAims> aims_;  // by class
   std::map<std::string, Rental> rentals_;
   std::map<SupplyKey, Time> refused_until_;
+  ZoneRights zones_;
+  bool in_doubt_ = false;  // a silent session may be kept, in this tick
+  Time next_keepers_ = 0;
   std::map<std::string, Rollout> rollouts_;                  // by id
   std::unordered_map<std::string, std::string> in_rollout_;  // by job id
   int checks_in_flight_ = 0;
--- a/core/controller/ears.cc
+++ b/core/controller/ears.cc
@@ -128,7 +128,9 @@
       now - m.reached_by_other < patience_.give_up) {
     return false;
   }
-  return m.reached_by_none > quiet_since;
+  // An answer from before many were silent says nothing about now: nobody has
+  // been asked since.
+  return m.reached_by_none > std::max(quiet_since, now - patience_.give_up);
 }
 
 bool Ears::LossAllowed(const Machine& m, LossCause cause, Time now) {
@@ -187,7 +189,7 @@
   return alarms;
 }
 
-uint64_t Ears::Ask(const std::vector<Machine*>& about, bool sample) {
+uint64_t Ears::Ask(const std::vector<Machine*>& about, bool sample, Time now) {
   AskReach ask;
   ask.sample = sample;
   ask.round = next_round_++;
@@ -195,7 +197,7 @@
     ask.hosts.push_back(m->host());
     ask.endpoints.push_back(m->endpoint);
   }
-  asked_[ask.round] = about;
+  asked_[ask.round] = {about, now};
   const uint64_t round = ask.round;
   actions_.push_back(std::move(ask));
   return round;
@@ -219,7 +221,7 @@
     about.push_back(m.get());
     if (about.size() == kMostAsked) break;
   }
-  if (!about.empty()) silent_round_ = Ask(about, /*sample=*/false);
+  if (!about.empty()) silent_round_ = Ask(about, /*sample=*/false, now);
 }
 
 void Ears::Ask(Time now) {
@@ -240,13 +242,13 @@
               sampling_);
   if (sample.empty()) return;
   fitness_.RoundAsked(now);
-  fitness_round_ = Ask(sample, /*sample=*/true);
+  fitness_round_ = Ask(sample, /*sample=*/true, now);
 }
 
 bool Ears::OnReach(uint64_t round, std::vector<Reach> answers, Time now) {
   const auto it = asked_.find(round);
   if (it == asked_.end() || answers.empty()) return true;
-  const std::vector<Machine*> about = std::move(it->second);
+  const auto [about, asked] = std::move(it->second);
   asked_.erase(it);
   for (size_t i = 0; i < about.size(); ++i) {
     Machine* m = about[i];
@@ -257,7 +259,9 @@
     if (others) {
       m->reached_by_other = now;
     } else if (answers[0].Denies(i)) {
-      m->reached_by_none = now;
+      // As of the question: a leader that stood still finds the answer late,
+      // and the machine may have come back since.
+      m->reached_by_none = std::max(m->reached_by_none, asked);
     }
     // A machine whose reports don't come is not heard, whether or not it
     // answers: only reports renew its lease.
--- a/core/controller/ears.h
+++ b/core/controller/ears.h
@@ -54,7 +54,7 @@
   bool FewSilent() const;
   void AskAboutSilent(Time now);
   void AskWhoReaches(Time now);
-  uint64_t Ask(const std::vector<Machine*>& about, bool sample);
+  uint64_t Ask(const std::vector<Machine*>& about, bool sample, Time now);
   void Say(std::string text);
 
   const Settings& settings_;
@@ -68,7 +68,11 @@
   uint64_t next_round_ = 1;
   uint64_t fitness_round_ = 0;  // under way; 0: none
   uint64_t silent_round_ = 0;
-  std::map<uint64_t, std::vector<Machine*>> asked_;  // by round
+  struct Question {
+    std::vector<Machine*> about;
+    Time asked = 0;
+  };
+  std::map<uint64_t, Question> asked_;  // by round
   // The latest verdict on each cause, and when one was last refused.
   std::array<LossVerdict, kLossCauses> refusals_{};
   std::array<Time, kLossCauses> refused_at_{};
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -436,6 +436,51 @@
   dirty_ = true;
 }
 
+bool Controller::SessionOver(const Machine& m, Time now) {
+  const double lease = settings_.workers.lease_s;
+  // The others are asked a little before, so that nobody waits for them.
+  const double early = 2 * StandBackFor(settings_.workers);
+  if (now <= m.session.MayLiveUntil(lease) - early) return false;
+  const std::vector<std::string> asked = zones_.ToAsk(m.zone, now);
+  if (!asked.empty()) actions_.push_back(AskStandBack{asked});
+  return now > m.session.MayLiveUntil(lease) && !zones_.MayBeKept(m.zone, now);
+}
+
+bool Controller::ZoneSettled(const std::string& zone, Time now) const {
+  for (const auto& m : machines_) {
+    // What it holds is not known yet.
+    if (m->zone == zone && m->recorded_up && !m->reported &&
+        m->state() != MachineState::kGone) {
+      return false;
+    }
+  }
+  const double margin = ZoneMargin(settings_.workers) / 2;
+  for (const auto& [id, job] : jobs_) {
+    if (job->state() != JobState::kAborted || job->holding() == 0 ||
+        now - job->ended < margin) {
+      continue;
+    }
+    for (const auto& [index, presence] : job->presence()) {
+      if (presence.holding > 0 &&
+          machines_[static_cast<size_t>(index)]->zone == zone) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+bool Controller::OnKeepAsked(const std::string& peer, const std::string& life,
+                             double age, Time now) {
+  for (const PeerSettings& p : settings_.peers) {
+    if (p.name != peer) continue;
+    if (!ZoneSettled(p.zone, now)) return false;
+    zones_.Grant(peer, life, age, now);
+    return true;
+  }
+  return false;
+}
+
 void Controller::Expire(Machine& m, Time now) {
   m.session.Change(SessionEvent::kRanOut, 0, now);
   LoseAll(m, "no report answered for a whole lease");
@@ -707,9 +752,10 @@
   const double lease = settings_.workers.lease_s;
   const bool may_hold =
       !m.residents.empty() || m.batch || (m.recorded_up && !m.reported);
-  if (by_lease && may_hold && m.session.state() != SessionState::kOver &&
-      now > m.session.MayLiveUntil(lease)) {
-    Expire(m, now);
+  if (by_lease && may_hold && m.session.state() != SessionState::kOver) {
+    in_doubt_ =
+        in_doubt_ || now - std::max(m.last_heard, started_) > patience_.suspect;
+    if (SessionOver(m, now)) Expire(m, now);
   }
   if (m.state() == MachineState::kDeleting) {
     if (now - m.delete_sent > lease / 2) AskDelete(m, now, "again");
--- a/core/lease/leadership.cc
+++ b/core/lease/leadership.cc
@@ -9,12 +9,12 @@
 using enum LeaderState;
 
 constexpr std::array kChanges = {
-    std::pair{kFollower, kSeeking}, std::pair{kSeeking, kFollower},
-    std::pair{kSeeking, kLeading},  std::pair{kLeading, kProlonged},
-    std::pair{kSeeking, kKeeping},  std::pair{kKeeping, kLeading},
-    std::pair{kKeeping, kLapsed},
-    std::pair{kLeading, kLapsed},   std::pair{kProlonged, kLeading},
-    std::pair{kProlonged, kLapsed}, std::pair{kLapsed, kFollower},
+    std::pair{kFollower, kSeeking},  std::pair{kSeeking, kFollower},
+    std::pair{kSeeking, kLeading},   std::pair{kLeading, kProlonged},
+    std::pair{kSeeking, kKeeping},   std::pair{kKeeping, kLeading},
+    std::pair{kKeeping, kLapsed},    std::pair{kLeading, kLapsed},
+    std::pair{kProlonged, kLeading}, std::pair{kProlonged, kLapsed},
+    std::pair{kLapsed, kFollower},
 };
 
 }  // namespace
--- a/core/lease/zone_keeping.cc
+++ b/core/lease/zone_keeping.cc
@@ -10,13 +10,18 @@
 }  // namespace
 
 double ZoneMargin(const WorkerSettings& workers) {
-  constexpr double kOfLease = 0.15;
-  return std::max(workers.report_s, kOfLease * workers.lease_s);
+  constexpr double kOfLease = 0.05;
+  return kOfLease * workers.lease_s;
 }
 
 double ZoneRight(const WorkerSettings& workers) {
-  return std::max(
-      0.0, workers.cancel_s - workers.lease_s - ZoneMargin(workers));
+  return std::max(0.0,
+                  workers.cancel_s - workers.lease_s - ZoneMargin(workers));
+}
+
+double ZoneRecordLease(const WorkerSettings& workers) {
+  constexpr double kLonger = 0.2;
+  return ZoneRight(workers) + kLonger * workers.lease_s;
 }
 
 double StandBackFor(const WorkerSettings& workers) {
@@ -25,11 +30,23 @@
 }
 
 void ZoneKeeper::Granted(Time sent) {
+  if (sent < recorded_from_) return;
   until_ = std::max(until_, sent + right_s_ * (1 - kDrift));
 }
 
+void ZoneKeeper::Recorded(Time sent) {
+  recorded_until_ = std::max(recorded_until_, sent + record_s_ * (1 - kDrift));
+}
+
+void ZoneKeeper::RecordedAnew(Time sent, Time now) {
+  recorded_from_ = now;
+  recorded_until_ = sent + record_s_ * (1 - kDrift);
+  until_ = -1e9;
+}
+
 bool ZoneKeeper::Keep(Time now) {
-  if (now >= until_ || now < stands_back_until_) return false;
+  if (now >= until_ || now >= recorded_until_ || now < stands_back_until_)
+    return false;
   kept_ = now;
   return true;
 }
@@ -42,42 +59,60 @@
   return true;
 }
 
-ZoneRights::ZoneRights(const Settings& settings, Time started)
+ZoneRights::ZoneRights(const Settings& settings, Time started,
+                       const std::optional<std::set<std::string>>& recorded)
     : lease_s_(settings.workers.lease_s),
       right_s_(ZoneRight(settings.workers)),
       stand_s_(StandBackFor(settings.workers)) {
   for (const PeerSettings& peer : settings.peers) {
-    // What an earlier leader has granted ends by then.
+    // What an earlier leader has granted ends by then. One whose record was
+    // gone when this leadership had begun has no right any more.
     Peer& p = peers_[peer.name];
     p.zone = peer.zone;
-    p.right_until = started + right_s_ * (1 + kDrift);
+    p.right_until = started;
+    if (!recorded || recorded->contains(peer.name)) {
+      p.right_until += right_s_ * (1 + kDrift);
+    }
   }
 }
 
+// A life not met before has forgotten what the one before it promised, and
+// does not know until when that one kept.
+void ZoneRights::Meet(Peer& p, const std::string& life, double age, Time now) {
+  if (p.life == life) return;
+  p.life = life;
+  p.met = now;
+  p.stands_back_until = -1e9;
+  p.kept = std::max(p.kept, now - age * (1 - kDrift));
+}
+
 void ZoneRights::Grant(const std::string& peer, const std::string& life,
-                       Time now) {
+                       double age, Time now) {
   const auto it = peers_.find(peer);
   if (it == peers_.end()) return;
   Peer& p = it->second;
   p.right_until = std::max(p.right_until, now + right_s_ * (1 + kDrift));
-  if (p.life == life) return;
-  // Its former life may have kept until it ended.
-  p.life = life;
-  p.stands_back_until = -1e9;
-  p.kept = std::max(p.kept, now);
+  p.granted = now;
+  Meet(p, life, age, now);
+}
+
+void ZoneRights::RecordsRead(const std::set<std::string>& recorded, Time sent,
+                             Time now) {
+  for (auto& [name, p] : peers_) {
+    if (p.granted < sent && !recorded.contains(name)) {
+      p.right_until = std::min(p.right_until, now);
+    }
+  }
 }
 
 void ZoneRights::StoodBack(const std::string& peer, const std::string& life,
-                           double kept_ago, Time sent, Time now) {
+                           double age, double kept_ago, Time sent, Time now) {
   const auto it = peers_.find(peer);
   if (it == peers_.end()) return;
   Peer& p = it->second;
-  if (p.life != life) {
-    p.life = life;
-    // A life that was never heard of may have begun just now, and the one
-    // before it may have kept until then.
-    p.kept = std::max(p.kept, now);
-  }
+  // Of a life that has ended, held back on the way.
+  if (p.life != life && sent <= p.met) return;
+  Meet(p, life, age, now);
   if (kept_ago >= 0) p.kept = std::max(p.kept, now - kept_ago * (1 - kDrift));
   p.stands_back_until =
       std::max(p.stands_back_until, sent + stand_s_ * (1 - kDrift));
--- a/core/lease/zone_keeping.h
+++ b/core/lease/zone_keeping.h
@@ -5,6 +5,8 @@
 #pragma once
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,12 +15,15 @@
 namespace oxbow {
 
 // For how long the right lasts, s; 0: there is none. A user who is told that a
-// job is cancelled must find its tasks gone within `cancel_s`; behind a cut they
-// go when the right has run out and the worker's lease after it.
+// job is cancelled must find its tasks gone within `cancel_s`; behind a cut
+// they go when the right has run out and the worker's lease after it.
 double ZoneRight(const WorkerSettings& workers);
 // How old a cancellation may be whose tasks are still there, for the right to
 // be granted anew, s.
 double ZoneMargin(const WorkerSettings& workers);
+// Of the record of the right: a little longer, so that it need not be renewed
+// as often as the right, s.
+double ZoneRecordLease(const WorkerSettings& workers);
 // How long one that stands back does not keep, s.
 double StandBackFor(const WorkerSettings& workers);
 
@@ -26,11 +31,18 @@
 class ZoneKeeper {
  public:
   explicit ZoneKeeper(const WorkerSettings& workers)
-      : right_s_(ZoneRight(workers)), stand_s_(StandBackFor(workers)) {}
+      : right_s_(ZoneRight(workers)),
+        record_s_(ZoneRecordLease(workers)),
+        stand_s_(StandBackFor(workers)) {}
 
   // The leader has granted the right, asked for at `sent`; or this controller
-  // has just led, by a renewal sent then.
+  // leads at that moment.
   void Granted(Time sent);
+  // The lease of the record of the right counts from `sent` on.
+  void Recorded(Time sent);
+  // The record was written anew at `now`. Between the old one's end and that a
+  // new leader may have found none: what was granted before is void.
+  void RecordedAnew(Time sent, Time now);
   // Whether a report may be answered now; notes that it is.
   bool Keep(Time now);
   // Asked to stand back: not to keep for a moment. False while it keeps.
@@ -40,8 +52,11 @@
 
  private:
   double right_s_;
+  double record_s_;
   double stand_s_;
   Time until_ = -1e9;
+  Time recorded_from_ = 1e18;
+  Time recorded_until_ = -1e9;
   Time stands_back_until_ = -1e9;
   Time kept_ = -1;
 };
@@ -49,14 +64,24 @@
 // The leader's picture of those inside.
 class ZoneRights {
  public:
-  ZoneRights(const Settings& settings, Time started);
+  // `recorded`: whose right is, or may be, recorded in the state service as of
+  // this leadership's beginning; nothing: that is not known.
+  ZoneRights(const Settings& settings, Time started,
+             const std::optional<std::set<std::string>>& recorded);
 
   // The right begins anew now. `life`: the incarnation that asks; another one
   // than before has forgotten that it stood back.
-  void Grant(const std::string& peer, const std::string& life, Time now);
-  // The answer to a question sent at `sent`. `kept_ago` as of the answer.
-  void StoodBack(const std::string& peer, const std::string& life,
+  // `age`: s that it has been there; a life before it has kept until then at
+  // the latest.
+  void Grant(const std::string& peer, const std::string& life, double age,
+             Time now);
+  // The answer to a question sent at `sent`. Ages as of the answer; `kept_ago`
+  // is negative if it has never kept.
+  void StoodBack(const std::string& peer, const std::string& life, double age,
                  double kept_ago, Time sent, Time now);
+  // The records as read by a question sent at `sent`: one whose record is gone
+  // has no right, unless it was granted since.
+  void RecordsRead(const std::set<std::string>& recorded, Time sent, Time now);
   // Whether a session in the zone may have been kept alive until less than a
   // worker lease ago.
   bool MayBeKept(const std::string& zone, Time now) const;
@@ -65,10 +90,15 @@
   std::vector<std::string> ToAsk(const std::string& zone, Time now);
 
  private:
+  struct Peer;
+  static void Meet(Peer& p, const std::string& life, double age, Time now);
+
   struct Peer {
     std::string zone;
     std::string life;
+    Time met = -1e18;  // when that life was first heard of
     Time right_until = 0;
+    Time granted = -1e18;
     Time stands_back_until = -1e9;
     Time kept = -1e18;  // the last moment at which it may have, if it stands
     Time asked = -1e9;
--- a/tests/keeper_storm_test.cc
+++ b/tests/keeper_storm_test.cc
@@ -156,12 +156,11 @@
     }
     // After an outage every lease has its full time again.
     if (now_ < outage_until_) key_.ends = now_ + kLeaderLease;
-    if (key_.holder >= 0 && now_ > key_.ends) key_ = {-1, 0, ++revision_, 0,
-                                                      false, 0};
+    if (key_.holder >= 0 && now_ > key_.ends)
+      key_ = {-1, 0, ++revision_, 0, false, 0};
     std::vector<Later> due;
     std::erase_if(later_, [&](Later& l) {
-      const bool stalled =
-          l.node >= 0 && now_ < nodes_[l.node].stalled_until;
+      const bool stalled = l.node >= 0 && now_ < nodes_[l.node].stalled_until;
       if (l.at > now_ || stalled) return false;
       due.push_back(std::move(l));
       return true;
@@ -197,8 +196,7 @@
     Node& n = nodes_[i];
     Leadership& r = *n.right;
     for (int other = 0; other < kNodes; ++other) {
-      if (other == i || now_ < n.next_hello ||
-          r.Proven(now_)) {
+      if (other == i || now_ < n.next_hello || r.Proven(now_)) {
         continue;
       }
       Ask(
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -106,7 +106,7 @@
       while (words >> name) sim_.AddController(name);
     } else if (verb == "controller") {
       // controller NAME deaf | hears | deaf-in | deaf-out | gone | back |
-      //   refused | open | no-state | dies-on-offer | unheard HOST...
+      //   refused | open | no-state | dies-on-offer | zone Z | unheard HOST...
       words >> name >> word;
       ReadController(sim_.controller(name), word, words);
     } else if (verb == "right") {
@@ -240,6 +240,8 @@
       c.no_state = true;
     } else if (word == "dies-on-offer") {
       c.dies_on_offer = true;
+    } else if (word == "zone") {
+      words >> c.zone;
     } else if (word == "unheard") {
       std::string host;
       while (words >> host) c.unheard.insert(host);
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -51,6 +51,49 @@
   fates_[host] = {fate, late_s};
 }
 
+void Sim::AskForZones() {
+  for (auto& [name, c] : controllers_) {
+    if (c.zone.empty() || c.gone) continue;
+    if (!c.keeper) {
+      c.keeper.emplace(settings.workers);
+      c.keeper->RecordedAnew(now_, now_);
+    }
+    if (state_down) {
+      c.recorded_until = now_ + ZoneRecordLease(settings.workers);
+    } else if (!c.no_state) {
+      if (now_ > c.recorded_until) c.keeper->RecordedAnew(now_, now_);
+      c.keeper->Recorded(now_);
+      c.recorded_until = now_ + ZoneRecordLease(settings.workers);
+    }
+    if (name == leading_ || c.refused || !leader_ || now_ < stalled_until_ ||
+        now_ < c.next_ask) {
+      continue;
+    }
+    c.next_ask = now_ + StandBackFor(settings.workers);
+    if (leader_->OnKeepAsked(name, "life", now_, now_)) {
+      c.keeper->Granted(now_);
+    }
+  }
+}
+
+bool Sim::KeptInZone(const SimWorker& w) {
+  for (auto& [name, c] : controllers_) {
+    if (name != leading_ && !c.gone && c.refused && c.zone == w.zone &&
+        c.keeper && c.keeper->Keep(now_)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::set<std::string> Sim::RecordedKeepers() const {
+  std::set<std::string> names;
+  for (const auto& [name, c] : controllers_) {
+    if (now_ < c.recorded_until) names.insert(name);
+  }
+  return names;
+}
+
 void Sim::AddController(const std::string& name) {
   controllers_[name];
   settings.peers.clear();
@@ -64,7 +107,7 @@
   settings.node = name;
   settings.peers.clear();
   for (const auto& [other, node] : controllers_) {
-    if (other != name) settings.peers.push_back({other, "", ""});
+    if (other != name) settings.peers.push_back({other, node.zone, ""});
   }
   LeaderRecord record{name, std::to_string(revision_), 0};
   store_[std::string(keys::kLeader)] = {record, ++revision_};
@@ -76,7 +119,7 @@
   }
   catalog_.Followed(revision_);
   leader_ = std::make_unique<Controller>(settings, tuning, catalog_, revision_,
-                                         now_, 1e6, 7);
+                                         now_, 1e6, 7, RecordedKeepers());
   std::vector<MachineType> all;
   for (const auto& [name, type] : types) all.push_back(type);
   leader_->OnTypes(all);
@@ -216,6 +259,7 @@
                    [](const Later& a, const Later& b) { return a.at < b.at; });
   for (Later& l : due) l.what();
   if (tuning.rollouts_at_once > 0) Watch();
+  AskForZones();
   for (auto& [host, w] : workers_) AdvanceWorker(w);
   if (leader_ && now_ >= stalled_until_) {
     leader_->Tick(now_, !by_promises);
@@ -313,7 +357,10 @@
     w.lease_from = now_;
     return;
   }
-  if (w.reports_cut || !leader_ || !LeaderNode().Hears(w.host)) return;
+  if (w.reports_cut || !leader_ || !LeaderNode().Hears(w.host)) {
+    if (KeptInZone(w)) w.lease_from = now_;
+    return;
+  }
   const Time sent = now_;
   const uint64_t session = w.session;
   const ReportReply reply = leader_->OnReport(ReportOf(w), now_);
@@ -369,7 +416,13 @@
   w.waits_until = now_ + kPatience;
   const std::optional<double> there = storm->Travel();
   const std::optional<double> back = storm->Travel();
-  if (w.reports_cut || !there || !LeaderNode().Hears(w.host)) return;
+  if (w.reports_cut || !there || !LeaderNode().Hears(w.host)) {
+    if (KeptInZone(w)) {
+      w.waits_until = 0;
+      w.lease_from = now_;
+    }
+    return;
+  }
   After(*there, [this, report, number, back, sent = now_] {
     if (!leader_) return;
     OnLeader(leader_->revision(), [this, report, number, back, sent] {
@@ -728,6 +781,27 @@
         std::fprintf(stderr, "%.2f %s\n", now_, note->text.c_str());
       } else if (const auto* ask = std::get_if<AskReach>(&action)) {
         AnswerReach(*ask);
+      } else if (const auto* back = std::get_if<AskStandBack>(&action)) {
+        for (const std::string& name : back->peers) {
+          SimController& c = controllers_[name];
+          if (c.gone || c.refused || !c.keeper ||
+              !c.keeper->AskedToStandBack(now_)) {
+            continue;
+          }
+          After(kLatency, [this, leader, name, sent = now_,
+                           ago = c.keeper->KeptAgo(now_)] {
+            OnLeader(leader, [this, name, ago, sent] {
+              leader_->OnStoodBack(name, "life", now_, ago, sent, now_);
+            });
+          });
+        }
+      } else if (std::holds_alternative<ReadZoneKeepers>(action)) {
+        if (state_down) continue;
+        After(kLatency, [this, leader, sent = now_, read = RecordedKeepers()] {
+          OnLeader(leader, [this, read, sent] {
+            leader_->OnKeepersRead(read, sent, now_);
+          });
+        });
       } else if (const auto* offer = std::get_if<OfferLead>(&action)) {
         AnswerOffer(*offer);
       } else if (const auto* job = std::get_if<AskJob>(&action)) {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -84,6 +84,10 @@
 
 // One controller's place in the network. The leader is one of them.
 struct SimController {
+  std::string zone;  // its own; empty: none
+  std::optional<ZoneKeeper> keeper;
+  Time next_ask = 0;              // for the right to keep its zone's workers
+  Time recorded_until = 0;        // that right, in the state service
   bool gone = false;              // its process is not there
   bool refused = false;           // the other controllers don't reach it
   bool no_state = false;          // it doesn't reach the state service
@@ -193,6 +197,11 @@
   void ReportInStorm(SimWorker& w);
   void AcceptReply(SimWorker& w, const ReportReply& reply, uint64_t session,
                    Time sent);
+  // Controllers in zones ask for the right to keep their workers.
+  void AskForZones();
+  // Whether a controller inside answers a worker that nobody else hears.
+  bool KeptInZone(const SimWorker& w);
+  std::set<std::string> RecordedKeepers() const;
   // Runs on the leader once it has the processor, if it still leads then.
   void OnLeader(uint64_t revision, std::function<void()> what);
   // Runs on the worker once it does not hang any more, if it is still there.
--- a/tests/storm_test.cc
+++ b/tests/storm_test.cc
@@ -50,7 +50,11 @@
     }
     // In half of the runs there are others to ask, and to hand over to.
     if (Happens(0.5)) names_ = {"a", "b", "c"};
-    for (const std::string& name : names_) sim_.AddController(name);
+    for (const std::string& name : names_) {
+      sim_.AddController(name);
+      // Those inside a zone may keep its workers when they are cut off.
+      if (Happens(0.7)) sim_.controller(name).zone = Happens(0.5) ? "a" : "b";
+    }
     sim_.Lead();
   }
 
