One array no longer ends the lead: arrays placed by machine, urgent answers first

The place of each of 25,000 tasks of one array was chosen anew among all machines; the answer to a renewal waited behind every report that was ready before it; a peer's backlog was read to its end at one go.

With a task of an array there a machine goes on winning until it is full, so it is filled at once. The loop takes sixteen of those that are ready between two looks at the clock, answers of the state service first. What peers have sent is read a chunk a turn. A report handed on waits for a busy leader as long as a worker would.

--- a/app/zone_desk.cc
+++ b/app/zone_desk.cc
@@ -24,6 +24,7 @@
 // Of the 4 s that a worker waits for its answer (protocol, "Workers ->
 // controller nodes"): for the leader, and then for the state service.
 constexpr double kRelayWait_s = 1.2;
+constexpr double kRelayLongest_s = 3.4;
 constexpr double kProbeWait_s = 1.6;
 constexpr double kLook_s = 0.1;
 constexpr int kStays = 2;  // reports answered here first
@@ -158,18 +159,31 @@
   message.node = settings_.node;
   message.text = std::move(body);
   const net::Time sent = loop_.Refresh();
-  auto answer = co_await leader->Ask(std::move(message), kRelayWait_s);
-  if (answer.ok) {
-    leader_met_ = sent;
-    out.answered = answer.message.answer == PeerAnswer::kYes;
-    out.text = std::move(answer.message.text);
+  const auto asked = std::make_shared<Handing>(loop_);
+  net::Spawn([](clients::PeerClient* to, PeerMessage what,
+                std::shared_ptr<Handing> handing) -> net::Task<void> {
+    handing->answer = co_await to->Ask(std::move(what), kRelayLongest_s);
+    handing->done.Set();
+  }(leader, std::move(message), asked));
+  const bool soon = co_await asked->done.Wait(kRelayWait_s);
+  if (!soon) {
+    // Silence may be a cut round both, or a leader that has much to do: then
+    // the worker is better off waiting than starting anew with it.
+    leader_missed_ = std::max(leader_missed_, sent);
+    co_await Probe();
+    if (CutOff()) co_return out;
+    co_await asked->done.Wait(
+        std::max(0.0, sent + kRelayLongest_s - loop_.Refresh()));
+  }
+  if (asked->answer.ok) {
+    leader_met_ = loop_.Now();
+    out.answered = asked->answer.message.answer == PeerAnswer::kYes;
+    out.text = std::move(asked->answer.message.text);
     co_return out;
   }
   // A link that is refused says so at once: the worker reaches the leader by
-  // itself, or finds another. Silence may be a cut round both.
-  leader_missed_ = sent;
-  if (loop_.Refresh() - sent < kRelayWait_s / 2) co_return out;
-  co_await Probe();
+  // itself, or finds another.
+  leader_missed_ = std::max(leader_missed_, sent);
   co_return out;
 }
 
--- a/app/zone_desk.h
+++ b/app/zone_desk.h
@@ -67,6 +67,11 @@
   void OnPeer(const clients::PeerMessage& message, clients::PeerMessage* reply);
 
  private:
+  struct Handing {
+    explicit Handing(net::Loop& loop) : done(loop) {}
+    net::Event done;
+    clients::PeerClient::Answer answer;
+  };
   net::Task<void> AskLoop();
   // Whether the state service answers right now, without waiting long.
   net::Task<void> Probe();
--- a/clients/peer.cc
+++ b/clients/peer.cc
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr size_t kHeader = 5;  // length, little end first, and version
-constexpr size_t kMaxUnsent = 256 * 1024;
+// Reports are handed on over it: a few dozen of the longest may wait.
+constexpr size_t kMaxUnsent = 1024 * 1024;
 constexpr size_t kMaxConnections = 32;
 constexpr net::Time kIdle = 120;
 constexpr net::Time kWrite = 5;
@@ -98,6 +99,9 @@
       if (result != FrameReader::Result::kMessage) break;
       on_message(std::move(message));
     }
+    // What has piled up here, reports that are handed on above all, must not
+    // hold up what the right to lead rests on.
+    co_await loop_.Sleep(0);
   }
   open_ = false;
 }
--- a/clients/state.cc
+++ b/clients/state.cc
@@ -40,7 +40,8 @@
 StateClient::StateClient(net::Loop& loop, const net::Address& address,
                          const Settings& settings)
     : loop_(loop),
-      http_(loop, address, kAnswerLimit, 8),
+      // The right to lead rests on its answers.
+      http_(loop, address, kAnswerLimit, 8, /*urgent=*/true),
       watch_(loop, address, kWatchLimit, 1),
       // The controllers share the service's limits in equal parts.
       requests_(settings.state.rps / settings.nodes, 1.0),
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -315,11 +315,26 @@
       MakeRoom(job, usable, now);
       return;
     }
-    const uint64_t attempt = NextNumber();
-    if (attempt == 0) return;
-    job.PopPending();
-    Start(job, static_cast<uint32_t>(task), *m, attempt, now);
-    where.Add(m->zone, 1);
+    // With a task of an array there the machine has the image queued and is
+    // fuller, so it goes on winning until it is full: asked again for each of
+    // 25,000 tasks, the choice took the leader longer than its lease.
+    uint32_t here = 1;
+    if (job.spec().kind == JobKind::kArray) {
+      here =
+          std::max(1u, job.spec().need.TimesIn(
+                           m->RoomFor(&job, job.spec().priority), Wanted(job)));
+    }
+    for (uint32_t n = 0; n < here; ++n) {
+      task = job.PeekPending();
+      if (task < 0 || !TeamAllows(job, 1) || !Allowed(job.spec(), *m, where)) {
+        break;
+      }
+      const uint64_t attempt = NextNumber();
+      if (attempt == 0) return;
+      job.PopPending();
+      Start(job, static_cast<uint32_t>(task), *m, attempt, now);
+      where.Add(m->zone, 1);
+    }
   }
 }
 
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -7,12 +7,13 @@
 namespace oxbow::net {
 
 HttpClient::HttpClient(Loop& loop, Address address, size_t body_limit,
-                       size_t max_idle)
+                       size_t max_idle, bool urgent)
     : loop_(loop),
       address_(std::move(address)),
       host_(address_.ToString()),
       body_limit_(body_limit),
-      max_idle_(max_idle) {}
+      max_idle_(max_idle),
+      urgent_(urgent) {}
 
 Task<ClientResult> HttpClient::Request(std::string method, std::string target,
                                        std::string body, Time timeout_s) {
@@ -27,7 +28,7 @@
     if (socket->PeerClosed()) socket.reset();
   }
   if (!socket) {
-    socket = co_await Socket::Connect(loop_, address_, deadline);
+    socket = co_await Socket::Connect(loop_, address_, deadline, urgent_);
     if (!socket) co_return result;
   }
   const std::string wire = SerializeRequest(method, target, host_, body);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -27,8 +27,9 @@
 
 class HttpClient {
  public:
+  // `urgent`: its answers go before all else that is ready.
   HttpClient(Loop& loop, Address address, size_t body_limit,
-             size_t max_idle = 4);
+             size_t max_idle = 4, bool urgent = false);
 
   Task<ClientResult> Request(std::string method, std::string target,
                              std::string body, Time timeout_s);
@@ -40,6 +41,7 @@
   std::string host_;
   size_t body_limit_;
   size_t max_idle_;
+  bool urgent_;
   std::vector<std::unique_ptr<Socket>> idle_;
 };
 
--- a/net/loop.cc
+++ b/net/loop.cc
@@ -52,7 +52,11 @@
 
 void Loop::Unregister(int fd, FdWaiters* waiters) {
   epoll_ctl(epoll_fd_, EPOLL_CTL_DEL, fd, nullptr);
-  dead_.push_back(waiters);
+  if (waiters->queued) {
+    std::erase(urgent_, waiters);
+    std::erase(ready_, waiters);
+  }
+  if (current_ == waiters) current_ = nullptr;
 }
 
 void Loop::RunTimers() {
@@ -73,47 +77,60 @@
   }
 }
 
+void Loop::Collect(int wait_ms) {
+  std::array<epoll_event, 256> events;
+  const int n = epoll_wait(epoll_fd_, events.data(),
+                           static_cast<int>(events.size()), wait_ms);
+  for (int i = 0; i < n; ++i) {
+    auto* waiters = static_cast<FdWaiters*>(events[i].data.ptr);
+    const uint32_t bits = events[i].events;
+    if (bits & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+      waiters->readable = true;
+    }
+    if (bits & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) waiters->hangup = true;
+    if (bits & (EPOLLOUT | EPOLLHUP | EPOLLERR)) waiters->writable = true;
+    if (!std::exchange(waiters->queued, true)) {
+      (waiters->urgent ? urgent_ : ready_).push_back(waiters);
+    }
+  }
+}
+
+void Loop::Resume(std::deque<FdWaiters*>& queue) {
+  current_ = queue.front();
+  queue.pop_front();
+  current_->queued = false;
+  if (current_->readable && current_->reader) {
+    std::exchange(current_->reader, {}).resume();
+  }
+  // Whoever ran may have closed it.
+  if (current_ != nullptr && current_->writable && current_->writer) {
+    std::exchange(current_->writer, {}).resume();
+  }
+  current_ = nullptr;
+}
+
 void Loop::Run() {
-  std::array<epoll_event, 64> events;
+  // So many of those that are ready between two looks at the clock and at what
+  // is urgent: behind three hundred reports the answer to a renewal came after
+  // the lease had run out.
+  constexpr int kAtOnce = 16;
   while (!stopped_) {
     Refresh();
     RunTimers();
     RunPosted();
     if (stopped_) return;
     int wait_ms = 1000;
-    if (!posted_.empty()) {
+    if (!posted_.empty() || !ready_.empty()) {
       wait_ms = 0;
     } else if (!timers_.empty()) {
       const Time left = timers_.begin()->first - now_;
       wait_ms =
           static_cast<int>(std::clamp(std::ceil(left * 1000.0), 0.0, 1000.0));
     }
-    const int n = epoll_wait(epoll_fd_, events.data(),
-                             static_cast<int>(events.size()), wait_ms);
+    Collect(wait_ms);
     Refresh();
-    dead_.clear();
-    for (int i = 0; i < n; ++i) {
-      auto* waiters = static_cast<FdWaiters*>(events[i].data.ptr);
-      const uint32_t bits = events[i].events;
-      // A handler run earlier in this batch may have closed this descriptor.
-      if (std::find(dead_.begin(), dead_.end(), waiters) != dead_.end()) {
-        continue;
-      }
-      if (bits & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
-        waiters->readable = true;
-      }
-      if (bits & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) waiters->hangup = true;
-      if (bits & (EPOLLOUT | EPOLLHUP | EPOLLERR)) waiters->writable = true;
-      if (waiters->readable && waiters->reader) {
-        std::exchange(waiters->reader, {}).resume();
-        if (std::find(dead_.begin(), dead_.end(), waiters) != dead_.end()) {
-          continue;
-        }
-      }
-      if (waiters->writable && waiters->writer) {
-        std::exchange(waiters->writer, {}).resume();
-      }
-    }
+    while (!urgent_.empty()) Resume(urgent_);
+    for (int i = 0; i < kAtOnce && !ready_.empty(); ++i) Resume(ready_);
   }
 }
 
--- a/net/loop.h
+++ b/net/loop.h
@@ -26,6 +26,9 @@
   bool writable = false;
   // The other side has closed: reported once, so it has to be remembered.
   bool hangup = false;
+  // Goes before all others that are ready.
+  bool urgent = false;
+  bool queued = false;  // stands in one of the loop's queues
 };
 
 class Loop {
@@ -67,14 +70,20 @@
  private:
   void RunTimers();
   void RunPosted();
+  // Takes over what the system has, without waiting longer than that.
+  void Collect(int wait_ms);
+  // Resumes whoever waits for the first of the queue.
+  void Resume(std::deque<FdWaiters*>& queue);
 
   int epoll_fd_;
   bool stopped_ = false;
   Time now_;
   TimerMap timers_;
   std::deque<std::function<void()>> posted_;
-  // Descriptors closed while a batch of epoll events is being handled.
-  std::deque<FdWaiters*> dead_;
+  // Descriptors with news, in the order of its coming.
+  std::deque<FdWaiters*> urgent_;
+  std::deque<FdWaiters*> ready_;
+  FdWaiters* current_ = nullptr;  // being resumed; null once it is closed
 };
 
 // One-shot event that one coroutine may await with a time limit.
--- a/net/socket.cc
+++ b/net/socket.cc
@@ -74,7 +74,7 @@
 }
 
 Task<std::unique_ptr<Socket>> Socket::Connect(Loop& loop, Address address,
-                                              Time deadline) {
+                                              Time deadline, bool urgent) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) co_return nullptr;
   const sockaddr_in target = ToSockaddr(address);
@@ -85,6 +85,7 @@
     co_return nullptr;
   }
   auto out = std::make_unique<Socket>(loop, fd);
+  out->waiters_.urgent = urgent;
   if (result != 0) {
     const bool ready = co_await out->WaitWritable(deadline);
     int error = 0;
--- a/net/socket.h
+++ b/net/socket.h
@@ -28,8 +28,10 @@
   Socket& operator=(const Socket&) = delete;
 
   // Null when the connection fails or is not there by the deadline.
+  // `urgent`: what arrives on it goes before all else that is ready.
   static Task<std::unique_ptr<Socket>> Connect(Loop& loop, Address address,
-                                               Time deadline);
+                                               Time deadline,
+                                               bool urgent = false);
 
   // Bytes read; 0 at the end of the stream; -1 on an error or at the deadline.
   Task<ssize_t> Read(char* buffer, size_t size, Time deadline);
