One formula for how long a task may live; a room's question is no coroutine

Reread of the change, behaviour as it was. The bound on a task's life stood in Session and again in ZoneRights, with its margin copied: one function serves both. DoAsk was a coroutine that awaited nothing. keeper_storm_test counted whom a controller had met and never looked at it.

--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -167,7 +167,7 @@
       } else if (auto* offer = std::get_if<OfferLead>(&action)) {
         net::Spawn(fitness_desk_.DoOffer(std::move(*offer), revision));
       } else if (auto* back = std::get_if<AskStandBack>(&action)) {
-        net::Spawn(zone_desk_.DoAsk(std::move(*back), revision));
+        zone_desk_.DoAsk(*back, revision);
       } else if (std::holds_alternative<ReadZoneKeepers>(action)) {
         net::Spawn(DoReadKeepers(revision));
       } else if (auto* job = std::get_if<AskJob>(&action)) {
--- a/app/zone_desk.cc
+++ b/app/zone_desk.cc
@@ -229,14 +229,13 @@
          keeper_.Keep(loop_.Refresh());
 }
 
-net::Task<void> ZoneDesk::DoAsk(AskStandBack ask, uint64_t revision) {
+void ZoneDesk::DoAsk(const AskStandBack& ask, uint64_t revision) {
   for (const auto& peer : peers_) {
     if (std::find(ask.peers.begin(), ask.peers.end(), peer->name()) !=
         ask.peers.end()) {
       net::Spawn(AskOne(peer.get(), revision));
     }
   }
-  co_return;
 }
 
 net::Task<void> ZoneDesk::AskOne(clients::PeerClient* peer, uint64_t revision) {
--- a/app/zone_desk.h
+++ b/app/zone_desk.h
@@ -58,7 +58,7 @@
   bool Keeps(const WorkerReport& report);
 
   // --- as the leader
-  net::Task<void> DoAsk(AskStandBack ask, uint64_t revision);
+  void DoAsk(const AskStandBack& ask, uint64_t revision);
 
   static bool Takes(clients::PeerKind kind) {
     return kind == clients::PeerKind::kKeepZone ||
--- a/core/lease/zone_keeping.cc
+++ b/core/lease/zone_keeping.cc
@@ -2,12 +2,9 @@
 
 #include <algorithm>
 
-namespace oxbow {
-namespace {
-
-constexpr double kTimerMargin = 0.05;  // s, as in Session
+#include "core/model/session.h"
 
-}  // namespace
+namespace oxbow {
 
 double ZoneMargin(const WorkerSettings& workers) {
   constexpr double kOfLease = 0.05;
@@ -126,7 +123,7 @@
     const Time last = now < p.stands_back_until
                           ? std::min(p.kept, p.right_until)
                           : std::min(now, p.right_until);
-    return now <= last + lease_s_ * (1 + kDrift) + kTimerMargin;
+    return now <= TasksMayLiveUntil(last, lease_s_);
   });
 }
 
--- a/core/model/session.h
+++ b/core/model/session.h
@@ -22,6 +22,14 @@
   kRanOut,    // a whole lease has passed since anybody can have answered
 };
 
+// The last moment at which a task may be there whose session counts from
+// `counted_from`, with room for both clocks' drift and the steps of both sides'
+// timers.
+inline Time TasksMayLiveUntil(Time counted_from, double lease_s) {
+  constexpr double kTimerMargin = 0.05;  // s
+  return counted_from + lease_s * (1 + kDrift) + kTimerMargin;
+}
+
 // A worker kills its tasks when a whole lease has passed since it sent the
 // last report that was answered; in a new session, since that session began
 // (protocol, "Leases"). The leader sees neither moment. `counted_from` is an
@@ -67,15 +75,11 @@
     return number > number_ ||
            (number == number_ && state_ != SessionState::kOver);
   }
-  // The last moment at which a task of the session may be there, with room for
-  // both clocks' drift and the steps of both sides' timers.
   Time MayLiveUntil(double lease_s) const {
-    return counted_from_ + lease_s * (1 + kDrift) + kTimerMargin;
+    return TasksMayLiveUntil(counted_from_, lease_s);
   }
 
  private:
-  static constexpr double kTimerMargin = 0.05;  // s
-
   SessionState state_ = SessionState::kUnheard;
   uint64_t number_ = 0;
   Time counted_from_ = -1e9;
--- a/tests/keeper_storm_test.cc
+++ b/tests/keeper_storm_test.cc
@@ -57,7 +57,6 @@
   Time next_look = 0;
   Time free_since = 1e18;
   Time wanted_until = 0;
-  std::vector<bool> met = std::vector<bool>(kNodes, false);
   Key seen;
   // As leader: since when each worker's session is counted.
   uint64_t office = 0;
@@ -203,7 +202,6 @@
           i, other, [this](Node& to) { return to.right->Role(now_); },
           [other](Node& me, LeaderRole role) {
             me.right->PeerIs(Name(other), role);
-            me.met[other] = true;
           });
     }
     if (now_ >= n.next_hello) n.next_hello = now_ + 0.2;
@@ -270,10 +268,6 @@
     const bool proven = r.MaySeek(now_);
     if (!proven && !r.MayKeep(now_)) return;
     const bool mine = n.seen.holder == i && n.seen.life != n.life;
-    bool met = true;
-    for (int other = 0; other < kNodes; ++other) {
-      met = met && (other == i || n.met[other] || now_ > n.next_hello + 1);
-    }
     const bool own = mine && !n.seen.keeping && r.OwnProven(now_);
     const bool first = proven || now_ >= n.free_since + 0.25 || mine;
     if (!first || (!mine && n.seen.holder >= 0)) return;
