Operators' records: one versioned kind, its routes, its client; one visitor of the catalog

Cause: tiers, bookings and claims of moves each need a record that outlives the leader, is changed by operators under a condition, and comes back after a loss of data. Jobs, machines, rentals and roll-outs stood in four loops in six places of the catalog.

No kind is registered yet, so nothing changes. Catalog::EachKind visits every kind of record.

Ruled out: a record type for each subsystem (six places to add to, each time).

--- a/api/api.cc
+++ b/api/api.cc
@@ -49,6 +49,9 @@
   if (rollouts_ != nullptr && rollouts_->Takes(path)) {
     co_return co_await rollouts_->Handle(std::move(request));
   }
+  if (records_ != nullptr && RecordRoutes::Takes(path)) {
+    co_return co_await records_->Handle(std::move(request));
+  }
   if (path == kJobs) {
     if (!post) co_return WrongMethod("POST");
     co_return co_await Submit(std::move(request.body));
--- a/api/api.h
+++ b/api/api.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "api/record_routes.h"
 #include "api/rollout_routes.h"
 #include "core/controller/controller.h"
 #include "core/model/job.h"
@@ -64,9 +65,10 @@
 
 class Api {
  public:
-  // `rollouts` may be null.
-  explicit Api(Service& service, RolloutRoutes* rollouts = nullptr)
-      : service_(service), rollouts_(rollouts) {}
+  // `rollouts` and `records` may be null.
+  explicit Api(Service& service, RolloutRoutes* rollouts = nullptr,
+               RecordRoutes* records = nullptr)
+      : service_(service), rollouts_(rollouts), records_(records) {}
   net::Task<net::HttpResponse> Handle(net::HttpRequest request);
 
  private:
@@ -80,6 +82,7 @@
 
   Service& service_;
   RolloutRoutes* rollouts_;
+  RecordRoutes* records_;
 };
 
 }  // namespace oxbow::api
--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -68,6 +68,9 @@
   about(keys::kRollout, [this](Controller& c, const std::string& id) {
     c.OnRolloutRecord(id, loop_.Now());
   });
+  about(keys::kOperator, [this](Controller& c, const std::string& name) {
+    c.OnOperatorRecord(name, loop_.Now());
+  });
 }
 
 void Dealings::TypesKnown(const std::vector<MachineType>& types) {
--- a/app/node.cc
+++ b/app/node.cc
@@ -32,6 +32,13 @@
   return std::to_string((static_cast<uint64_t>(device()) << 32) | device());
 }
 
+// The kinds of operators' records, one place for each subsystem to bring its
+// own.
+std::vector<RecordKind> RecordKinds(const Settings& /*settings*/,
+                                    const Tuning& /*tuning*/) {
+  return {};
+}
+
 net::HttpServer::Limits ServerLimits(const Settings& settings) {
   net::HttpServer::Limits limits;
   // A part of the sockets stays for what this controller opens itself.
@@ -106,7 +113,17 @@
            [this] { return dealings_.Leading(); },
            [&loop] { return loop.Now(); }}),
       rollout_routes_(rollout_desk_),
-      api_(users_, &rollout_routes_),
+      record_desk_(
+          settings, catalog_, state_, RecordKinds(settings, tuning),
+          {[this](const std::string& key, const Record& record,
+                  uint64_t stamp) { follower_.Apply(key, record, stamp); },
+           [this] { return follower_.ever_synced(); },
+           [this](std::vector<Condition>* conditions) {
+             recovery_.AddGuard(conditions);
+           },
+           [this] { return recovery_.MayAccept(); }}),
+      record_routes_(record_desk_),
+      api_(users_, &rollout_routes_, &record_routes_),
       peer_server_(
           loop, AddressOf(settings.peer_listen),
           [this](PeerMessage message) { return OnPeer(std::move(message)); }),
--- a/app/node.h
+++ b/app/node.h
@@ -12,6 +12,7 @@
 #include "app/election.h"
 #include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/record_desk.h"
 #include "app/recovery_desk.h"
 #include "app/rollout_desk.h"
 #include "app/users.h"
@@ -50,6 +51,8 @@
   Users users_;
   RolloutDesk rollout_desk_;
   api::RolloutRoutes rollout_routes_;
+  RecordDesk record_desk_;
+  api::RecordRoutes record_routes_;
   api::Api api_;
   clients::PeerServer peer_server_;
   net::HttpServer server_;
--- /dev/null
+++ b/app/record_client.cc
@@ -0,0 +1,182 @@
+#include "app/record_client.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "api/record_routes.h"
+#include "net/http_client.h"
+#include "net/loop.h"
+#include "wire/json.h"
+
+namespace oxbow::app {
+namespace {
+
+constexpr net::Time kTimeout = 5;
+constexpr net::Time kPause = 1;
+constexpr int kTries = 30;
+constexpr size_t kLimit = 16 * 1024 * 1024;
+
+net::Task<void> AskPatiently(net::Loop& loop, net::HttpClient& http,
+                             std::string method, std::string path,
+                             std::string body, net::ClientResult* out) {
+  for (int i = 0; i < kTries; ++i) {
+    *out = co_await http.Request(method, path, body, kTimeout);
+    const bool later = out->outcome != net::Outcome::kAnswered ||
+                       out->status == 503 || out->status == 429;
+    if (!later) break;
+    const net::Time pause = std::max<net::Time>(kPause, out->retry_after_s);
+    co_await loop.Sleep(pause);
+  }
+  loop.Stop();
+}
+
+OperatorRecord RecordIn(const rapidjson::Value& value) {
+  OperatorRecord record;
+  record.kind = json::GetString(value, "kind");
+  record.version = json::GetUint(value, "version");
+  record.author = json::GetString(value, "author");
+  record.note = json::GetString(value, "note");
+  record.changed_wall = json::GetDouble(value, "t");
+  record.withdrawn = json::GetBool(value, "withdrawn");
+  if (const auto* text = json::Find(value, "text")) {
+    rapidjson::StringBuffer buffer;
+    json::Writer w(buffer);
+    text->Accept(w);
+    record.text = json::Text(buffer);
+  }
+  return record;
+}
+
+std::string ChangeBody(uint64_t version, const std::string& text,
+                       const std::string& author, const std::string& note,
+                       bool withdrawn) {
+  rapidjson::StringBuffer buffer;
+  json::Writer w(buffer);
+  w.StartObject();
+  json::Key(w, "version");
+  w.Uint64(version);
+  if (!author.empty()) json::Field(w, "author", author);
+  if (!note.empty()) json::Field(w, "note", note);
+  if (withdrawn) {
+    json::Key(w, "withdrawn");
+    w.Bool(true);
+  } else {
+    json::Key(w, "text");
+    rapidjson::Document doc;
+    if (json::Parse(text, &doc)) {
+      doc.Accept(w);
+    } else {
+      w.Null();
+    }
+  }
+  w.EndObject();
+  return json::Text(buffer);
+}
+
+}  // namespace
+
+int RecordClient::Ask(const std::string& method, const std::string& path,
+                      const std::string& body, std::string* answer) {
+  net::Address address;
+  if (!net::ParseAddress(address_, &address)) return 0;
+  net::Loop loop;
+  net::HttpClient http(loop, address, kLimit);
+  net::ClientResult result;
+  net::Spawn(AskPatiently(loop, http, method, path, body, &result));
+  loop.Run();
+  if (result.outcome != net::Outcome::kAnswered) return 0;
+  *answer = std::move(result.body);
+  return result.status;
+}
+
+RecordClient::Answer RecordClient::Change(const std::string& name,
+                                          const std::string& body) {
+  const std::string path = std::string(api::RecordRoutes::kPath) + "/" + name;
+  Answer answer;
+  const int status =
+      Ask(body.empty() ? "GET" : "POST", path, body, &answer.body);
+  rapidjson::Document doc;
+  if (status == 0 || !json::Parse(answer.body, &doc)) return answer;
+  if (status == 200 || status == 201) {
+    answer.result = Result::kOk;
+    answer.record = RecordIn(doc);
+  } else if (status == 404) {
+    answer.result = Result::kNotFound;
+  } else if (status == 409) {
+    answer.result = Result::kConflict;
+    answer.record = RecordIn(doc);
+  } else if (status != 503 && status != 429) {
+    answer.result = Result::kRefused;
+    answer.why = json::GetString(doc, "error");
+  }
+  return answer;
+}
+
+RecordClient::Answer RecordClient::Get(const std::string& name) {
+  return Change(name, "");
+}
+
+RecordClient::Answer RecordClient::Put(const std::string& name,
+                                       uint64_t version,
+                                       const std::string& text,
+                                       const std::string& author,
+                                       const std::string& note) {
+  return Change(name, ChangeBody(version, text, author, note, false));
+}
+
+RecordClient::Answer RecordClient::Withdraw(const std::string& name,
+                                            uint64_t version,
+                                            const std::string& author,
+                                            const std::string& note) {
+  return Change(name, ChangeBody(version, "", author, note, true));
+}
+
+bool RecordClient::ReadMany(const std::string& path, Named* out) {
+  std::string body;
+  rapidjson::Document doc;
+  if (Ask("GET", path, "", &body) != 200 || !json::Parse(body, &doc)) {
+    return false;
+  }
+  const auto* records = json::Find(doc, "records");
+  if (records == nullptr || !records->IsArray()) return false;
+  for (const auto& one : records->GetArray()) {
+    out->emplace_back(json::GetString(one, "name"), RecordIn(one));
+  }
+  return true;
+}
+
+bool RecordClient::List(const std::string& prefix, Named* out) {
+  return ReadMany(std::string(api::RecordRoutes::kPath) + "?prefix=" + prefix,
+                  out);
+}
+
+bool RecordClient::Past(const std::string& name, Named* out) {
+  return ReadMany(std::string(api::RecordRoutes::kPastPath) + name, out);
+}
+
+int RecordClient::Explain(const Answer& answer) {
+  switch (answer.result) {
+    case Result::kOk:
+      return kRecordOk;
+    case Result::kNotFound:
+      std::fprintf(stderr, "there is no such record\n");
+      return kRecordRefused;
+    case Result::kConflict:
+      std::fprintf(stderr, "conflict: version %llu stands, by %s%s%s\n",
+                   static_cast<unsigned long long>(answer.record.version),
+                   answer.record.author.empty() ? "nobody named"
+                                                : answer.record.author.c_str(),
+                   answer.record.note.empty() ? "" : ": ",
+                   answer.record.note.c_str());
+      return kRecordConflict;
+    case Result::kRefused:
+      std::fprintf(stderr, "refused: %s\n", answer.why.c_str());
+      return kRecordRefused;
+    case Result::kNoAnswer:
+      break;
+  }
+  std::fprintf(stderr, "no answer\n");
+  return kRecordRefused;
+}
+
+}  // namespace oxbow::app
--- a/app/recovery_desk.cc
+++ b/app/recovery_desk.cc
@@ -853,10 +853,7 @@
         memory_keys_.push_back(keys::Of(prefix, name));
       }
     };
-    collect(catalog_.jobs(), keys::kJob);
-    collect(catalog_.machines(), keys::kMachine);
-    collect(catalog_.rentals(), keys::kRental);
-    collect(catalog_.rollouts(), keys::kRollout);
+    catalog_.EachKind(collect);
     std::sort(memory_keys_.begin(), memory_keys_.end());
   }
   std::vector<clients::Memory> page;
--- a/core/controller/catalog.cc
+++ b/core/controller/catalog.cc
@@ -18,23 +18,12 @@
 
 uint64_t Catalog::StampOf(const std::string& key) const {
   if (key == keys::kLeader) return leader_.stamp;
-  if (key.starts_with(keys::kJob)) {
-    const auto* r = Find(jobs_, key, keys::kJob);
-    return r ? r->stamp : 0;
-  }
-  if (key.starts_with(keys::kMachine)) {
-    const auto* r = Find(machines_, key, keys::kMachine);
-    return r ? r->stamp : 0;
-  }
-  if (key.starts_with(keys::kRental)) {
-    const auto* r = Find(rentals_, key, keys::kRental);
-    return r ? r->stamp : 0;
-  }
-  if (key.starts_with(keys::kRollout)) {
-    const auto* r = Find(rollouts_, key, keys::kRollout);
-    return r ? r->stamp : 0;
-  }
-  return 0;
+  uint64_t stamp = 0;
+  EachKind([&](const auto& map, std::string_view prefix) {
+    if (!key.starts_with(prefix)) return;
+    if (const auto* r = Find(map, key, prefix)) stamp = r->stamp;
+  });
+  return stamp;
 }
 
 void Catalog::Store(const std::string& key, const Record& record,
@@ -42,50 +31,36 @@
   if (const auto* leader = std::get_if<LeaderRecord>(&record)) {
     leader_ = *leader;
     leader_.stamp = stamp;
-  } else if (const auto* job = std::get_if<JobRecord>(&record)) {
-    const std::string id = key.substr(keys::kJob.size());
-    JobRecord& entry = jobs_[id];
-    entry = *job;
-    entry.stamp = stamp;
-    if (job->final_state != FinalState::kNone) {
-      RememberEnd(id, {job->final_state, job->spec->tasks, 0});
-    }
-  } else if (const auto* machine = std::get_if<MachineRecord>(&record)) {
-    MachineRecord& entry = machines_[key.substr(keys::kMachine.size())];
-    entry = *machine;
-    entry.stamp = stamp;
-  } else if (const auto* rental = std::get_if<RentalRecord>(&record)) {
-    RentalRecord& entry = rentals_[key.substr(keys::kRental.size())];
-    entry = *rental;
-    entry.stamp = stamp;
-  } else if (const auto* rollout = std::get_if<RolloutRecord>(&record)) {
-    RolloutRecord& entry = rollouts_[key.substr(keys::kRollout.size())];
-    entry = *rollout;
+    return;
+  }
+  VisitKinds(*this, [&](auto& map, std::string_view prefix) {
+    using Kind = typename std::remove_reference_t<decltype(map)>::mapped_type;
+    const auto* known = std::get_if<Kind>(&record);
+    if (known == nullptr || !key.starts_with(prefix)) return;
+    Kind& entry = map[key.substr(prefix.size())];
+    entry = *known;
     entry.stamp = stamp;
+  });
+  const auto* job = std::get_if<JobRecord>(&record);
+  if (job != nullptr && job->final_state != FinalState::kNone) {
+    RememberEnd(key.substr(keys::kJob.size()),
+                {job->final_state, job->spec->tasks, 0});
   }
 }
 
 void Catalog::SetStamp(const std::string& key, uint64_t stamp) {
-  const auto set = [&](auto& map, std::string_view prefix) {
+  VisitKinds(*this, [&](auto& map, std::string_view prefix) {
     if (!key.starts_with(prefix)) return;
     if (auto* r = Find(map, key, prefix)) r->stamp = stamp;
-  };
-  set(jobs_, keys::kJob);
-  set(machines_, keys::kMachine);
-  set(rentals_, keys::kRental);
-  set(rollouts_, keys::kRollout);
+  });
 }
 
 Record Catalog::RecordOf(const std::string& key) const {
   Record out;
-  const auto get = [&](const auto& map, std::string_view prefix) {
+  EachKind([&](const auto& map, std::string_view prefix) {
     if (!key.starts_with(prefix)) return;
     if (const auto* r = Find(map, key, prefix)) out = *r;
-  };
-  get(jobs_, keys::kJob);
-  get(machines_, keys::kMachine);
-  get(rentals_, keys::kRental);
-  get(rollouts_, keys::kRollout);
+  });
   return out;
 }
 
@@ -93,15 +68,11 @@
   owed_.erase(key);
   if (key == keys::kLeader) {
     leader_ = {};
-  } else if (key.starts_with(keys::kJob)) {
-    jobs_.erase(key.substr(keys::kJob.size()));
-  } else if (key.starts_with(keys::kMachine)) {
-    machines_.erase(key.substr(keys::kMachine.size()));
-  } else if (key.starts_with(keys::kRental)) {
-    rentals_.erase(key.substr(keys::kRental.size()));
-  } else if (key.starts_with(keys::kRollout)) {
-    rollouts_.erase(key.substr(keys::kRollout.size()));
+    return;
   }
+  VisitKinds(*this, [&](auto& map, std::string_view prefix) {
+    if (key.starts_with(prefix)) map.erase(key.substr(prefix.size()));
+  });
 }
 
 bool Catalog::Put(const std::string& key, const Record& record,
@@ -180,18 +151,14 @@
 }
 
 void Catalog::Rebase() {
-  const auto owe = [this](auto& map, std::string_view prefix) {
+  VisitKinds(*this, [this](auto& map, std::string_view prefix) {
     for (auto& [name, record] : map) {
       // What was owed already keeps the version that it is remembered by.
       owed_.try_emplace(keys::Of(prefix, name),
                         Version{epoch_.number, record.stamp});
       record.stamp = 0;
     }
-  };
-  owe(jobs_, keys::kJob);
-  owe(machines_, keys::kMachine);
-  owe(rentals_, keys::kRental);
-  owe(rollouts_, keys::kRollout);
+  });
   leader_ = {};
   followed_ = 0;
 }
@@ -227,7 +194,14 @@
         my_job != nullptr && my_job->final_state != FinalState::kNone;
     const bool their_end =
         job != nullptr && job->final_state != FinalState::kNone;
-    if (my_end != their_end ? my_end : VersionOf(key) >= version) return false;
+    // Operators' records count their own versions, which no epoch resets.
+    const auto* my_word = std::get_if<OperatorRecord>(&mine);
+    const auto* their_word = std::get_if<OperatorRecord>(&record);
+    if (my_word != nullptr && their_word != nullptr) {
+      if (my_word->version >= their_word->version) return false;
+    } else if (my_end != their_end ? my_end : VersionOf(key) >= version) {
+      return false;
+    }
     there = StampOf(key);
   }
   Store(key, record, there);
@@ -299,7 +273,7 @@
 std::vector<std::string> Catalog::EraseMissing(
     const std::unordered_set<std::string>& listed, uint64_t revision) {
   std::vector<std::string> gone;
-  const auto collect = [&](const auto& map, std::string_view prefix) {
+  EachKind([&](const auto& map, std::string_view prefix) {
     for (const auto& [name, record] : map) {
       std::string key = keys::Of(prefix, name);
       if (record.stamp <= revision && !listed.contains(key) &&
@@ -307,11 +281,7 @@
         gone.push_back(std::move(key));
       }
     }
-  };
-  collect(jobs_, keys::kJob);
-  collect(machines_, keys::kMachine);
-  collect(rentals_, keys::kRental);
-  collect(rollouts_, keys::kRollout);
+  });
   const std::string leader(keys::kLeader);
   if (leader_.stamp > 0 && leader_.stamp <= revision &&
       !listed.contains(leader)) {
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -16,6 +16,7 @@
 
 #include "core/model/job.h"
 #include "core/model/machine.h"
+#include "core/model/operator_record.h"
 #include "core/recovery/epoch.h"
 #include "core/recovery/finals_index.h"
 #include "core/rollout/rollout.h"
@@ -35,10 +36,13 @@
 inline constexpr std::string_view kMachine = "ob/live/m/";
 inline constexpr std::string_view kRental = "ob/live/r/";
 inline constexpr std::string_view kRollout = "ob/live/o/";
+inline constexpr std::string_view kOperator = "ob/live/p/";
 // Rights to keep a zone's workers, each under a lease; not followed.
 inline constexpr std::string_view kZone = "ob/zone/";
 inline constexpr std::string_view kFinal = "ob/final/";
 inline constexpr std::string_view kRolloutEnd = "ob/ended/o/";
+// Earlier versions of operators' records, NAME/VERSION.
+inline constexpr std::string_view kOperatorPast = "ob/ended/p/";
 
 inline std::string Of(std::string_view prefix, std::string_view name) {
   std::string out(prefix);
@@ -62,9 +66,10 @@
 };
 
 // monostate: the key does not exist.
-using Record = std::variant<std::monostate, LeaderRecord, JobRecord,
-                            MachineRecord, RentalRecord, FinalRecord,
-                            RolloutRecord, EpochRecord, EpochMark>;
+using Record =
+    std::variant<std::monostate, LeaderRecord, JobRecord, MachineRecord,
+                 RentalRecord, FinalRecord, RolloutRecord, EpochRecord,
+                 EpochMark, OperatorRecord>;
 
 class Catalog {
  public:
@@ -123,6 +128,15 @@
   const std::unordered_map<std::string, RolloutRecord>& rollouts() const {
     return rollouts_;
   }
+  // By name; withdrawn ones too.
+  const std::unordered_map<std::string, OperatorRecord>& operators() const {
+    return operators_;
+  }
+  // Every kind of live record that has a name: visit(map by name, key prefix).
+  template <typename Visit>
+  void EachKind(const Visit& visit) const {
+    VisitKinds(*this, visit);
+  }
   const LeaderRecord& leader() const { return leader_; }
   const JobRecord* FindJob(const std::string& id) const;
   // End of a job, from its record or remembered; kNone if unknown.
@@ -134,6 +148,14 @@
   void RememberEnd(const std::string& id, const FinalRecord& end);
 
  private:
+  template <typename Self, typename Visit>
+  static void VisitKinds(Self& self, const Visit& visit) {
+    visit(self.jobs_, keys::kJob);
+    visit(self.machines_, keys::kMachine);
+    visit(self.rentals_, keys::kRental);
+    visit(self.rollouts_, keys::kRollout);
+    visit(self.operators_, keys::kOperator);
+  }
   uint64_t StampOf(const std::string& key) const;
   void SetStamp(const std::string& key, uint64_t stamp);
   void Store(const std::string& key, const Record& record, uint64_t stamp);
@@ -148,6 +170,7 @@
   std::unordered_map<std::string, MachineRecord> machines_;
   std::unordered_map<std::string, RentalRecord> rentals_;
   std::unordered_map<std::string, RolloutRecord> rollouts_;
+  std::unordered_map<std::string, OperatorRecord> operators_;
   LeaderRecord leader_;
   uint64_t followed_ = 0;
   // Bounded: an older one is read from the state service again.
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -142,6 +142,11 @@
   }
 }
 
+void Controller::OnOperatorRecord(const std::string& /*name*/, Time now) {
+  dirty_ = true;
+  ScheduleIfNeeded(now);
+}
+
 bool Controller::Cancel(const std::string& id, Time now) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -61,6 +61,8 @@
   void OnMachineList(const std::vector<ListedMachine>& list, Time asked,
                      Time now);
   void OnRolloutRecord(const std::string& id, Time now);
+  // A record of the operators has changed, or one of this leader's own stands.
+  void OnOperatorRecord(const std::string& name, Time now);
   void OnHealth(const std::string& rollout, const ResidentKey& key,
                 const CheckOutcome& outcome, Time now);
   // What each controller reaches, this one's answer first.
--- a/core/controller/write_queue.cc
+++ b/core/controller/write_queue.cc
@@ -26,6 +26,10 @@
       bytes += 2 * (rollout->spec->check.verdict.size() +
                     rollout->spec->check.path.size() + rollout->reason.size());
     }
+    if (const auto* word = std::get_if<OperatorRecord>(&change.record)) {
+      bytes +=
+          2 * (word->text.size() + word->author.size() + word->note.size());
+    }
     if (const auto* job = std::get_if<JobRecord>(&change.record)) {
       bytes += job->spec->image.size() * 2;
       if (job->spec->types) {
@@ -57,9 +61,12 @@
   const auto same = [&](const WriteOp& o) {
     return o.kind == op.kind && o.name == op.name;
   };
-  // What a roll-out wants may change while the state service is out.
+  // What a roll-out or a subsystem wants may change while the state service is
+  // out.
   const auto waits = std::find_if(queue.begin(), queue.end(), same);
-  if (op.kind == WriteKind::kRollout && waits != queue.end()) {
+  const bool renews =
+      op.kind == WriteKind::kRollout || op.kind == WriteKind::kOperator;
+  if (renews && waits != queue.end()) {
     *waits = std::move(op);
     return;
   }
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,7 @@
   kRental,
   kRentalSettle,
   kRollout,
+  kOperator,      // a record of a subsystem's own, see OperatorRecord
   kRestore,       // a record that is owed to the state service
   kRestoreFinal,  // how a job ended, likewise
   kRebuilt,       // nothing is owed any more
@@ -41,6 +43,8 @@
   RolloutStep step = RolloutStep::kDeclared;
   std::string reason = {};
   RolloutWish wish = RolloutWish::kNone;
+  // Of an operators' record: what is to stand; null deletes it.
+  std::shared_ptr<const OperatorRecord> record = {};
 };
 
 enum class WritePhase : uint8_t {
--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -84,6 +84,21 @@
     }
     case WriteKind::kRollout:
       return BuildRolloutOp(op, txn);
+    case WriteKind::kOperator: {
+      const auto it = catalog_.operators().find(op.name);
+      const bool known = it != catalog_.operators().end();
+      if (op.record == nullptr
+              ? !known
+              : known && it->second.version >= op.record->version) {
+        return false;
+      }
+      const std::string key = keys::Of(keys::kOperator, op.name);
+      txn->conditions.push_back({key, known ? it->second.stamp : 0});
+      Record next;
+      if (op.record != nullptr) next = *op.record;
+      txn->changes.push_back({key, std::move(next)});
+      return true;
+    }
     case WriteKind::kRestore:
     case WriteKind::kRestoreFinal:
     case WriteKind::kRebuilt:
@@ -186,6 +201,17 @@
     case WriteKind::kRollout:
       RolloutOpDone(op, revision, now);
       break;
+    case WriteKind::kOperator:
+      if (revision > 0) {
+        const std::string key = keys::Of(keys::kOperator, op.name);
+        if (op.record != nullptr) {
+          catalog_.Put(key, *op.record, revision);
+        } else {
+          catalog_.Erase(key, revision);
+        }
+      }
+      OnOperatorRecord(op.name, now);
+      break;
     case WriteKind::kRestore:
     case WriteKind::kRestoreFinal:
     case WriteKind::kRebuilt:
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -5,6 +5,7 @@
 #include "wire/job_json.h"
 #include "wire/json.h"
 #include "wire/names.h"
+#include "wire/operator_json.h"
 #include "wire/rollout_json.h"
 
 namespace oxbow::wire {
@@ -85,6 +86,7 @@
     Key(w, "number");
     w.Uint64(r.number);
   }
+  void operator()(const OperatorRecord& r) const { WriteOperator(w, r); }
 };
 
 }  // namespace
@@ -156,6 +158,11 @@
     record.reason = json::GetString(value, "reason");
     record.declared_wall = json::GetDouble(value, "t");
     *out = std::move(record);
+  } else if (key.starts_with(keys::kOperator) ||
+             key.starts_with(keys::kOperatorPast)) {
+    OperatorRecord record;
+    if (!ReadOperator(value, &record)) return false;
+    *out = std::move(record);
   } else if (key.starts_with(keys::kFinal)) {
     *out = FinalRecord{final_state(),
                        static_cast<uint32_t>(json::GetUint(value, "tasks")), 0};
