Order of the queue is a class; a floor by class and size for what has waited long

Change: QueueOrder takes order out of Controller (behaviour as it was with the floor off). With it on, an array that has waited for half of the bound is begun out of turn with a fiftieth of it; a class's largest gangs come to their turn after a quarter of it, the others as before when their last aim is near, both together for no more than a share of the class's work placed lately (core/floor, FairTurns), the late behind those in time. Ages come from the records, so a successor orders alike.

Ruled out: order by age alone (all come late together).

--- a/app/options.cc
+++ b/app/options.cc
@@ -26,6 +26,8 @@
     Entry{"placement", "accelerator_weight", &Tuning::accelerator_weight, 0,
           100},
     Entry{"placement", "price_weight", &Tuning::price_weight, 0, 100},
+    Entry{"queue", "begin_within_s", &Tuning::begin_within_s, 0, 1e6},
+    Entry{"queue", "floor_share", &Tuning::floor_share, 0, 1},
     Entry{"leadership", "lease_ratio", &Tuning::leader_lease_ratio, 0.05, 0.8},
     Entry{"machines", "suspect_ratio", &Tuning::suspect_ratio, 0.1, 1},
     Entry{"machines", "give_up_ratio", &Tuning::give_up_ratio, 0.2, 1},
@@ -66,9 +68,11 @@
 }  // namespace
 
 std::string LoadTuning(const std::string& path, Tuning* out) {
-  std::array<std::array<cfg_opt_t, 11>, 6> blocks;
-  constexpr std::array kBlocks = {"placement", "leadership", "machines",
-                                  "limits",    "rollouts",   "recovery"};
+  constexpr std::array kBlocks = {"placement", "queue",  "leadership",
+                                  "machines",  "limits", "rollouts",
+                                  "recovery"};
+  constexpr size_t kMostInBlock = 16;
+  std::array<std::array<cfg_opt_t, kMostInBlock>, kBlocks.size()> blocks;
   for (size_t b = 0; b < kBlocks.size(); ++b) {
     size_t n = 0;
     for (const Entry& e : kEntries) {
@@ -79,15 +83,15 @@
     const cfg_opt_t end = CFG_END();
     blocks[b][n] = end;
   }
-  cfg_opt_t options[] = {CFG_SEC("placement", blocks[0].data(), CFGF_NONE),
-                         CFG_SEC("leadership", blocks[1].data(), CFGF_NONE),
-                         CFG_SEC("machines", blocks[2].data(), CFGF_NONE),
-                         CFG_SEC("limits", blocks[3].data(), CFGF_NONE),
-                         CFG_SEC("rollouts", blocks[4].data(), CFGF_NONE),
-                         CFG_SEC("recovery", blocks[5].data(), CFGF_NONE),
-                         CFG_END()};
+  std::array<cfg_opt_t, kBlocks.size() + 1> options;
+  for (size_t b = 0; b < kBlocks.size(); ++b) {
+    const cfg_opt_t section = CFG_SEC(kBlocks[b], blocks[b].data(), CFGF_NONE);
+    options[b] = section;
+  }
+  const cfg_opt_t none = CFG_END();
+  options.back() = none;
   const std::unique_ptr<cfg_t, decltype(&cfg_free)> cfg(
-      cfg_init(options, CFGF_NONE), &cfg_free);
+      cfg_init(options.data(), CFGF_NONE), &cfg_free);
   std::string error;
   g_error = &error;
   cfg_set_error_function(cfg.get(), OnError);
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -33,23 +33,12 @@
       patience_(Patience::From(settings.workers, tuning)),
       numbers_(term_),
       placer_(tuning, seed),
+      queue_order_(settings, tuning),
       writes_(settings, Mandate(catalog, revision), *this, actions_),
       ears_(settings, tuning, patience_, machines_, now, seed, actions_),
       zones_(settings, now, keepers) {
   for (const TeamSettings& team : settings.teams)
     teams_.push_back({team, {}, {}, {}});
-  for (const Objective& objective : settings.objectives) {
-    ClassAims& aims = aims_[objective.job_class];
-    std::vector<double>* times =
-        objective.kind == "deadline"   ? &aims.deadline_times
-        : objective.kind == "wait"     ? &aims.start_within
-        : objective.kind == "finished" ? &aims.finish_within
-                                       : nullptr;
-    if (times == nullptr) continue;
-    times->push_back(objective.kind == "deadline" ? objective.times
-                                                  : objective.within_s);
-    std::sort(times->begin(), times->end());
-  }
   for (const auto& [host, record] : catalog.machines()) {
     Machine& m = AddMachine(host, record);
     m.session.Change(SessionEvent::kTakeover, 0, now);
@@ -120,6 +109,7 @@
   }
   if (!added.live()) RetireIfClear(added);
   quiet_since_ = now;
+  queue_order_.Seen(added.spec());
   Resources& shape = accelerator_shape_;
   const Resources& need = added.spec().need;
   if (need.gpus > 0) {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -18,6 +18,7 @@
 #include "core/controller/actions.h"
 #include "core/controller/catalog.h"
 #include "core/controller/ears.h"
+#include "core/controller/queue_order.h"
 #include "core/controller/write_queue.h"
 #include "core/lease/token.h"
 #include "core/lease/zone_keeping.h"
@@ -144,12 +145,6 @@
     Time next_try = 0;
     void Change(RentalState next);
   };
-  // What the users expect of a class, each ascending.
-  struct ClassAims {
-    std::vector<double> deadline_times;  // multiples of the job's deadline
-    std::vector<double> start_within;    // s
-    std::vector<double> finish_within;   // s
-  };
   struct ClassStats {
     double run_s = 0;
     int seen = 0;
@@ -261,18 +256,18 @@
   void ComputeGuarantees();
   bool Placeable(const Job& job, Time now, bool accounted) const;
   bool TeamAllows(const Job& job, double tasks) const;
-  const ClassAims& AimsOf(const JobSpec& spec) const;
-  double WaitAim(const JobSpec& spec) const;
   // The machine for a replica, null for none; nothing while room is being made
   // on a machine that suits it better.
   std::optional<Machine*> FindReplicaPlace(Job& job,
                                            const std::vector<Machine*>& usable,
                                            const Footprint& where,
                                            double bandwidth, Time now);
-  void PlaceJob(Job& job, const std::vector<Machine*>& usable, double bandwidth,
+  void PlaceJob(Job& job, const QueuePlace& from,
+                const std::vector<Machine*>& usable, double bandwidth,
                 Time now);
-  void PlaceGang(Job& job, const std::vector<Machine*>& usable,
-                 double bandwidth, Time now);
+  void PlaceGang(Job& job, const QueuePlace& from,
+                 const std::vector<Machine*>& usable, double bandwidth,
+                 Time now);
   Machine* FindPlace(const Job& job, const std::vector<Machine*>& usable,
                      const Footprint& where, double bandwidth);
   void Start(Job& job, uint32_t task, Machine& m, uint64_t attempt, Time now);
@@ -305,15 +300,6 @@
   // One reservation on the machine; null: all of them, everywhere.
   void DropReservation(const Job* job, Machine* m);
 
-  // Order among jobs of one rank: group, then key, least first.
-  struct Turn {
-    int group = 0;
-    double key = 0;
-    auto operator<=>(const Turn&) const = default;
-  };
-  Turn TurnOf(const Job& job, Time now) const;
-  Turn GangTurn(const Job& job, Time now) const;
-
   // supply.cc
   void PlanSupply(Time now);
   // No job has come or waited for so long that room kept for the next one
@@ -342,6 +328,7 @@
   const Patience patience_;
   NumberSource numbers_;
   Placer placer_;
+  QueueOrder queue_order_;
   bool resigned_ = false;
   std::vector<Action> actions_;
   WriteQueue writes_;
@@ -354,7 +341,6 @@
   std::unordered_map<std::string, int32_t> machine_index_;
   std::unordered_set<std::string> gone_hosts_;
   std::map<std::string, ClassStats> class_stats_;
-  std::map<std::string, ClassAims> aims_;  // by class
   std::map<std::string, Rental> rentals_;
   std::map<SupplyKey, Time> refused_until_;
   ZoneRights zones_;
--- /dev/null
+++ b/core/controller/queue_order.cc
@@ -0,0 +1,172 @@
+#include "core/controller/queue_order.h"
+
+#include <algorithm>
+
+namespace oxbow {
+namespace {
+
+// Groups within a rank.
+constexpr int kFloorGroup = -1;
+constexpr int kLastAim = 0;  // the last aim that counts comes near
+constexpr int kInTime = 1;
+constexpr int kLater = 2;
+constexpr int kHopeless = 3;
+
+// Of the time within which every job is to begin: so long an array waits for
+// its turn before it is begun out of turn.
+constexpr double kArrayPatience = 0.5;
+// The largest gangs are given as much of it to find their room.
+constexpr double kGangPatience = 0.25;
+
+}  // namespace
+
+QueueOrder::QueueOrder(const Settings& settings, const Tuning& tuning)
+    : begin_within_s_(tuning.begin_within_s),
+      turns_(tuning.floor_share,
+             tuning.begin_within_s > 0 ? tuning.begin_within_s / 2 : 1) {
+  for (const Objective& objective : settings.objectives) {
+    ClassAims& aims = aims_[objective.job_class];
+    std::vector<double>* times =
+        objective.kind == "deadline"   ? &aims.deadline_times
+        : objective.kind == "wait"     ? &aims.start_within
+        : objective.kind == "finished" ? &aims.finish_within
+                                       : nullptr;
+    if (times == nullptr) continue;
+    times->push_back(objective.kind == "deadline" ? objective.times
+                                                  : objective.within_s);
+    std::sort(times->begin(), times->end());
+  }
+}
+
+const ClassAims& QueueOrder::AimsOf(const JobSpec& spec) const {
+  static const ClassAims none;
+  const auto it = aims_.find(spec.job_class);
+  return it == aims_.end() ? none : it->second;
+}
+
+double QueueOrder::WaitAim(const JobSpec& spec) const {
+  const std::vector<double>& within = AimsOf(spec).start_within;
+  return within.empty() ? 1e18 : within.front();
+}
+
+double QueueOrder::WorkOf(const Job& job) {
+  return job.unplaced() * job.spec().need.cpus *
+         std::max(1.0, job.spec().estimate_s);
+}
+
+uint32_t QueueOrder::FirstShare(const JobSpec& spec) {
+  constexpr uint32_t kOneIn = 50;
+  return 1 + spec.tasks / kOneIn;
+}
+
+QueuePlace QueueOrder::PlaceOf(const Job& job, double run_s, Time now) const {
+  const JobSpec& spec = job.spec();
+  QueuePlace place;
+  const bool first = spec.priority == Priority::kProduction;
+  place.rank =
+      first ? 0
+            : (job.within_guarantee ? 1 : 10) + static_cast<int>(spec.priority);
+  if (spec.kind == JobKind::kGang) {
+    GangPlace(job, run_s, now, &place);
+  } else {
+    ArrayPlace(job, run_s, now, &place);
+  }
+  return place;
+}
+
+// Without deadlines, first come, first served. With them, earliest deadline
+// first would make every job late once there is more work than room, so a job
+// that can't make its deadline any more steps back behind those that can, the
+// least work first, until its next multiple of the deadline comes near.
+//
+// By least work first the large arrays of a flood did not begin within four
+// minutes. An array begins with a task, so one that has waited for half of that
+// is begun with a small part of it, whatever its size, and then waits its turn.
+void QueueOrder::ArrayPlace(const Job& job, double run_s, Time now,
+                            QueuePlace* out) const {
+  const JobSpec& spec = job.spec();
+  const double waited = now - job.submitted();
+  if (spec.kind == JobKind::kArray && begin_within_s_ > 0 &&
+      job.placed() == 0 && job.done() == 0 &&
+      waited > kArrayPatience * begin_within_s_) {
+    out->group = kFloorGroup;
+    out->key = job.submitted();
+    out->by_floor = true;
+    return;
+  }
+  if (!spec.deadline_s) {
+    out->group = kLater;
+    return;
+  }
+  const double deadline = *spec.deadline_s;
+  const double left = job.size() - job.done();
+  static const std::vector<double> only_once = {1.0};
+  const ClassAims& aims = AimsOf(spec);
+  const std::vector<double>& times =
+      aims.deadline_times.empty() ? only_once : aims.deadline_times;
+  // The last multiple that counts: from here on nothing may come between.
+  const double last = job.submitted() + times.back() * deadline;
+  constexpr double kNear = 0.3;
+  if (times.size() > 1 && now + run_s <= last &&
+      last - now < kNear * deadline + 2 * run_s) {
+    out->group = kLastAim;
+    out->key = last;
+  } else if (now + run_s <= job.submitted() + times.front() * deadline) {
+    out->group = kInTime;
+    out->key = left * spec.need.cpus * run_s;
+  } else {
+    out->group = now + run_s <= last ? kLater : kHopeless;
+    out->key = last;
+  }
+}
+
+// Gangs likewise, by the times that their class is to start within: when there
+// is more work than room the small ones go first, or one that needs a whole
+// zone keeps a dozen others waiting past their aim. Before its last aim comes
+// near, each gets its turn, and the largest sooner, since their room takes
+// longest to come together: in a flood of four times a fifth to a half of them
+// began after four minutes. Both together get no more than the floor's share of
+// the work, or in a flood every gang would wait that long.
+void QueueOrder::GangPlace(const Job& job, double run_s, Time now,
+                           QueuePlace* out) const {
+  const JobSpec& spec = job.spec();
+  const ClassAims& aims = AimsOf(spec);
+  double first = 1e18;
+  double last = 0;
+  for (const double within : aims.start_within) {
+    first = std::min(first, within);
+    last = std::max(last, within);
+  }
+  for (const double within : aims.finish_within) {
+    first = std::min(first, within - run_s);
+    last = std::max(last, within - run_s);
+  }
+  const double waited = now - job.submitted();
+  out->group = kLater;
+  out->key = last > 0 ? WorkOf(job) : 0;
+  if (last > 0 && waited <= first) out->group = kInTime;
+  constexpr double kNear = 0.3;
+  const bool near =
+      last > first && waited <= last && last - waited < kNear * last;
+  const bool largest = begin_within_s_ > 0 &&
+                       waited > kGangPatience * begin_within_s_ &&
+                       sizes_.IsLargest(spec.job_class, spec.tasks);
+  if (!near && !largest) return;
+  const bool floors = begin_within_s_ > 0;
+  if (floors && !turns_.FloorFirst(spec.job_class, now)) return;
+  // One that is late already does not make those late that are not.
+  const bool late = floors && waited > begin_within_s_;
+  constexpr double kBehind = 1e6;  // s
+  out->group = kLastAim;
+  out->key = (floors ? job.submitted() : job.submitted() + last) +
+             (late ? kBehind : 0) - (largest && !late ? kBehind : 0);
+  out->by_floor = true;
+}
+
+void QueueOrder::Placed(const Job& job, const QueuePlace& from, Time now) {
+  turns_.Placed(job.spec().job_class,
+                from.by_floor ? TurnSide::kFloor : TurnSide::kQuickest,
+                WorkOf(job), now);
+}
+
+}  // namespace oxbow
--- /dev/null
+++ b/core/controller/queue_order.h
@@ -0,0 +1,70 @@
+// Whose turn it is among the jobs that wait. A pure function of the jobs, the
+// users' aims and what was placed lately; preemption is decided elsewhere.
+#pragma once
+
+#include <compare>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/floor/fair_turns.h"
+#include "core/model/job.h"
+#include "core/model/settings.h"
+
+namespace oxbow {
+
+// What the users expect of a class, each ascending.
+struct ClassAims {
+  std::vector<double> deadline_times;  // multiples of the job's deadline
+  std::vector<double> start_within;    // s
+  std::vector<double> finish_within;   // s
+};
+
+// A job's place in the queue, least first; then by age, then by id.
+struct QueuePlace {
+  int rank = 0;    // by priority and guarantee
+  int group = 0;   // within the rank
+  double key = 0;  // within the group
+  // It goes first since it has waited for long: an array then starts only as
+  // much as shows that it has begun.
+  bool by_floor = false;
+
+  bool Before(const QueuePlace& o) const {
+    if (rank != o.rank) return rank < o.rank;
+    if (group != o.group) return group < o.group;
+    return key < o.key;
+  }
+};
+
+class QueueOrder {
+ public:
+  QueueOrder(const Settings& settings, const Tuning& tuning);
+
+  const ClassAims& AimsOf(const JobSpec& spec) const;
+  // How soon the class's tasks are to start, s; for ever if nobody has said.
+  double WaitAim(const JobSpec& spec) const;
+
+  void Seen(const JobSpec& spec) { sizes_.Seen(spec.job_class, spec.tasks); }
+  // `run_s`: what a task of it takes, as far as known.
+  QueuePlace PlaceOf(const Job& job, double run_s, Time now) const;
+  // A gang has been placed whole, from that place in the queue.
+  void Placed(const Job& job, const QueuePlace& from, Time now);
+
+  // How many tasks an array may start at once when it goes first by the floor.
+  static uint32_t FirstShare(const JobSpec& spec);
+
+ private:
+  // By the rules' four minutes, 0 when they are not asked for.
+  bool Floored(const Job& job, Time now) const;
+  void ArrayPlace(const Job& job, double run_s, Time now,
+                  QueuePlace* out) const;
+  void GangPlace(const Job& job, double run_s, Time now, QueuePlace* out) const;
+  static double WorkOf(const Job& job);
+
+  const double begin_within_s_;
+  std::map<std::string, ClassAims> aims_;  // by class
+  LargestSizes sizes_;
+  FairTurns turns_;
+};
+
+}  // namespace oxbow
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -69,70 +69,6 @@
   return it == job.presence().end() ? 0 : it->second.holding;
 }
 
-const Controller::ClassAims& Controller::AimsOf(const JobSpec& spec) const {
-  static const ClassAims none;
-  const auto it = aims_.find(spec.job_class);
-  return it == aims_.end() ? none : it->second;
-}
-
-// Without deadlines, first come, first served. With them, earliest deadline
-// first would make every job late once there is more work than room, so a job
-// that can't make its deadline any more steps back behind those that can, the
-// least work first, until its next multiple of the deadline comes near.
-Controller::Turn Controller::TurnOf(const Job& job, Time now) const {
-  const JobSpec& spec = job.spec();
-  if (spec.kind == JobKind::kGang) return GangTurn(job, now);
-  if (!spec.deadline_s) return {2, 0};
-  const double deadline = *spec.deadline_s;
-  const double run = RunSeconds(spec);
-  const double left = job.size() - job.done();
-  static const std::vector<double> only_once = {1.0};
-  const ClassAims& aims = AimsOf(spec);
-  const std::vector<double>& times =
-      aims.deadline_times.empty() ? only_once : aims.deadline_times;
-  // The last multiple that counts: from here on nothing may come between.
-  const double last = job.submitted() + times.back() * deadline;
-  constexpr double kNear = 0.3;
-  if (times.size() > 1 && now + run <= last &&
-      last - now < kNear * deadline + 2 * run) {
-    return {0, last};
-  }
-  if (now + run <= job.submitted() + times.front() * deadline) {
-    return {1, left * spec.need.cpus * run};
-  }
-  return {now + run <= last ? 2 : 3, last};
-}
-
-// Gangs likewise, by the times that their class is to start within: when there
-// is more work than room the small ones go first, or one that needs a whole
-// zone keeps a dozen others waiting past their aim. Before its last aim comes
-// near, each gets its turn.
-Controller::Turn Controller::GangTurn(const Job& job, Time now) const {
-  const JobSpec& spec = job.spec();
-  const ClassAims& aims = AimsOf(spec);
-  const double run = RunSeconds(spec);
-  double first = 1e18;
-  double last = 0;
-  for (const double within : aims.start_within) {
-    first = std::min(first, within);
-    last = std::max(last, within);
-  }
-  for (const double within : aims.finish_within) {
-    first = std::min(first, within - run);
-    last = std::max(last, within - run);
-  }
-  const double work =
-      job.unplaced() * spec.need.cpus * std::max(1.0, spec.estimate_s);
-  if (last <= 0) return {2, 0};
-  const double waited = now - job.submitted();
-  constexpr double kNear = 0.3;
-  if (waited <= last && last - waited < kNear * last && last > first) {
-    return {0, job.submitted() + last};
-  }
-  if (waited <= first) return {1, work};
-  return {2, work};
-}
-
 void Controller::ScheduleIfNeeded(Time now) {
   if (!dirty_ || resigned_ || types_.empty()) return;
   // Live services are placed at once, the rest in batches: a pass over
@@ -153,22 +89,19 @@
     if (Placeable(*job, now, accounted)) order.push_back(job.get());
   }
   if (order.empty()) return;
-  const auto rank = [](const Job& j) {
-    if (j.spec().priority == Priority::kProduction) return 0;
-    return (j.within_guarantee ? 1 : 10) + static_cast<int>(j.spec().priority);
-  };
   struct Entry {
-    int rank;
-    Turn turn;
+    QueuePlace place;
     Job* job;
   };
   std::vector<Entry> entries;
   entries.reserve(order.size());
-  for (Job* job : order)
-    entries.push_back({rank(*job), TurnOf(*job, now), job});
+  for (Job* job : order) {
+    entries.push_back(
+        {queue_order_.PlaceOf(*job, RunSeconds(job->spec()), now), job});
+  }
   std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
-    if (a.rank != b.rank) return a.rank < b.rank;
-    if (a.turn != b.turn) return a.turn < b.turn;
+    if (a.place.Before(b.place)) return true;
+    if (b.place.Before(a.place)) return false;
     if (a.job->submitted() != b.job->submitted()) {
       return a.job->submitted() < b.job->submitted();
     }
@@ -188,9 +121,9 @@
   for (const Entry& entry : entries) {
     Job* job = entry.job;
     if (job->spec().kind == JobKind::kGang) {
-      PlaceGang(*job, usable, bandwidth, now);
+      PlaceGang(*job, entry.place, usable, bandwidth, now);
     } else {
-      PlaceJob(*job, usable, bandwidth, now);
+      PlaceJob(*job, entry.place, usable, bandwidth, now);
     }
   }
   for (Machine* m : usable) Pump(*m, now);
@@ -250,12 +183,6 @@
   if (it != m->reservations.end()) m->reservations.erase(it);
 }
 
-// How soon the class's tasks are to start; for ever if nobody has said.
-double Controller::WaitAim(const JobSpec& spec) const {
-  const std::vector<double>& within = AimsOf(spec).start_within;
-  return within.empty() ? 1e18 : within.front();
-}
-
 std::optional<Machine*> Controller::FindReplicaPlace(
     Job& job, const std::vector<Machine*>& usable, const Footprint& where,
     double bandwidth, Time now) {
@@ -281,7 +208,7 @@
   // longer than the class may wait, a machine that has the image goes before
   // any other, and if need be short work makes way on it.
   if (best != nullptr && !best->HasImage(spec.image) &&
-      FetchSeconds(*best, spec, bandwidth) > WaitAim(spec)) {
+      FetchSeconds(*best, spec, bandwidth) > queue_order_.WaitAim(spec)) {
     std::vector<Machine*> warm;
     for (Machine* m : sparing) {
       if (m->HasImage(spec.image)) warm.push_back(m);
@@ -292,11 +219,14 @@
   return best;
 }
 
-void Controller::PlaceJob(Job& job, const std::vector<Machine*>& usable,
-                          double bandwidth, Time now) {
+void Controller::PlaceJob(Job& job, const QueuePlace& from,
+                          const std::vector<Machine*>& usable, double bandwidth,
+                          Time now) {
   Footprint where = Where(job);
   int64_t task;
-  while (Wanted(job) > 0 && (task = job.PeekPending()) >= 0) {
+  uint32_t left =
+      from.by_floor ? QueueOrder::FirstShare(job.spec()) : UINT32_MAX;
+  while (left > 0 && Wanted(job) > 0 && (task = job.PeekPending()) >= 0) {
     if (!TeamAllows(job, 1)) {
       if (job.spec().kind == JobKind::kService) {
         MakeTeamRoom(job, Wanted(job), now);
@@ -320,9 +250,9 @@
     // 25,000 tasks, the choice took the leader longer than its lease.
     uint32_t here = 1;
     if (job.spec().kind == JobKind::kArray) {
-      here =
-          std::max(1u, job.spec().need.TimesIn(
-                           m->RoomFor(&job, job.spec().priority), Wanted(job)));
+      here = std::max(
+          1u, job.spec().need.TimesIn(m->RoomFor(&job, job.spec().priority),
+                                      std::min(left, Wanted(job))));
     }
     for (uint32_t n = 0; n < here; ++n) {
       task = job.PeekPending();
@@ -334,13 +264,15 @@
       job.PopPending();
       Start(job, static_cast<uint32_t>(task), *m, attempt, now);
       where.Add(m->zone, 1);
+      --left;
     }
   }
 }
 
 // Whole or not at all, all tasks under one attempt number, and not before the
 // last task of the attempt before is surely gone.
-void Controller::PlaceGang(Job& job, const std::vector<Machine*>& usable,
+void Controller::PlaceGang(Job& job, const QueuePlace& from,
+                           const std::vector<Machine*>& usable,
                            double bandwidth, Time now) {
   const JobSpec& spec = job.spec();
   if (job.placed() > 0) {
@@ -403,6 +335,7 @@
   }
   const uint64_t attempt = NextNumber();
   if (attempt == 0) return;
+  queue_order_.Placed(job, from, now);
   for (Machine* m : best) {
     const int64_t task = job.PeekPending();
     job.PopPending();
--- /dev/null
+++ b/core/floor/fair_turns.cc
@@ -0,0 +1,42 @@
+#include "core/floor/fair_turns.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oxbow {
+
+FairTurns::Sum FairTurns::Decayed(const Sum& sum, Time now) const {
+  const double kept = std::exp(-std::max(0.0, now - sum.at) / memory_s_);
+  return {sum.floor * kept, sum.quickest * kept, now};
+}
+
+bool FairTurns::FloorFirst(const std::string& job_class, Time now) const {
+  const auto it = placed_.find(job_class);
+  if (it == placed_.end()) return floor_share_ > 0;
+  const Sum sum = Decayed(it->second, now);
+  return sum.floor < floor_share_ * (sum.floor + sum.quickest) ||
+         (floor_share_ > 0 && sum.floor + sum.quickest <= 0);
+}
+
+void FairTurns::Placed(const std::string& job_class, TurnSide side, double work,
+                       Time now) {
+  Sum& sum = placed_[job_class];
+  sum = Decayed(sum, now);
+  (side == TurnSide::kFloor ? sum.floor : sum.quickest) += work;
+}
+
+void LargestSizes::Seen(const std::string& job_class, uint32_t tasks) {
+  Range& range = by_class_[job_class];
+  range.least = std::min(range.least, tasks);
+  range.most = std::max(range.most, tasks);
+}
+
+bool LargestSizes::IsLargest(const std::string& job_class,
+                             uint32_t tasks) const {
+  constexpr double kShare = 0.75;
+  const auto it = by_class_.find(job_class);
+  return it != by_class_.end() && it->second.least < it->second.most &&
+         tasks > kShare * it->second.most;
+}
+
+}  // namespace oxbow
--- /dev/null
+++ b/core/floor/fair_turns.h
@@ -0,0 +1,65 @@
+// How the turn is shared between the jobs that would each be quickest and those
+// that have waited for long, class by class. No I/O, no clock.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/model/settings.h"
+
+namespace oxbow {
+
+// Whose turn a class's room goes to while there is more work than room.
+enum class TurnSide : uint8_t {
+  kQuickest,  // least work first: most jobs are served in time
+  kFloor,     // the longest waiting and the largest: nobody is left out
+};
+
+// Least work first keeps the large ones waiting for ever; by age alone most
+// jobs come late together. Each side is owed a share of the work that is
+// placed, and the one that is behind goes first. What was placed long ago is
+// forgotten, so that a new leader, who begins with nothing, soon shares alike.
+class FairTurns {
+ public:
+  // `floor_share`: of the work placed, for the floor, between 0 and 1.
+  // `memory_s`: what was placed so long ago counts for 1/e.
+  FairTurns(double floor_share, double memory_s)
+      : floor_share_(floor_share), memory_s_(memory_s) {}
+
+  // Whether the floor's jobs of the class go before the quickest now.
+  bool FloorFirst(const std::string& job_class, Time now) const;
+  // Work (core seconds) of the class has been placed.
+  void Placed(const std::string& job_class, TurnSide side, double work,
+              Time now);
+
+ private:
+  struct Sum {
+    double floor = 0;
+    double quickest = 0;
+    Time at = 0;
+  };
+  Sum Decayed(const Sum& sum, Time now) const;
+
+  const double floor_share_;
+  const double memory_s_;
+  std::map<std::string, Sum> placed_;  // by class, of which there are few
+};
+
+// The sizes that a class's jobs come in, as far as the largest go.
+class LargestSizes {
+ public:
+  void Seen(const std::string& job_class, uint32_t tasks);
+  // Among the largest: above three quarters of the largest there was, and not
+  // the only size there is.
+  bool IsLargest(const std::string& job_class, uint32_t tasks) const;
+
+ private:
+  struct Range {
+    uint32_t least = UINT32_MAX;
+    uint32_t most = 0;
+  };
+  std::map<std::string, Range> by_class_;
+};
+
+}  // namespace oxbow
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -87,6 +87,12 @@
   double pack_weight = 0.3;
   double accelerator_weight = 0.6;
   double price_weight = 0.2;
+  // Every job is to begin within so long, s, wherever the room is there: the
+  // operators' rule. 0: the floor of the queue's order is off.
+  double begin_within_s = 0;
+  // Of a class's work that is placed while some waits: for the largest and
+  // those that have waited longest.
+  double floor_share = 0.5;
   // Leadership lease, as a share of the workers' lease.
   double leader_lease_ratio = 0.25;
   // How long the others promise one who keeps workers alive in an outage of
--- /dev/null
+++ b/tests/floor_test.cc
@@ -0,0 +1,107 @@
+// Whose turn it is when there is more work than room: nobody is left out.
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "core/controller/queue_order.h"
+#include "core/floor/fair_turns.h"
+
+namespace oxbow::test {
+namespace {
+
+TEST(FairTurns, EachSideGetsItsShareOfTheWork) {
+  FairTurns turns(0.25, 1e9);
+  double floor = 0;
+  double all = 0;
+  for (int i = 0; i < 400; ++i) {
+    const bool first = turns.FloorFirst("c", 100);
+    const double work = first ? 8 : 1;  // the floor's are larger
+    turns.Placed("c", first ? TurnSide::kFloor : TurnSide::kQuickest, work,
+                 100);
+    floor += first ? work : 0;
+    all += work;
+  }
+  EXPECT_NEAR(floor / all, 0.25, 0.05);
+}
+
+TEST(FairTurns, WhatWasLongAgoIsForgotten) {
+  FairTurns turns(0.5, 10);
+  turns.Placed("c", TurnSide::kFloor, 1000, 0);
+  EXPECT_FALSE(turns.FloorFirst("c", 1));
+  turns.Placed("c", TurnSide::kQuickest, 1, 200);
+  EXPECT_TRUE(turns.FloorFirst("c", 200));
+  EXPECT_TRUE(turns.FloorFirst("another", 200));
+}
+
+TEST(LargestSizes, NoneIsTheLargestOfOneSize) {
+  LargestSizes sizes;
+  sizes.Seen("c", 8);
+  EXPECT_FALSE(sizes.IsLargest("c", 8));
+  sizes.Seen("c", 1);
+  EXPECT_TRUE(sizes.IsLargest("c", 8));
+  EXPECT_FALSE(sizes.IsLargest("c", 4));
+}
+
+class Order : public ::testing::Test {
+ protected:
+  Order() {
+    tuning.begin_within_s = 240;
+    settings.objectives = {{"wait", "train", 80, 0.9, 0},
+                           {"finished", "train", 350, 0.9, 0},
+                           {"deadline", "sync", 0, 0.8, 1.0}};
+  }
+  Job Waiting(const char* id, JobKind kind, uint32_t tasks, Time submitted) {
+    auto spec = std::make_shared<JobSpec>();
+    spec->id = id;
+    spec->kind = kind;
+    spec->job_class = kind == JobKind::kGang ? "train" : "sync";
+    spec->tasks = tasks;
+    spec->need = {8, 0, 1};
+    spec->estimate_s = 100;
+    if (kind == JobKind::kArray) spec->deadline_s = 60;
+    return {JobRecord{spec, 0, FinalState::kNone, 1}, -1, submitted};
+  }
+  Settings settings;
+  Tuning tuning;
+};
+
+// A gang of the largest size behind a stream of small ones, of which there is
+// always one that is quicker.
+TEST_F(Order, TheLargestGangGetsItsTurnAmongSmallOnes) {
+  QueueOrder order(settings, tuning);
+  const Job large = Waiting("large", JobKind::kGang, 8, 0);
+  const Job small = Waiting("small", JobKind::kGang, 1, 55);
+  order.Seen(large.spec());
+  order.Seen(small.spec());
+  EXPECT_TRUE(
+      order.PlaceOf(small, 100, 59).Before(order.PlaceOf(large, 100, 59)));
+  EXPECT_TRUE(
+      order.PlaceOf(large, 100, 61).Before(order.PlaceOf(small, 100, 61)));
+  // Having had more than its share, the floor stands back for the quick ones.
+  order.Placed(large, order.PlaceOf(large, 100, 61), 61);
+  EXPECT_TRUE(
+      order.PlaceOf(small, 100, 62).Before(order.PlaceOf(large, 100, 62)));
+}
+
+TEST_F(Order, AnArrayThatHasNotBegunIsBegunOutOfTurn) {
+  QueueOrder order(settings, tuning);
+  const Job large = Waiting("large", JobKind::kArray, 1000, 0);
+  const Job small = Waiting("small", JobKind::kArray, 10, 115);
+  EXPECT_FALSE(
+      order.PlaceOf(large, 18, 119).Before(order.PlaceOf(small, 18, 119)));
+  const QueuePlace place = order.PlaceOf(large, 18, 121);
+  EXPECT_TRUE(place.Before(order.PlaceOf(small, 18, 121)));
+  EXPECT_TRUE(place.by_floor);
+  EXPECT_EQ(QueueOrder::FirstShare(large.spec()), 21u);
+}
+
+TEST_F(Order, WithoutTheRuleNothingGoesOutOfTurn) {
+  tuning.begin_within_s = 0;
+  QueueOrder order(settings, tuning);
+  const Job large = Waiting("large", JobKind::kArray, 1000, 0);
+  EXPECT_FALSE(order.PlaceOf(large, 18, 1000).by_floor);
+}
+
+}  // namespace
+}  // namespace oxbow::test
