--- a/core/controller/actions.h
+++ b/core/controller/actions.h
@@ -124,6 +124,9 @@
 enum class RentOutcome { kGranted, kNoCapacity, kTryLater, kRejected };
 
 struct ReportReply {
+  // Not to be answered: the report is a copy or so old that its worker does not
+  // wait any more.
+  bool refused = false;
   uint64_t token = 0;
   std::vector<Order> orders;
 };
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -154,6 +154,12 @@
   Machine* FindMachine(const std::string& host);
   Machine& AddMachine(const std::string& host, const MachineRecord& record);
   Machine& MachineOf(const WorkerReport& report, Time now);
+  bool IsNews(const Machine& m, const WorkerReport& report, Time now) const;
+  bool MayBeWaitedFor(const Machine& m, const WorkerReport& report,
+                      Time now) const;
+  void AddKills(const Machine& m, ReportReply* reply) const;
+  bool LacksOrders(const Machine& m, const WorkerReport& report) const;
+  void SayDelivery(const Machine& m, DeliveryState before);
   void Absorb(Machine& m, const WorkerReport& report, bool by_report, Time now);
   void Adopt(Machine& m, const TaskReport& task, Time now);
   void UpdateResident(Machine& m, Resident& r, const TaskReport& task,
--- a/core/controller/ears.cc
+++ b/core/controller/ears.cc
@@ -9,12 +9,6 @@
 namespace oxbow {
 namespace {
 
-// A worker waits so long for an answer to its report, and so long before it
-// tries another controller (protocol, "Workers -> controller nodes"): until
-// then its silence says nothing about a leader that has just taken office.
-constexpr double kReportTimeout_s = 4;
-constexpr double kRetryPause_s = 1;
-
 Fitness::Limits FitnessLimits(const Settings& settings, const Tuning& tuning,
                               const Patience& patience) {
   // Of a lease. Most of it must be left: each worker tries a controller that
@@ -46,9 +40,13 @@
 }
 
 // Since when nothing has been heard of the machine, as far as this leadership
-// can tell.
+// can tell, or since when it has heard nothing: the reports of a deaf machine
+// say no more than that it is there.
 Time QuietSince(const Machine& m, Time started) {
-  return std::max(m.last_heard, started);
+  const Time heard = m.delivery.deaf()
+                         ? std::min(m.last_heard, m.delivery.deaf_since())
+                         : m.last_heard;
+  return std::max(heard, started);
 }
 
 // Whether the machine says something about this controller's hearing. One that
@@ -79,6 +77,8 @@
 }
 
 bool Ears::ReportOverdue(const Machine& m, Time now) const {
+  // Until a worker has waited in vain and tried another controller, its silence
+  // says nothing about a leader that has just taken office.
   const Time from =
       std::max(m.last_report, started_ + kReportTimeout_s + kRetryPause_s);
   return now - from > patience_.overdue;
@@ -91,8 +91,8 @@
     ++heard.recorded;
     const bool silent = now - QuietSince(*m, started_) > patience_.overdue;
     heard.silent += silent;
-    heard.troubled +=
-        silent || now < m->direct_broken_until || ReportOverdue(*m, now);
+    heard.troubled += silent || now < m->direct_broken_until ||
+                      m->delivery.deaf() || ReportOverdue(*m, now);
   }
   hearing_ = heard;
   // An alarm ends when nothing has been refused for a window: there may never
@@ -119,10 +119,20 @@
          hearing_.silent <= std::max(1, hearing_.recorded / kShare);
 }
 
+// Machines that go deaf together are seen to be so over the time between two
+// reports and that of a worker's waits; all must count before one is given up.
+bool Ears::TriesPatience(const Machine& m, Time now) const {
+  const double spread = m.delivery.deaf() ? kReportTimeout_s / 2 : 0;
+  return now - QuietSince(m, started_) > patience_.give_up + spread;
+}
+
 // A single silent machine is given up, if nobody else reaches it either.
 bool Ears::MayGiveUp(const Machine& m, Time now) const {
   if (!FewSilent()) return false;
-  if (settings_.peers.empty()) return true;
+  if (settings_.peers.empty()) {
+    // A deaf one whose address may be reached is left to its leases.
+    return !m.delivery.deaf() || now < m.direct_broken_until;
+  }
   const Time quiet_since = QuietSince(m, started_);
   if (m.reached_by_other > quiet_since &&
       now - m.reached_by_other < patience_.give_up) {
--- a/core/controller/ears.h
+++ b/core/controller/ears.h
@@ -38,7 +38,9 @@
   void OnOfferAgreed() { fitness_.OfferAgreed(); }
   void OnOfferRefused(const std::string& why, Time now);
 
-  // Whether a machine silent for long enough may be given up.
+  // Whether a machine has been silent, or deaf, for long enough.
+  bool TriesPatience(const Machine& m, Time now) const;
+  // Whether such a machine may be given up.
   bool MayGiveUp(const Machine& m, Time now) const;
   // Whether it may be taken away for this cause; counts it if so.
   bool LossAllowed(const Machine& m, LossCause cause, Time now);
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -28,6 +28,8 @@
 // A machine that is not trusted gets nothing for so many worker leases.
 constexpr double kDistrustLeases = 3;
 
+constexpr size_t kMostOrders = 300;  // in a message; about 24 KiB
+
 bool SameAttempt(const Order& o, const Resident& r) {
   return o.task == r.task && o.attempt == r.attempt && o.job_id == r.job_id;
 }
@@ -57,6 +59,7 @@
     m = &AddMachine(report.host, {report.type, report.zone, report.spot, "",
                                   now + wall_minus_steady_, 0});
     m->rented = now;
+    m->stranger = !Careful();
   }
   if (m->state() == MachineState::kBooting) {
     m->Change(MachineState::kUp);
@@ -67,25 +70,61 @@
   if (m->endpoint != report.endpoint) m->endpoint = report.endpoint;
   // No task goes there before the record stands: a new leader must know every
   // machine that can hold one.
-  if (!m->recorded_up && m->state() == MachineState::kUp) {
+  // A copy of what a deleted machine said must write none: old jobs would wait
+  // for it. A stranger shows our token first.
+  if (m->stranger && report.token >= m->token) m->stranger = false;
+  if (!m->recorded_up && m->state() == MachineState::kUp && !m->stranger) {
     writes_.Queue({WriteKind::kMachineUp, report.host, FinalState::kNone, {}});
     writes_.Flush(now);
   }
   return *m;
 }
 
+// Whether a message tells something that is not known. If not, it is a copy,
+// was held back, was overtaken, or is of the past of a session.
+bool Controller::IsNews(const Machine& m, const WorkerReport& report,
+                        Time now) const {
+  if (!m.session.MayBeNews(report.session)) return false;
+  if (report.session != m.session.number()) return true;
+  return report.seq > m.seq &&
+         !m.delivery.MustBeOld(report.token, settings_.workers.lease_s, now);
+}
+
+// Whether the worker may be waiting for the answer to this report. One that
+// was overtaken by the answer to an order or a probe was sent before that was
+// made, and is waited for no longer than 4 s. Each answer to a report moves on
+// the time until which the machine's tasks may live: for a dead machine, copies
+// of its reports do so for 4 s after the last news of it and not for ever.
+bool Controller::MayBeWaitedFor(const Machine& m, const WorkerReport& report,
+                                Time now) const {
+  if (IsNews(m, report, now)) return true;
+  return report.session == m.session.number() && m.session.alive() &&
+         report.seq <= m.seq &&
+         now - m.last_heard <= kReportTimeout_s * (1 + kDrift);
+}
+
 ReportReply Controller::OnReport(const WorkerReport& report, Time now) {
   ReportReply reply;
   if (gone_hosts_.contains(report.host)) {
     // A late message from a deleted machine.
-    reply.token = FirstToken(term_);
+    reply.refused = true;
+    return reply;
+  }
+  const Machine* known = FindMachine(report.host);
+  if (known != nullptr && !MayBeWaitedFor(*known, report, now)) {
+    reply.refused = true;
     return reply;
   }
   Machine& m = MachineOf(report, now);
   // Even one that is no news: its worker takes the answer as a renewal.
   m.session.Change(SessionEvent::kAnswered, 0, now);
-  m.last_report = now;
+  const bool news = IsNews(m, report, now);
   Absorb(m, report, /*by_report=*/true, now);
+  if (news) m.last_report = now;
+  if (m.delivery.WantsQuestion()) {
+    RaiseToken(m);
+    m.delivery.Asked(m.token);
+  }
   if (now < m.direct_broken_until && !m.batch && m.confirmed() &&
       !m.queue.empty()) {
     Batch batch{next_batch_++, {}, /*in_response=*/true};
@@ -97,11 +136,29 @@
     reply.orders = batch.orders;
     m.batch = std::move(batch);
   }
+  AddKills(m, &reply);
   reply.token = m.token;
+  if (news) m.delivery.Answered(report.seq, m.token, report.token, now);
   Settle(now);
   return reply;
 }
 
+// An answer renews the lease, and may be the only one for long that gets
+// through. So each has the orders to end what must not be there any more;
+// repeating one does no harm, and they count for nothing else.
+void Controller::AddKills(const Machine& m, ReportReply* reply) const {
+  for (const auto& [key, r] : m.residents) {
+    if (reply->orders.size() >= kMostOrders) return;
+    if (r.job == nullptr || r.phase == TaskPhase::kExited ||
+        r.order == StartOrder::kQueued ||
+        (r.job->state() != JobState::kAborted &&
+         r.job->state() != JobState::kDone)) {
+      continue;
+    }
+    reply->orders.push_back({OrderKind::kStop, r.job_id, r.task, r.attempt, 0});
+  }
+}
+
 void Controller::OnProbeAnswer(const WorkerReport& report, Time now) {
   if (gone_hosts_.contains(report.host)) return;
   Machine& m = MachineOf(report, now);
@@ -112,11 +169,7 @@
 
 void Controller::Absorb(Machine& m, const WorkerReport& report, bool by_report,
                         Time now) {
-  // Older than what is known: a held-back packet, or the past of a session.
-  if (!m.session.MayBeNews(report.session) ||
-      (report.session == m.session.number() && report.seq <= m.seq)) {
-    return;
-  }
+  if (!IsNews(m, report, now)) return;
   if (report.token > m.token && (report.token >> kTokenBits) > term_) {
     if (!resigned_) {
       actions_.push_back(Resign{m.host() + " has seen a newer leader's token"});
@@ -124,9 +177,18 @@
     resigned_ = true;
     return;
   }
+  const DeliveryState before = m.delivery.state();
+  const bool met = m.session.number() > 0;
   if (m.session.Change(SessionEvent::kShown, report.session, now)) {
+    if (met) m.delivery.SessionEnded(settings_.workers, now);
     LoseAll(m, "its lease expired, new session");
   }
+  if (by_report) {
+    m.delivery.Reported(report.seq, report.token, now - m.last_report,
+                        LacksOrders(m, report), settings_.workers, now);
+  }
+  m.delivery.Shown(report.token, m.token, settings_.workers, now);
+  SayDelivery(m, before);
   m.seq = report.seq;
   m.seen_token = std::max(m.seen_token, report.token);
   m.last_heard = now;
@@ -171,6 +233,33 @@
   Pump(m, now);
 }
 
+// Whether a report lacks what orders in the answer before it must have brought.
+bool Controller::LacksOrders(const Machine& m,
+                             const WorkerReport& report) const {
+  if (!m.batch || !m.batch->in_response) return false;
+  return std::any_of(
+      m.batch->orders.begin(), m.batch->orders.end(), [&](const Order& o) {
+        return o.kind == OrderKind::kStart &&
+               std::none_of(report.tasks.begin(), report.tasks.end(),
+                            [&](const TaskReport& t) {
+                              return t.task == o.task &&
+                                     t.attempt == o.attempt &&
+                                     t.job_id == o.job_id;
+                            });
+      });
+}
+
+void Controller::SayDelivery(const Machine& m, DeliveryState before) {
+  const DeliveryState after = m.delivery.state();
+  if (after == before) return;
+  dirty_ = true;
+  if (after == DeliveryState::kDeaf) {
+    Log("machine " + m.host() + " reports, but answers have no effect there");
+  } else if (before == DeliveryState::kDeaf) {
+    Log("machine " + m.host() + " hears again");
+  }
+}
+
 bool Controller::IsCurrent(const Machine& m, const Resident& r) const {
   if (r.job == nullptr) return false;
   const TaskSlot& slot = r.job->task(r.task);
@@ -199,6 +288,15 @@
 }
 
 void Controller::Claim(Job& job, Machine& m, Resident& r, bool there) {
+  const TaskSlot& slot = job.task(r.task);
+  // Of two attempts that are shown the later one counts. The other may be what
+  // an old copy says of a machine that has shown nothing of this leader: heard
+  // first by a new one, it had the living task killed as a second copy.
+  const bool by_hearsay =
+      slot.state != TaskState::kPending && slot.state != TaskState::kDone &&
+      slot.machine >= 0 && slot.attempt < r.attempt && there &&
+      !machines_[static_cast<size_t>(slot.machine)]->reported;
+  if (by_hearsay) job.ChangeTask(r.task, TaskState::kPending);
   if (job.task(r.task).state != TaskState::kPending) return;
   job.Place(r.task, m.index(), r.attempt);
   if (there) job.ChangeTask(r.task, TaskState::kStarting);
@@ -575,8 +673,8 @@
       m.state() == MachineState::kBooting) {
     return;
   }
-  if (m.queue.empty() && m.confirmed()) return;
-  constexpr size_t kMostOrders = 300;  // about 24 KiB
+  // While a question is open its token must not go this way.
+  if (m.queue.empty() && (m.confirmed() || m.delivery.asks())) return;
   Batch batch{next_batch_++, {}, false};
   while (!m.queue.empty() && batch.orders.size() < kMostOrders) {
     Order order = std::move(m.queue.front());
@@ -589,6 +687,7 @@
     }
     batch.orders.push_back(std::move(order));
   }
+  m.delivery.OrdersSent(m.token);
   actions_.push_back(SendOrders{m.host(), m.endpoint, batch.id, m.token,
                                 m.session.number(), batch.orders});
   m.batch = std::move(batch);
@@ -674,7 +773,8 @@
   return m.state() == MachineState::kUp && m.type != nullptr && m.recorded_up &&
          m.reported && m.confirmed() && !m.batch_lost && m.session.alive() &&
          m.orphans == 0 && now >= m.distrusted_until &&
-         now >= m.direct_broken_until && !Suspect(m, now);
+         m.delivery.MayTakeWork(now) && now >= m.direct_broken_until &&
+         !Suspect(m, now);
 }
 
 void Controller::Drain(Machine& m, Time now, const char* why) {
@@ -785,8 +885,7 @@
   const bool matters =
       m.reported ? !m.residents.empty() && now - started_ > lease
                  : !m.residents.empty() || now < m.session.MayLiveUntil(lease);
-  if (m.recorded_up && matters &&
-      now - std::max(m.last_heard, started_) > patience_.give_up &&
+  if (m.recorded_up && matters && ears_.TriesPatience(m, now) &&
       ears_.MayGiveUp(m, now) && TakeAway(m, LossCause::kSilent, now)) {
     return;
   }
--- /dev/null
+++ b/core/model/delivery.h
@@ -0,0 +1,170 @@
+// What the leader knows of whether its answers and orders reach a machine. A
+// report that arrives is no proof: only an effect is.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "core/model/session.h"
+#include "core/model/settings.h"
+
+namespace oxbow {
+
+// A worker waits so long for an answer to its report, and so long before it
+// tries another controller (protocol, "Workers -> controller nodes"). An answer
+// to a report that is older renews nothing.
+inline constexpr double kReportTimeout_s = 4;
+inline constexpr double kRetryPause_s = 1;
+
+enum class DeliveryState : uint8_t {
+  kUnproven,  // nothing of this leader has had an effect yet
+  kProven,    // something has, and nothing speaks against it since
+  kDoubted,   // an answer had no effect, or reports come as after timeouts
+  kDeaf,      // answers go on having none
+};
+
+enum class DeliveryEvent : uint8_t {
+  kEffect,       // a message shows what only the leader can have brought about
+  kNoEffect,     // a report made after an answer lacks what that has brought
+  kTimeouts,     // reports come so far apart as after an answer waited for
+  kSessionEnded  // a session ended less than a lease after an answered report
+};
+
+// One for each machine, under one leader. What has to reach the machine is
+// the answers: only they renew its lease. So a doubt is settled by a question:
+// a token that goes out in answers alone, and that a later report must show.
+class Delivery {
+ public:
+  DeliveryState state() const { return state_; }
+  bool deaf() const { return state_ == DeliveryState::kDeaf; }
+  // A question is open: nothing but answers may carry the newest token, or its
+  // being shown would prove nothing.
+  bool asks() const { return deaf() || state_ == DeliveryState::kDoubted; }
+  // Since when it is taken for deaf; looked at only if it is.
+  Time deaf_since() const { return deaf_since_; }
+  // Whether new work may go there.
+  bool MayTakeWork(Time now) const { return !asks() && now >= held_until_; }
+
+  // An order left for the machine's address under this token.
+  void OrdersSent(uint64_t token) { direct_ = std::max(direct_, token); }
+  // Whether the token to be given in the next answer has to be a new one.
+  bool WantsQuestion() const { return asks() && question_ <= direct_; }
+  void Asked(uint64_t token) { question_ = token; }
+
+  // A message that is news shows `token`, while the leader uses `current` for
+  // the machine.
+  void Shown(uint64_t token, uint64_t current, const WorkerSettings& workers,
+             Time now) {
+    if (token >= vain_token_) in_vain_since_ = kNever;
+    const bool effect =
+        asks() ? question_ > direct_ && token >= question_ : token >= current;
+    if (effect && state_ != DeliveryState::kProven) {
+      Change(DeliveryEvent::kEffect, workers, now);
+    }
+  }
+
+  // A report that is news has come, `apart` seconds after the one before;
+  // called before Shown. `lacks_orders`: orders in the last answer to have no
+  // effect.
+  void Reported(uint64_t seq, uint64_t token, double apart, bool lacks_orders,
+                const WorkerSettings& workers, Time now) {
+    const bool after_answer = seq > answer_seq_ && answer_seq_ > 0;
+    if (after_answer && (token < answer_token_ || lacks_orders)) {
+      Change(DeliveryEvent::kNoEffect, workers, now);
+    }
+    // Reports as far apart as that come from a well machine, too, where they
+    // are seldom. One more in a row, then: the leases end it anyway.
+    constexpr double kEarly_s = 0.1;
+    constexpr double kLate_s = 1.6;  // the way back by a 421, and travel
+    constexpr double kLongest = 1.25;
+    const double timeout = kReportTimeout_s + kRetryPause_s;
+    const bool as_after_one =
+        apart > timeout - kEarly_s && apart < timeout + kLate_s;
+    timeouts_ = as_after_one ? timeouts_ + 1 : 0;
+    const double longest = kLongest * workers.report_s;
+    const int enough = longest < timeout - 2 * kEarly_s ? 2 : 3;
+    if (longest < timeout + kEarly_s && timeouts_ >= enough) {
+      timeouts_ = 0;
+      Change(DeliveryEvent::kTimeouts, workers, now);
+    }
+  }
+
+  // A new session is shown, and the one before was known to this leader.
+  void SessionEnded(const WorkerSettings& workers, Time now) {
+    constexpr double kSurely = 0.95;  // both clocks drift
+    const bool answered = now - answered_at_ < kSurely * workers.lease_s;
+    answer_seq_ = 0;
+    in_vain_since_ = kNever;
+    answered_at_ = kNever;
+    if (answered) Change(DeliveryEvent::kSessionEnded, workers, now);
+  }
+
+  // A report that is news is being answered with this token.
+  void Answered(uint64_t seq, uint64_t token, uint64_t shown, Time now) {
+    answered_at_ = now;
+    answer_seq_ = std::max(answer_seq_, seq);
+    answer_token_ = std::max(answer_token_, token);
+    if (shown < token && in_vain_since_ == kNever) {
+      in_vain_since_ = now;
+      vain_token_ = token;
+    }
+  }
+  // Whether a report of this session and token must be an old one: within the
+  // last lease and more any answer that arrived would have made its worker show
+  // a higher token, and without one its session would be over.
+  bool MustBeOld(uint64_t token, double lease_s, Time now) const {
+    return in_vain_since_ != kNever && token < vain_token_ &&
+           now > TasksMayLiveUntil(in_vain_since_, lease_s) + kReportTimeout_s;
+  }
+
+ private:
+  static constexpr Time kNever = -1e9;
+
+  // The one function for a change.
+  void Change(DeliveryEvent event, const WorkerSettings& workers, Time now) {
+    switch (event) {
+      case DeliveryEvent::kEffect:
+        if (deaf()) {
+          // One that goes deaf again and again has to prove itself for longer
+          // each time, or each second of hearing costs it a lease of work.
+          constexpr double kForgiven = 3;  // leases
+          constexpr int kMostDoublings = 4;
+          if (now - fell_at_ > kForgiven * workers.lease_s) falls_ = 0;
+          fell_at_ = now;
+          const double hold =
+              falls_ == 0 ? 0 : workers.report_s * (1 << falls_);
+          held_until_ = now + std::min(hold, kForgiven / 2 * workers.lease_s);
+          falls_ = std::min(falls_ + 1, kMostDoublings);
+        }
+        state_ = DeliveryState::kProven;
+        return;
+      case DeliveryEvent::kNoEffect:
+        if (state_ == DeliveryState::kDoubted) break;
+        if (!deaf()) state_ = DeliveryState::kDoubted;
+        return;
+      case DeliveryEvent::kTimeouts:
+        if (!asks()) state_ = DeliveryState::kDoubted;
+        return;
+      case DeliveryEvent::kSessionEnded:
+        break;
+    }
+    if (!deaf()) deaf_since_ = now;
+    state_ = DeliveryState::kDeaf;
+  }
+
+  DeliveryState state_ = DeliveryState::kUnproven;
+  uint64_t direct_ = 0;    // the highest token sent to the machine's address
+  uint64_t question_ = 0;  // the token that only answers have carried
+  uint64_t answer_seq_ = 0;
+  uint64_t answer_token_ = 0;
+  uint64_t vain_token_ = 0;  // of the first answer without effect
+  Time answered_at_ = kNever;
+  Time in_vain_since_ = kNever;
+  Time deaf_since_ = kNever;
+  Time held_until_ = kNever;
+  Time fell_at_ = kNever;
+  int falls_ = 0;
+  int timeouts_ = 0;
+};
+
+}  // namespace oxbow
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/model/delivery.h"
 #include "core/model/job.h"
 #include "core/model/report.h"
 #include "core/model/session.h"
@@ -160,6 +161,7 @@
 
   // The dialogue with its worker.
   Session session;
+  Delivery delivery;
   uint64_t seq = 0;
   uint64_t token;           // the one this leader uses for it now
   uint64_t seen_token = 0;  // the highest the worker has shown
@@ -171,6 +173,9 @@
   Time reached_by_other = -1e9;
   Time reached_by_none = -1e9;
   bool reported = false;  // under this leader
+  // In no record, and it has shown nothing of this leader: what was heard may
+  // be a copy of what a machine said that is gone.
+  bool stranger = false;
   std::optional<Batch> batch;
   bool batch_lost = false;  // unanswered: may be executed until token shows
   std::deque<Order> queue;
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -151,8 +151,18 @@
     } else if (verb == "worker") {
       words >> name >> word;
       SimWorker& w = sim_.worker(name);
-      if (word == "dies")
+      if (word == "dies") {
         w.dead = true;
+        w.died_at = sim_.now();
+      } else if (word == "answers-cut") {
+        // answers-cut [S]: its reports come to the leader so far apart
+        w.answers_cut = true;
+        words >> w.retry_s;
+        if (!words) w.retry_s = SimWorker().retry_s;
+      } else if (word == "answers-open")
+        w.answers_cut = false;
+      else if (word == "copies")
+        words >> w.copy_after;  // copies S: every report again, S later
       else if (word == "hangs")
         w.hung = true;
       else if (word == "resumes")
@@ -179,6 +189,11 @@
         w.notice = seconds;
       } else
         FAIL() << "unknown fault";
+    } else if (verb == "copy") {
+      words >> name;  // copy HOST S: its last report comes again S from now
+      double after = 0;
+      words >> after;
+      sim_.Copy(sim_.LastReport(name), after);
     } else if (verb == "rollout") {
       sim_.Declare(ReadRollout(words));
     } else if (verb == "wish") {
@@ -352,6 +367,12 @@
       actual = sim_.starts();
     } else if (what == "deletions") {
       actual = sim_.deletions();
+    } else if (what == "starts-on-deaf") {
+      actual = sim_.starts_on_deaf();
+    } else if (what == "held-by-dead") {
+      double bound = 0;
+      words >> bound;
+      actual = static_cast<int>(sim_.HeldByTheDead(bound).size());
     } else if (what == "lost-alive") {
       actual = sim_.lost_alive();
     } else if (what == "hand-overs") {
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -43,6 +43,7 @@
   w.spot = spot;
   w.up_at = now_;
   w.lease_from = now_;
+  w.last_answered = now_;
   w.next_report = now_ + 0.1;
   workers_[host] = w;
 }
@@ -118,6 +119,7 @@
     catalog_.Put(key, value.first, value.second);
   }
   catalog_.Followed(revision_);
+  leads_since_ = now_;
   leader_ = std::make_unique<Controller>(settings, tuning, catalog_, revision_,
                                          now_, 1e6, 7, RecordedKeepers());
   std::vector<MachineType> all;
@@ -353,24 +355,45 @@
 void Sim::SendReport(SimWorker& w) {
   w.next_report = now_ + settings.workers.report_s;
   if (storm) return ReportInStorm(w);
+  // One report in flight.
+  if (now_ < w.waits_until) {
+    w.next_report = w.waits_until;
+    return;
+  }
   if (w.kept) {
     w.lease_from = now_;
     return;
   }
+  const WorkerReport report = ReportOf(w);
+  sent_[w.host] = report;
+  if (w.copy_after > 0) Copy(report, w.copy_after);
   if (w.reports_cut || !leader_ || !LeaderNode().Hears(w.host)) {
     if (KeptInZone(w)) w.lease_from = now_;
     return;
   }
   const Time sent = now_;
   const uint64_t session = w.session;
-  const ReportReply reply = leader_->OnReport(ReportOf(w), now_);
+  const ReportReply reply = leader_->OnReport(report, now_);
   Perform();
+  if (w.answers_cut) {
+    w.waits_until = now_ + w.retry_s;
+    return;
+  }
   AcceptReply(w, reply, session, sent);
 }
 
+void Sim::Copy(const WorkerReport& report, double after) {
+  After(after, [this, report] {
+    if (!leader_) return;
+    OnLeader(leader_->revision(),
+             [this, report] { leader_->OnReport(report, now_); });
+  });
+}
+
 void Sim::AcceptReply(SimWorker& w, const ReportReply& reply, uint64_t session,
                       Time sent) {
   if (reply.token < w.token || session != w.session) return;
+  w.last_answered = now_;
   w.token = reply.token;
   w.lease_from = sent;
   Execute(w, reply.orders);
@@ -415,7 +438,11 @@
   const WorkerReport report = ReportOf(w);
   w.waits_until = now_ + kPatience;
   const std::optional<double> there = storm->Travel();
-  const std::optional<double> back = storm->Travel();
+  std::optional<double> back = storm->Travel();
+  if (w.answers_cut) back.reset();
+  if (storm->copied > 0 && storm->Happens(storm->copied)) {
+    Copy(report, storm->Between(0.5, storm->latest_copy_s));
+  }
   if (w.reports_cut || !there || !LeaderNode().Hears(w.host)) {
     if (KeptInZone(w)) {
       w.waits_until = 0;
@@ -532,6 +559,11 @@
     Break("refused: " + o.job_id + " does not fit on " + w.host);
   } else {
     ++starts_;
+    const double seen_to =
+        settings.workers.lease_s + 2 * w.retry_s + (storm ? 30.0 : 0.0);
+    if (now_ - std::max(w.last_answered, leads_since_) > seen_to) {
+      ++starts_on_deaf_;
+    }
     const double fetch =
         w.images.contains(spec.image) ? 0 : spec.image_gb / type.fetch_gb_per_s;
     t.ready_at = now_ + fetch;
@@ -690,7 +722,7 @@
         AddWorker(host, rent.rental.type, rent.rental.zone, rent.rental.spot);
         SimWorker& w = workers_[host];
         w.up_at = never_boot ? 1e12 : now_ + types.at(w.type).boot_s;
-        w.lease_from = w.up_at;
+        w.lease_from = w.last_answered = w.up_at;
         w.next_report = w.up_at;
         hosts.push_back(host);
       }
@@ -1038,6 +1070,23 @@
   return wrong;
 }
 
+std::vector<std::string> Sim::HeldByTheDead(double bound) const {
+  std::vector<std::string> held;
+  if (!leader_ || now_ - leads_since_ < bound) return held;
+  for (const auto& m : leader_->machines()) {
+    const auto it = workers_.find(m->host());
+    const bool dead = it == workers_.end() ||
+                      (it->second.dead && now_ - it->second.died_at > bound);
+    const bool holds =
+        std::any_of(m->residents.begin(), m->residents.end(),
+                    [](const auto& e) { return e.second.holds; });
+    if (dead && it != workers_.end() && holds) {
+      held.push_back("still counted on the dead " + m->host());
+    }
+  }
+  return held;
+}
+
 void Sim::Break(const std::string& what) { broken_.push_back(what); }
 
 int Sim::CountRunning(const std::string& job) const {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -36,9 +36,13 @@
   bool spot = false;
   Time up_at = 0;
   bool dead = false;
+  Time died_at = 0;
   bool hung = false;
   bool reports_cut = false;  // its reports don't arrive
   bool orders_cut = false;   // nothing sent to its address arrives
+  bool answers_cut = false;  // no answer to its reports arrives
+  double retry_s = 5.25;     // then, until its next report comes to the leader
+  double copy_after = 0;     // each report comes again so much later; 0: none
   bool faulty = false;       // every task errs
   bool kept = false;         // another controller answers, without orders
   std::optional<double> notice;
@@ -47,7 +51,8 @@
   uint64_t token = 0;
   Time lease_from = 0;  // when the last answered report was sent
   Time next_report = 0;
-  Time waits_until = 0;     // for the answer to its report; in a storm
+  Time waits_until = 0;     // for the answer to its report
+  Time last_answered = 0;   // an answer was accepted
   uint64_t reports = 0;     // sent
   Time reachable_from = 0;  // by a controller that can be asked
   std::set<std::string> images;
@@ -63,6 +68,8 @@
   double held = 0;
   double refused = 0;  // of connections for orders
   double longest_s = 0;
+  double copied = 0;  // of reports
+  double latest_copy_s = 0;
 
   bool Happens(double share) {
     return std::bernoulli_distribution(share)(random);
@@ -147,6 +154,19 @@
   // The leader's process gets no processor time; it answers nothing, notices
   // nothing, and finds later what has arrived meanwhile.
   void Stall(double seconds) { stalled_until_ = now_ + seconds; }
+  // A report that comes once more, to whoever leads by then; nobody waits for
+  // the answer.
+  void Copy(const WorkerReport& report, double after);
+  // The last report that the worker has sent.
+  const WorkerReport& LastReport(const std::string& host) {
+    return sent_.at(host);
+  }
+  // Tasks started where no answer has arrived for so long that the worker's
+  // session must have risen under this leader, and seen to.
+  int starts_on_deaf() const { return starts_on_deaf_; }
+  // Dead machines on which the leader still counts tasks, so many s after they
+  // died and it took office.
+  std::vector<std::string> HeldByTheDead(double bound) const;
   // What the leader takes for gone although it is there: an account of each
   // worker's tasks against the leader's picture of machines that it has heard.
   std::vector<std::string> WronglyGone() const;
@@ -250,6 +270,7 @@
   std::map<std::string, StoredJob> jobs_;
   std::map<std::string, std::set<uint32_t>> completed_;
   std::map<std::string, FinalState> told_;
+  std::map<std::string, WorkerReport> sent_;  // the last of each worker
   std::vector<Later> later_;
   std::vector<std::string> broken_;
   int next_host_ = 1000;
@@ -257,6 +278,8 @@
   int deletions_ = 0;
   int hand_overs_ = 0;
   int lost_alive_ = 0;
+  int starts_on_deaf_ = 0;
+  Time leads_since_ = 100;
 };
 
 }  // namespace oxbow::test
