--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -379,6 +379,11 @@
     w.waits_until = now_ + w.retry_s;
     return;
   }
+  if (reply.refused) {
+    Break("refused a report that is waited for: " + w.host);
+    w.waits_until = now_ + kRetryPause_s;
+    return;
+  }
   AcceptReply(w, reply, session, sent);
 }
 
@@ -456,13 +461,19 @@
       const ReportReply reply = leader_->OnReport(report, now_);
       if (!back) return;
       After(*back, [this, report, number, reply, sent] {
-        OnWorker(report.host,
-                 [this, report, number, reply, sent](SimWorker& worker) {
-                   if (worker.reports != number || now_ > sent + kPatience)
-                     return;
-                   worker.waits_until = 0;
-                   AcceptReply(worker, reply, report.session, sent);
-                 });
+        OnWorker(report.host, [this, report, number, reply,
+                               sent](SimWorker& worker) {
+          if (worker.reports != number || now_ > sent + kPatience) return;
+          worker.waits_until = 0;
+          if (reply.refused) {
+            if (worker.session == report.session) {
+              Break("refused a report that is waited for: " + worker.host);
+            }
+            worker.waits_until = now_ + kRetryPause_s;
+            return;
+          }
+          AcceptReply(worker, reply, report.session, sent);
+        });
       });
     });
   });
--- a/tests/storm_test.cc
+++ b/tests/storm_test.cc
@@ -19,10 +19,18 @@
 // How long a deaf leader may stay when another could lead, s: doubt, three
 // rounds with their pauses.
 constexpr double kUnfitFor = 9;
+// Copies of reports come so late, s; and a dead machine's tasks are counted no
+// longer than so, in messages held for up to 30 s.
+constexpr double kLatestCopy = 80;
+constexpr double kHeldFor = 60;
+
+// What comes on top of the rest.
+enum class Kind { kPlain, kDeaf, kCopies };
 
 class StormyDay {
  public:
-  explicit StormyDay(uint64_t seed) : random_(seed) {
+  explicit StormyDay(uint64_t seed, Kind kind = Kind::kPlain)
+      : kind_(kind), random_(seed) {
     sim_.storm.emplace();
     Storm& storm = *sim_.storm;
     storm.random.seed(seed ^ 0x9e3779b97f4a7c15);
@@ -50,6 +58,12 @@
     }
     // In half of the runs there are others to ask, and to hand over to.
     if (Happens(0.5)) names_ = {"a", "b", "c"};
+    if (kind_ == Kind::kCopies) {
+      storm.copied = Between(0.05, 0.4);
+      storm.latest_copy_s = kLatestCopy;
+      // Nobody inside a zone keeps anything, so that the bound is the leader's.
+      names_.clear();
+    }
     for (const std::string& name : names_) {
       sim_.AddController(name);
       // Those inside a zone may keep its workers when they are cut off.
@@ -60,12 +74,20 @@
 
   // The first wrong belief or broken rule; empty for none.
   std::string Play() {
-    for (double t = 0; t < kLength; t += kStep) {
+    const double length = kind_ == Kind::kCopies ? 1.5 * kLength : kLength;
+    for (double t = 0; t < length; t += kStep) {
       Trouble();
       sim_.Run(kStep);
       if (!sim_.broken().empty()) return At(sim_.broken().front());
       const auto wrong = sim_.WronglyGone();
       if (!wrong.empty()) return At(wrong.front());
+      if (kind_ == Kind::kDeaf && sim_.starts_on_deaf() > 0) {
+        return At("new work where no answer has arrived for long");
+      }
+      if (kind_ == Kind::kCopies) {
+        const auto held = sim_.HeldByTheDead(kHeldFor);
+        if (!held.empty()) return At(held.front());
+      }
       if (!names_.empty() && sim_.lost_alive() > 0) {
         return At("a machine was deleted that others reached");
       }
@@ -80,6 +102,7 @@
   int hand_overs() const { return sim_.hand_overs(); }
 
  private:
+  struct Weather;
   double Between(double least, double most) {
     return std::uniform_real_distribution<double>(least, most)(random_);
   }
@@ -105,7 +128,7 @@
           sim_.Lead(names_[static_cast<size_t>(Between(0, 2.99))]);
         }
       }
-    } else if (Every(25)) {
+    } else if (Every(kind_ == Kind::kCopies ? 70 : 25)) {
       sim_.Crash();
     }
     // Also after the leader has given up by itself.
@@ -140,10 +163,29 @@
       w.reports_cut = now < weather.no_reports_until;
       w.orders_cut = now < weather.no_orders_until;
       w.hung = now < weather.hung_until;
+      if (kind_ == Kind::kDeaf) Deafen(w, weather);
+      if (kind_ == Kind::kCopies && !w.dead && Every(80)) {
+        w.dead = true;
+        w.died_at = now;
+      }
       if (Every(150)) w.faulty = !w.faulty;
     }
   }
 
+  // No answer arrives there, and mostly no order either; one machine's trouble
+  // or a whole zone's.
+  void Deafen(SimWorker& w, Weather& weather) {
+    const Time now = sim_.now();
+    Time& zone = deaf_zones_[w.zone];
+    if (Every(120)) zone = now + Between(1, 40);
+    if (Every(25)) {
+      weather.no_answers_until = now + Between(1, 40);
+      if (Happens(0.6)) weather.no_orders_until = weather.no_answers_until;
+    }
+    w.answers_cut = now < weather.no_answers_until || now < zone;
+    w.orders_cut = w.orders_cut || now < zone;
+  }
+
   static std::string Name(int number) {
     return fmt::format("job-{:06}", number);
   }
@@ -175,6 +217,7 @@
     Time no_reports_until = 0;
     Time no_orders_until = 0;
     Time hung_until = 0;
+    Time no_answers_until = 0;
   };
   // What gets through to and from a controller.
   struct Links {
@@ -182,11 +225,13 @@
     Time no_orders_until = 0;
     Time no_peers_until = 0;
   };
+  const Kind kind_;
   std::mt19937_64 random_;
   Sim sim_;
   std::vector<std::string> names_;  // of the controllers, if several
   std::map<std::string, Links> links_;
   std::map<std::string, Weather> weather_;
+  std::map<std::string, Time> deaf_zones_;  // until when
   Time next_leader_ = 0;
   Time state_until_ = 0;
   int submitted_ = 0;
@@ -221,6 +266,33 @@
   EXPECT_GT(hand_overs, seeds / 8);
 }
 
+class DeafStorms : public testing::TestWithParam<int> {};
+class CopyStorms : public testing::TestWithParam<int> {};
+
+void PlayAll(Kind kind, int part, int seeds) {
+  const char* only = std::getenv("OXBOW_STORM_SEED");
+  int starts = 0;
+  for (int i = 0; i < seeds; ++i) {
+    const auto seed = static_cast<uint64_t>(part + kParts * i);
+    if (only != nullptr && std::to_string(seed) != only) continue;
+    StormyDay day(seed, kind);
+    const std::string wrong = day.Play();
+    ASSERT_EQ(wrong, "") << "seed " << seed << ", after " << i << " others";
+    starts += day.starts();
+  }
+  EXPECT_GT(starts, seeds);
+}
+
+TEST_P(DeafStorms, AnswersAreLostWhileReportsArrive) {
+  PlayAll(Kind::kDeaf, GetParam(), SeedsFromEnvironment(60));
+}
+
+TEST_P(CopyStorms, ReportsComeAgain) {
+  PlayAll(Kind::kCopies, GetParam(), SeedsFromEnvironment(60));
+}
+
+INSTANTIATE_TEST_SUITE_P(Parts, DeafStorms, testing::Range(0, kParts));
+INSTANTIATE_TEST_SUITE_P(Parts, CopyStorms, testing::Range(0, kParts));
 INSTANTIATE_TEST_SUITE_P(Parts, Storms, testing::Range(0, kParts));
 
 }  // namespace
