--- a/app/users.cc
+++ b/app/users.cc
@@ -380,8 +380,8 @@
   dealings_.Tell(leading->revision(), [&](Controller& c) {
     *reply = c.OnReport(report, loop_.Now());
   });
-  // The report may have ended this leadership.
-  return dealings_.in_office();
+  // The report may have ended this leadership; and a copy is not answered.
+  return dealings_.in_office() && !reply->refused;
 }
 
 net::Task<api::Reported> Users::Report(WorkerReport report, std::string body) {
