--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -87,7 +87,8 @@
   if (!m.session.MayBeNews(report.session)) return false;
   if (report.session != m.session.number()) return true;
   return report.seq > m.seq &&
-         !m.delivery.MustBeOld(report.token, settings_.workers.lease_s, now);
+         !m.delivery.MustBeOld(report.token, settings_.workers.lease_s,
+                               zones_.MayBeKept(m.zone, now), now);
 }
 
 // Whether the worker may be waiting for the answer to this report. One that
@@ -138,7 +139,11 @@
   }
   AddKills(m, &reply);
   reply.token = m.token;
-  if (news) m.delivery.Answered(report.seq, m.token, report.token, now);
+  if (news) {
+    m.delivery.Answered(report.seq, m.token, report.token,
+                        settings_.workers.lease_s,
+                        zones_.MayBeKept(m.zone, now), now);
+  }
   Settle(now);
   return reply;
 }
