--- a/core/model/delivery.h
+++ b/core/model/delivery.h
@@ -98,12 +98,12 @@
   void SessionEnded(const WorkerSettings& workers, Time now) {
     constexpr double kSurely = 0.95;  // both clocks drift
     const bool answered = now - answered_at_ < kSurely * workers.lease_s;
+    // What a new leader meets first may be a session that is just over.
+    const bool first = !risen_ && answered_at_ == kNever;
     answer_seq_ = 0;
     in_vain_since_ = kNever;
     answered_at_ = kNever;
     question_ = 0;
-    // The first that a new leader hears may be of a session just over.
-    const bool first = !risen_ && state_ == DeliveryState::kUnproven;
     risen_ = true;
     if (answered) {
       Change(DeliveryEvent::kSessionEnded, workers, now);
