--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -122,7 +122,7 @@
   const bool news = IsNews(m, report, now);
   Absorb(m, report, /*by_report=*/true, now);
   if (news) m.last_report = now;
-  if (m.delivery.WantsQuestion()) {
+  if (m.delivery.WantsQuestion(now)) {
     RaiseToken(m);
     m.delivery.Asked(m.token);
   }
@@ -778,7 +778,7 @@
   return m.state() == MachineState::kUp && m.type != nullptr && m.recorded_up &&
          m.reported && m.confirmed() && !m.batch_lost && m.session.alive() &&
          m.orphans == 0 && now >= m.distrusted_until &&
-         m.delivery.MayTakeWork(now) && now >= m.direct_broken_until &&
+         m.delivery.MayTakeWork() && now >= m.direct_broken_until &&
          !Suspect(m, now);
 }
 
--- a/core/model/delivery.h
+++ b/core/model/delivery.h
@@ -44,12 +44,14 @@
   // Since when it is taken for deaf; looked at only if it is.
   Time deaf_since() const { return deaf_since_; }
   // Whether new work may go there.
-  bool MayTakeWork(Time now) const { return !asks() && now >= held_until_; }
+  bool MayTakeWork() const { return !asks(); }
 
   // An order left for the machine's address under this token.
   void OrdersSent(uint64_t token) { direct_ = std::max(direct_, token); }
   // Whether the token to be given in the next answer has to be a new one.
-  bool WantsQuestion() const { return asks() && question_ <= direct_; }
+  bool WantsQuestion(Time now) const {
+    return asks() && now >= asks_from_ && question_ <= direct_;
+  }
   void Asked(uint64_t token) { question_ = token; }
 
   // A message that is news shows `token`, while the leader uses `current` for
@@ -143,16 +145,20 @@
     switch (event) {
       case DeliveryEvent::kEffect:
         if (deaf()) {
-          // One that goes deaf again and again has to prove itself for longer
-          // each time, or each second of hearing costs it a lease of work.
+          // One that goes deaf again and again is asked once more after a
+          // while, longer each time, or each second of hearing costs it a
+          // lease of work.
           constexpr double kForgiven = 3;  // leases
-          constexpr int kMostDoublings = 4;
+          constexpr int kMostDoublings = 2;
           if (now - fell_at_ > kForgiven * workers.lease_s) falls_ = 0;
           fell_at_ = now;
-          const double hold =
-              falls_ == 0 ? 0 : workers.report_s * (1 << falls_);
-          held_until_ = now + std::min(hold, kForgiven / 2 * workers.lease_s);
+          if (falls_ > 0) {
+            asks_from_ = now + workers.lease_s / 4 * (1 << falls_);
+            question_ = 0;
+            state_ = DeliveryState::kDoubted;
+          }
           falls_ = std::min(falls_ + 1, kMostDoublings);
+          if (state_ == DeliveryState::kDoubted) return;
         }
         state_ = DeliveryState::kProven;
         return;
@@ -182,7 +188,7 @@
   Time answered_at_ = kNever;
   Time in_vain_since_ = kNever;
   Time deaf_since_ = kNever;
-  Time held_until_ = kNever;
+  Time asks_from_ = kNever;
   Time fell_at_ = kNever;
   int falls_ = 0;
   int timeouts_ = 0;
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -1103,7 +1103,8 @@
   for (const auto& m : leader_->machines()) {
     const auto it = workers_.find(m->host());
     const bool dead = it == workers_.end() ||
-                      (it->second.dead && now_ - it->second.died_at > bound);
+                      (it->second.dead && now_ - it->second.died_at > bound &&
+                       now_ - m->last_heard > bound);
     const bool holds =
         std::any_of(m->residents.begin(), m->residents.end(),
                     [](const auto& e) { return e.second.holds; });
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -167,7 +167,7 @@
   // session of the worker end.
   int starts_on_deaf() const { return starts_on_deaf_; }
   // Dead machines on which the leader still counts tasks, so many s after they
-  // died and it took office.
+  // died, it took office, and it heard the last that was news of them.
   std::vector<std::string> HeldByTheDead(double bound) const;
   // What the leader takes for gone although it is there: an account of each
   // worker's tasks against the leader's picture of machines that it has heard.
--- a/tests/storm_test.cc
+++ b/tests/storm_test.cc
@@ -20,9 +20,9 @@
 // rounds with their pauses.
 constexpr double kUnfitFor = 9;
 // Copies of reports come so late, s; and a dead machine's tasks are counted no
-// longer than so, in messages held for up to 30 s.
+// longer than so after the last news of it: 4 s, a lease, and a stalled leader.
 constexpr double kLatestCopy = 80;
-constexpr double kHeldFor = 70;
+constexpr double kHeldFor = 25;
 
 // What comes on top of the rest.
 enum class Kind { kPlain, kDeaf, kCopies };
