--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -118,6 +118,11 @@
     catalog_.Put(key, value.first, value.second);
   }
   catalog_.Followed(revision_);
+  leads_since_ = now_;
+  for (auto& [host, w] : workers_) {
+    w.seen_session = 0;
+    w.risen = w.unproven = false;
+  }
   leader_ = std::make_unique<Controller>(settings, tuning, catalog_, revision_,
                                          now_, 1e6, 7, RecordedKeepers());
   std::vector<MachineType> all;
@@ -265,11 +270,28 @@
     leader_->Tick(now_, !by_promises);
     Perform();
   }
+  NoteSessions();
   if (!controllers_.empty()) WatchReach();
   CheckRules();
   CheckIndices();
 }
 
+void Sim::NoteSessions() {
+  if (!leader_) return;
+  for (const auto& m : leader_->machines()) {
+    const auto it = workers_.find(m->host());
+    if (it == workers_.end()) continue;
+    SimWorker& w = it->second;
+    const uint64_t seen = m->session.number();
+    if (w.seen_session != 0 && seen > w.seen_session) {
+      // The first may have been over before this leader heard of it.
+      w.unproven = w.risen;
+      w.risen = true;
+    }
+    w.seen_session = seen;
+  }
+}
+
 void Sim::AdvanceWorker(SimWorker& w) {
   if (w.dead || now_ < w.up_at) return;
   // Holds for a hung machine too: what it finds first when it goes on is that
@@ -353,24 +375,50 @@
 void Sim::SendReport(SimWorker& w) {
   w.next_report = now_ + settings.workers.report_s;
   if (storm) return ReportInStorm(w);
+  // One report in flight.
+  if (now_ < w.waits_until) {
+    w.next_report = w.waits_until;
+    return;
+  }
   if (w.kept) {
     w.lease_from = now_;
     return;
   }
+  const WorkerReport report = ReportOf(w);
+  sent_[w.host] = report;
+  if (w.copy_after > 0) Copy(report, w.copy_after);
   if (w.reports_cut || !leader_ || !LeaderNode().Hears(w.host)) {
     if (KeptInZone(w)) w.lease_from = now_;
     return;
   }
   const Time sent = now_;
   const uint64_t session = w.session;
-  const ReportReply reply = leader_->OnReport(ReportOf(w), now_);
+  const ReportReply reply = leader_->OnReport(report, now_);
   Perform();
+  if (w.answers_cut) {
+    w.waits_until = now_ + w.retry_s;
+    return;
+  }
+  if (reply.refused) {
+    Break("refused a report that is waited for: " + w.host);
+    w.waits_until = now_ + kRetryPause_s;
+    return;
+  }
   AcceptReply(w, reply, session, sent);
 }
 
+void Sim::Copy(const WorkerReport& report, double after) {
+  After(after, [this, report] {
+    if (!leader_) return;
+    OnLeader(leader_->revision(),
+             [this, report] { leader_->OnReport(report, now_); });
+  });
+}
+
 void Sim::AcceptReply(SimWorker& w, const ReportReply& reply, uint64_t session,
                       Time sent) {
   if (reply.token < w.token || session != w.session) return;
+  w.unproven = false;
   w.token = reply.token;
   w.lease_from = sent;
   Execute(w, reply.orders);
@@ -415,7 +463,11 @@
   const WorkerReport report = ReportOf(w);
   w.waits_until = now_ + kPatience;
   const std::optional<double> there = storm->Travel();
-  const std::optional<double> back = storm->Travel();
+  std::optional<double> back = storm->Travel();
+  if (w.answers_cut) back.reset();
+  if (storm->copied > 0 && storm->Happens(storm->copied)) {
+    Copy(report, storm->Between(0.5, storm->latest_copy_s));
+  }
   if (w.reports_cut || !there || !LeaderNode().Hears(w.host)) {
     if (KeptInZone(w)) {
       w.waits_until = 0;
@@ -429,13 +481,19 @@
       const ReportReply reply = leader_->OnReport(report, now_);
       if (!back) return;
       After(*back, [this, report, number, reply, sent] {
-        OnWorker(report.host,
-                 [this, report, number, reply, sent](SimWorker& worker) {
-                   if (worker.reports != number || now_ > sent + kPatience)
-                     return;
-                   worker.waits_until = 0;
-                   AcceptReply(worker, reply, report.session, sent);
-                 });
+        OnWorker(report.host, [this, report, number, reply,
+                               sent](SimWorker& worker) {
+          if (worker.reports != number || now_ > sent + kPatience) return;
+          worker.waits_until = 0;
+          if (reply.refused) {
+            if (worker.session == report.session) {
+              Break("refused a report that is waited for: " + worker.host);
+            }
+            worker.waits_until = now_ + kRetryPause_s;
+            return;
+          }
+          AcceptReply(worker, reply, report.session, sent);
+        });
       });
     });
   });
@@ -532,6 +590,7 @@
     Break("refused: " + o.job_id + " does not fit on " + w.host);
   } else {
     ++starts_;
+    starts_on_deaf_ += w.unproven;
     const double fetch =
         w.images.contains(spec.image) ? 0 : spec.image_gb / type.fetch_gb_per_s;
     t.ready_at = now_ + fetch;
@@ -1038,6 +1097,24 @@
   return wrong;
 }
 
+std::vector<std::string> Sim::HeldByTheDead(double bound) const {
+  std::vector<std::string> held;
+  if (!leader_ || now_ - leads_since_ < bound) return held;
+  for (const auto& m : leader_->machines()) {
+    const auto it = workers_.find(m->host());
+    const bool dead = it == workers_.end() ||
+                      (it->second.dead && now_ - it->second.died_at > bound &&
+                       now_ - m->last_heard > bound);
+    const bool holds =
+        std::any_of(m->residents.begin(), m->residents.end(),
+                    [](const auto& e) { return e.second.holds; });
+    if (dead && it != workers_.end() && holds) {
+      held.push_back("still counted on the dead " + m->host());
+    }
+  }
+  return held;
+}
+
 void Sim::Break(const std::string& what) { broken_.push_back(what); }
 
 int Sim::CountRunning(const std::string& job) const {
