--- a/app/users.cc
+++ b/app/users.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "wire/names.h"
 #include "wire/records.h"
 #include "wire/worker_json.h"
 
@@ -323,7 +324,10 @@
         hint.text = wire::EncodeRecord(record);
         net::Spawn(leader->Tell(std::move(hint)));
       }
-      spdlog::debug("accepted {}", spec->id);
+      // Who reads a day's log need not guess what each job was.
+      spdlog::debug("accepted {}: class {}, team {}, form {}, tasks {}",
+                    spec->id, spec->job_class, spec->team,
+                    wire::NameOf(wire::kJobKinds, spec->kind), spec->tasks);
       co_return api::Submitted{Result::kAccepted};
     }
     case StateStatus::kConflict:
