--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -268,6 +268,11 @@
       CheckSays says = CheckSays::kStands;
       if (recovery_.on()) says = co_await recovery_.Check();
       if (says == CheckSays::kGone) recovery_.Sign(LossSign::kEpochMissing);
+      // A job's record goes only with its end: one that is missing alone is
+      // lost, and a leader that believes it forgets the job.
+      if (says == CheckSays::kStands && recovery_.on()) {
+        says = co_await recovery_.IsDeleted(key);
+      }
       if (says != CheckSays::kStands) {
         ok = false;
         break;
--- a/app/recovery_desk.cc
+++ b/app/recovery_desk.cc
@@ -25,6 +25,12 @@
 // so all of it together has to stay well below one.
 constexpr double kAskRatio = 0.08;
 constexpr double kPageRatio = 0.1;
+// Worker leases from a rebuild that may lack something, until an id that nobody
+// knows is denied again. From the first on every machine has reported to who
+// leads, or its tasks have ended; one that is still away then is waited for up
+// to the second, which is below the 75 s that the users' rule has.
+constexpr double kToldRatio = 2;
+constexpr double kForgottenRatio = 7;
 // Of the report interval.
 constexpr double kRoundPause = 0.1;
 
@@ -65,8 +71,18 @@
   if (!on()) return true;
   // A first epoch may have been founded in a service that has lost everything,
   // together with all controllers: the workers would tell within a lease.
-  return trust_.MayDeny() && catalog_.epoch().whole &&
-         loop_.Now() > founded_ + settings_.workers.lease_s;
+  const double lease = settings_.workers.lease_s;
+  return trust_.MayDeny() && loop_.Now() > founded_ + lease &&
+         (catalog_.epoch().whole ||
+          (rebuilt_epoch_ == catalog_.epoch().number &&
+           loop_.Now() > rebuilt_since_ + kToldRatio * lease));
+}
+
+bool RecoveryDesk::SomeoneMayTell() const {
+  return on() && !catalog_.epoch().whole &&
+         !(rebuilt_epoch_ == catalog_.epoch().number &&
+           loop_.Now() >
+               rebuilt_since_ + kForgottenRatio * settings_.workers.lease_s);
 }
 
 void RecoveryDesk::AddGuard(std::vector<Condition>* conditions) const {
@@ -121,6 +137,17 @@
   }
 }
 
+net::Task<CheckSays> RecoveryDesk::IsDeleted(std::string key) {
+  // One that is owed was never there.
+  if (!key.starts_with(keys::kJob) || catalog_.owed().contains(key) ||
+      catalog_.VersionOf(key).stamp == 0) {
+    co_return CheckSays::kStands;
+  }
+  const CheckSays says = co_await LookForJob(key.substr(keys::kJob.size()));
+  if (says == CheckSays::kGone) Sign(LossSign::kRecordMissing, key);
+  co_return says;
+}
+
 uint64_t RecoveryDesk::HighestTerm() const {
   return TermOf(catalog_.epoch(), state_.highest());
 }
@@ -148,14 +175,89 @@
     }
   }
   whole_now_ = epoch.whole;
+  if (epoch.rebuilt && rebuilt_epoch_ != epoch.number) {
+    rebuilt_epoch_ = epoch.number;
+    rebuilt_since_ = loop_.Now();
+  }
   trust_.OnEpoch(epoch.number, epoch.rebuilt);
-  if (before == TrustState::kRebuilding &&
-      trust_.state() == TrustState::kSound && !catalog_.owed().empty()) {
-    catalog_.ForgetOwed();
-    follower_.Reread();
+  if (epoch.rebuilt && !catalog_.owed().empty() && !seams_.leading() &&
+      handing_in_ != epoch.number) {
+    handing_in_ = epoch.number;
+    // One that has just been met is read anew already.
+    if (before == TrustState::kRebuilding) follower_.Reread();
+    net::Spawn(HandIn(epoch.number));
   }
 }
 
+// What is owed here and was not written back, by whoever rebuilt: it may not
+// have heard this controller, and nobody else will ever tell it. A job is
+// recorded as a submission is, on the condition that neither it nor its end
+// stands there, and an operators' record if there is none of its name; of all
+// else the leader knows what there is.
+net::Task<void> RecoveryDesk::HandIn(uint64_t epoch) {
+  const double pause = kRoundPause * settings_.workers.report_s;
+  const auto stale = [this, epoch] {
+    return catalog_.epoch().number != epoch ||
+           trust_.state() == TrustState::kLost;
+  };
+  while (!follower_.synced() || trust_.state() != TrustState::kSound) {
+    co_await loop_.Sleep(pause);
+    if (stale()) co_return;
+  }
+  co_await GatherFromAll(&RecoveryDesk::GatherEnds);
+  if (stale()) co_return;
+  std::vector<std::string> handed;
+  for (const auto& [key, version] : catalog_.owed()) {
+    if (key.starts_with(keys::kJob) || key.starts_with(keys::kOperator)) {
+      handed.push_back(key);
+    }
+  }
+  size_t handed_in = 0;
+  for (const std::string& key : handed) {
+    for (bool settled = false; !settled;) {
+      settled = co_await HandInRecord(key, &handed_in);
+      if (stale()) co_return;
+      if (!settled) co_await loop_.Sleep(pause);
+    }
+  }
+  if (handed_in > 0) {
+    spdlog::warn(
+        "{} records that only this controller remembered are written back",
+        handed_in);
+  }
+  // A leader writes back by itself what it owes.
+  if (stale() || seams_.leading() || catalog_.owed().empty()) co_return;
+  catalog_.ForgetOwed();
+  follower_.Reread();
+}
+
+net::Task<bool> RecoveryDesk::HandInRecord(std::string key, size_t* count) {
+  const bool is_job = key.starts_with(keys::kJob);
+  const std::string id = is_job ? key.substr(keys::kJob.size()) : "";
+  const Record record = catalog_.RecordOf(key);
+  if (!catalog_.owed().contains(key) ||
+      std::holds_alternative<std::monostate>(record) ||
+      (is_job && catalog_.FindFinal(id) != FinalState::kNone)) {
+    co_return true;
+  }
+  std::vector<Condition> conditions{{key, 0}};
+  if (is_job) conditions.push_back({keys::Of(keys::kFinal, id), 0});
+  AddGuard(&conditions);
+  std::vector<KeyChange> changes{{key, record}};
+  const StateResult written = co_await state_.Write(
+      std::move(conditions), std::move(changes), Urgency::kLeader);
+  if (written.ok()) {
+    ++*count;
+    follower_.Apply(key, record, written.revision);
+    co_return true;
+  }
+  if (written.status != StateStatus::kConflict) co_return false;
+  if (GuardFailed(written.failed) || !is_job) co_return true;
+  // It is there, or has ended.
+  const CheckSays says = co_await LookForJob(id);
+  co_return says == CheckSays::kStands;
+}
+
 net::Task<CheckSays> RecoveryDesk::Check() {
   const uint64_t number = catalog_.epoch().number;
   const std::string id = catalog_.epoch().id;
@@ -178,9 +280,15 @@
     if (epoch != nullptr && epoch->number > number) {
       const StateResult mark = co_await state_.Get(
           keys::Of(keys::kEpochMark, epoch->id), Urgency::kLease);
-      if (!mark.ok()) co_return CheckSays::kNoAnswer;
-      follower_.Apply(mark.items[0].key, mark.items[0].record,
-                      mark.items[0].stamp);
+      if (!Answered(mark) && !mark.stepped_back) {
+        co_return CheckSays::kNoAnswer;
+      }
+      // An epoch whose mark alone is lost is taken in without: the checks will
+      // miss the mark, while a round that never ends would miss the epoch.
+      if (mark.ok()) {
+        follower_.Apply(mark.items[0].key, mark.items[0].record,
+                        mark.items[0].stamp);
+      }
       follower_.Apply(there.items[0].key, there.items[0].record,
                       there.items[0].stamp);
       co_return CheckSays::kStands;
@@ -219,6 +327,12 @@
   if (live.ok()) {
     follower_.Apply(live.items[0].key, live.items[0].record,
                     live.items[0].stamp);
+    // Recorded as live though somebody knows its end: an older copy.
+    const auto* job = std::get_if<JobRecord>(&live.items[0].record);
+    if (job != nullptr && job->final_state == FinalState::kNone &&
+        catalog_.FindFinal(id) != FinalState::kNone) {
+      co_return CheckSays::kGone;
+    }
   }
   if (live.status != StateStatus::kNotFound) {
     co_return live.ok() ? CheckSays::kStands : CheckSays::kNoAnswer;
@@ -249,9 +363,10 @@
                                                         : CheckSays::kGone;
 }
 
-net::Task<bool> RecoveryDesk::Finds(std::string key) {
+net::Task<bool> RecoveryDesk::Finds(std::string key, uint64_t stamp) {
   const StateResult there = co_await state_.Get(key, Urgency::kLeader);
-  if (there.ok() || !key.starts_with(keys::kJob)) co_return there.ok();
+  if (there.ok()) co_return there.items[0].stamp >= stamp;
+  if (!key.starts_with(keys::kJob)) co_return false;
   const StateResult ended = co_await state_.Get(
       keys::Of(keys::kFinal, key.substr(keys::kJob.size())), Urgency::kLeader);
   co_return ended.ok();
@@ -402,8 +517,13 @@
     }
     // How jobs have ended is followed from the start on; what was before that
     // the others know, and the state service may lose it once they are gone.
-    for (const auto& peer : peers_) co_await GatherEnds(peer.get());
+    co_await GatherFromAll(&RecoveryDesk::GatherEnds);
+    // An older copy may hold as live what the others know to have ended: who
+    // leads by it runs a cancelled job again.
+    while (!follower_.ever_synced()) co_await loop_.Sleep(pause);
     introduced_ = true;
+    const std::string revived = Revived();
+    if (!revived.empty()) Sign(LossSign::kRecordMissing, revived);
     if (mine.number == 0 || term <= HighestTerm()) break;
     const CheckSays says = co_await Check();
     if (says == CheckSays::kStands && term > HighestTerm()) {
@@ -413,6 +533,16 @@
   }
 }
 
+std::string RecoveryDesk::Revived() const {
+  for (const auto& [id, job] : catalog_.jobs()) {
+    if (job.final_state == FinalState::kNone &&
+        catalog_.FindFinal(id) != FinalState::kNone) {
+      return keys::Of(keys::kJob, id);
+    }
+  }
+  return {};
+}
+
 net::Task<void> RecoveryDesk::WatchLeader() {
   const LeaderRecord leader = catalog_.leader();
   clients::PeerClient* named = nullptr;
@@ -440,15 +570,18 @@
   if (orphaned) seams_.orphaned(leader.stamp);
 }
 
-net::Task<bool> RecoveryDesk::AnybodyKnows(std::string id) {
+net::Task<RecoveryDesk::Known> RecoveryDesk::AnybodyKnows(std::string id) {
   PeerMessage ask;
   ask.kind = PeerKind::kKnown;
   ask.node = settings_.node;
   ask.job_id = std::move(id);
-  const std::vector<PeerMessage> answers = co_await AskAll(std::move(ask));
-  co_return std::any_of(answers.begin(), answers.end(), [](const auto& a) {
-    return a.answer == PeerAnswer::kYes;
-  });
+  const std::vector<PeerMessage> answers =
+      co_await AskAll(std::move(ask), /*hurried=*/true);
+  for (const PeerMessage& a : answers) {
+    if (a.answer == PeerAnswer::kYes) co_return Known::kYes;
+  }
+  co_return answers.size() == peers_.size() ? Known::kNobody
+                                            : Known::kNobodyHeard;
 }
 
 net::Task<bool> RecoveryDesk::Prepare(Opening* out, bool led) {
@@ -540,15 +673,10 @@
   // its former life, may have accepted last.
   bool whole = whole_before_ && first_epoch_ < catalog_.epoch().number;
   // All ends first: what has ended is not revived by another's older memory.
-  for (const auto& peer : peers_) {
-    const bool told = co_await GatherEnds(peer.get());
-    whole = whole && told;
-  }
+  const bool told = co_await GatherFromAll(&RecoveryDesk::GatherEnds);
   catalog_.ApplyEnds();
-  for (const auto& peer : peers_) {
-    const bool witness = co_await GatherMemory(peer.get());
-    whole = whole && witness;
-  }
+  const bool witnessed = co_await GatherFromAll(&RecoveryDesk::GatherMemory);
+  whole = whole && told && witnessed;
   if (gathering_ != term || TermOf(catalog_.epoch(), 0) > term) co_return;
   gathered_ = term;
   spdlog::info(
@@ -559,6 +687,27 @@
   net::Spawn(CompareEnded(term, whole));
 }
 
+net::Task<bool> RecoveryDesk::GatherFromAll(Gatherer what) {
+  if (peers_.empty()) co_return true;
+  auto ask = std::make_shared<Ask>(loop_);
+  ask->left = peers_.size();
+  bool whole = true;
+  for (const auto& peer : peers_) {
+    net::Spawn(GatherOne(ask, what, peer.get(), &whole));
+  }
+  // Each of them ends by itself, with the first page that does not come.
+  while (ask->left > 0) co_await ask->done.Wait(settings_.workers.lease_s);
+  co_return whole;
+}
+
+net::Task<void> RecoveryDesk::GatherOne(std::shared_ptr<Ask> ask, Gatherer what,
+                                        clients::PeerClient* peer,
+                                        bool* whole) {
+  const bool told = co_await (this->*what)(peer);
+  *whole = *whole && told;
+  if (--ask->left == 0) ask->done.Set();
+}
+
 net::Task<bool> RecoveryDesk::GatherEnds(clients::PeerClient* peer) {
   const double timeout = kPageRatio * settings_.workers.lease_s;
   for (const FinalState part : {FinalState::kDone, FinalState::kAborted}) {
@@ -704,6 +853,7 @@
   compare(catalog_.jobs(), keys::kJob);
   compare(catalog_.machines(), keys::kMachine);
   compare(catalog_.rentals(), keys::kRental);
+  if (missing.empty()) missing = Revived();
   if (missing.empty()) co_return;
   if (missing.starts_with(keys::kJob)) {
     // It may have ended at this moment.
@@ -757,28 +907,52 @@
   if (!trust_.MaySeek()) {
     message.running = static_cast<uint32_t>(trust_.sign());
     message.job_id = sign_key_;
+    // Found in its place is only what is as new: one that knows but the older
+    // copy would stand by it, and the doubt of the one that remembers more
+    // would never end.
+    if (!sign_key_.empty()) {
+      message.stamp = catalog_.VersionOf(sign_key_).stamp;
+    }
   }
   return message;
 }
 
 net::Task<void> RecoveryDesk::AskOne(std::shared_ptr<Ask> ask,
                                      clients::PeerClient* peer,
-                                     PeerMessage message) {
+                                     PeerMessage message, bool waited) {
   const auto answer = co_await peer->Ask(std::move(message),
                                          kAskRatio * settings_.workers.lease_s);
-  if (answer.ok) ask->answers.push_back(answer.message);
-  if (--ask->left == 0) ask->done.Set();
+  if (answer.ok) {
+    silent_.erase(peer->name());
+    ask->answers.push_back(answer.message);
+  } else {
+    silent_.insert(peer->name());
+  }
+  if (waited && --ask->left == 0) ask->done.Set();
 }
 
-net::Task<std::vector<PeerMessage>> RecoveryDesk::AskAll(PeerMessage message) {
+net::Task<std::vector<PeerMessage>> RecoveryDesk::AskAll(PeerMessage message,
+                                                         bool hurried) {
   if (peers_.empty()) co_return std::vector<PeerMessage>{};
   auto ask = std::make_shared<Ask>(loop_);
-  ask->left = peers_.size();
-  for (const auto& peer : peers_) net::Spawn(AskOne(ask, peer.get(), message));
+  std::vector<bool> waited;
+  for (const auto& peer : peers_) {
+    waited.push_back(!hurried || !silent_.contains(peer->name()));
+    ask->left += waited.back() ? 1 : 0;
+  }
+  if (ask->left == 0) ask->done.Set();
+  for (size_t i = 0; i < peers_.size(); ++i) {
+    net::Spawn(AskOne(ask, peers_[i].get(), message, waited[i]));
+  }
   co_await ask->done.Wait(1.5 * kAskRatio * settings_.workers.lease_s);
   co_return ask->answers;
 }
 
+bool RecoveryDesk::IsPeer(const std::string& node) const {
+  return std::any_of(peers_.begin(), peers_.end(),
+                     [&](const auto& peer) { return peer->name() == node; });
+}
+
 bool RecoveryDesk::Takes(PeerKind kind) {
   return kind == PeerKind::kLedger || kind == PeerKind::kMemory ||
          kind == PeerKind::kEnded || kind == PeerKind::kKnown;
@@ -811,7 +985,7 @@
       // A newcomer knows nothing of what is missed, and may read as far by now:
       // it stands by what it finds.
       if (says == CheckSays::kStands && !message.job_id.empty()) {
-        const bool found = co_await Finds(message.job_id);
+        const bool found = co_await Finds(message.job_id, message.stamp);
         if (!found) says = CheckSays::kNoAnswer;
       }
       if (says == CheckSays::kGone) Sign(LossSign::kStepBack);
@@ -825,7 +999,7 @@
       }
       break;
     case PeerKind::kMemory:
-      FillMemory(message.job_id, reply);
+      if (IsPeer(message.node)) FillMemory(message, reply);
       break;
     case PeerKind::kEnded:
       FillEnded(message, reply);
@@ -844,23 +1018,24 @@
   reply->term = foreign_term_;
 }
 
-void RecoveryDesk::FillMemory(const std::string& after, PeerMessage* reply) {
-  if (after.empty()) {
+void RecoveryDesk::FillMemory(const PeerMessage& ask, PeerMessage* reply) {
+  std::vector<std::string>& order = sending_[ask.node].memory_keys;
+  const std::string& after = ask.job_id;
+  if (after.empty() || order.empty()) {
     // In order once for all pages; what comes later stands in this epoch.
-    memory_keys_.clear();
-    const auto collect = [this](const auto& map, std::string_view prefix) {
+    order.clear();
+    const auto collect = [&](const auto& map, std::string_view prefix) {
       for (const auto& [name, record] : map) {
-        memory_keys_.push_back(keys::Of(prefix, name));
+        order.push_back(keys::Of(prefix, name));
       }
     };
     catalog_.EachKind(collect);
-    std::sort(memory_keys_.begin(), memory_keys_.end());
+    std::sort(order.begin(), order.end());
   }
   std::vector<clients::Memory> page;
   size_t bytes = 0;
-  for (auto key =
-           std::upper_bound(memory_keys_.begin(), memory_keys_.end(), after);
-       key != memory_keys_.end(); ++key) {
+  for (auto key = std::upper_bound(order.begin(), order.end(), after);
+       key != order.end(); ++key) {
     const Record known = catalog_.RecordOf(*key);
     if (std::holds_alternative<std::monostate>(known)) continue;
     std::string record = wire::EncodeRecord(known);
@@ -868,7 +1043,7 @@
     if (!page.empty() && bytes > clients::kMemoryPage) break;
     page.push_back({*key, catalog_.VersionOf(*key), std::move(record)});
   }
-  if (page.empty()) memory_keys_ = {};
+  if (page.empty()) order = {};
   reply->answer = PeerAnswer::kYes;
   reply->running = static_cast<uint32_t>(first_epoch_);
   reply->text = clients::EncodeMemory(page);
@@ -877,12 +1052,14 @@
 void RecoveryDesk::FillEnded(const PeerMessage& ask, PeerMessage* reply) {
   const auto part = static_cast<FinalState>(ask.done);
   if (part != FinalState::kDone && part != FinalState::kAborted) return;
-  // Kept as it was when the first piece was asked for.
-  if (ask.stamp == 0) ended_part_ = catalog_.ended().Encode(part);
-  if (ask.stamp > ended_part_.size()) return;
+  if (!IsPeer(ask.node)) return;
+  std::string& bytes = sending_[ask.node].ended_parts[ask.done];
+  if (ask.stamp == 0) bytes = catalog_.ended().Encode(part);
+  if (ask.stamp > bytes.size()) return;
   reply->answer = PeerAnswer::kYes;
-  reply->text = ended_part_.substr(ask.stamp, clients::kMemoryPage);
-  reply->running = ask.stamp + reply->text.size() < ended_part_.size() ? 1 : 0;
+  reply->text = bytes.substr(ask.stamp, clients::kMemoryPage);
+  reply->running = ask.stamp + reply->text.size() < bytes.size() ? 1 : 0;
+  if (reply->running == 0) bytes = {};
 }
 
 }  // namespace oxbow::app
--- a/app/recovery_desk.h
+++ b/app/recovery_desk.h
@@ -6,7 +6,9 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -46,9 +48,16 @@
   // Whether a leader key that is free, or not there, means that nobody leads.
   bool MaySeek() const { return !on() || (introduced_ && trust_.MaySeek()); }
   // Whether any controller knows of the job. For one who is about to deny it.
-  net::Task<bool> AnybodyKnows(std::string id);
-  // Whether a job that is neither recorded nor remembered may be denied.
+  enum class Known { kYes, kNobodyHeard, kNobody };
+  net::Task<Known> AnybodyKnows(std::string id);
+  // Whether a job that is neither recorded nor remembered may be denied, if no
+  // controller of those that answer knows of it.
   bool MayDeny() const;
+  // Whether an accepted job may be known to one alone who is not heard now: a
+  // controller that was away in the rebuild, or a machine. Denied is then only
+  // what all have been asked about, the leader first. It ends: what nobody has
+  // told for that long is forgotten, whoever may still remember it.
+  bool SomeoneMayTell() const;
   // Whether a live record that was read here, of that stamp, says how its job
   // stands. One from before an epoch may be an older copy, of a job whose end
   // is remembered elsewhere.
@@ -73,6 +82,9 @@
   // A task runs whose job the leader does not know: brings in its record, or
   // how it ended; having neither is a sign.
   net::Task<void> AskAboutJob(std::string id);
+  // Whether a key that was not found may be taken for deleted: a job's, if its
+  // end is there. If it is not, that is a sign.
+  net::Task<CheckSays> IsDeleted(std::string key);
   // The catalog's epoch may have changed.
   void EpochSeen();
   // Whether the state service holds what it should; looks afresh.
@@ -114,6 +126,8 @@
   net::Task<bool> Orphaned(const clients::KeyValue& leader);
   // As a newcomer: others may remember more than the state service holds.
   net::Task<void> Introduce();
+  // The key of a job that is recorded as live though its end is known, if any.
+  std::string Revived() const;
   // Whether the named leader is there; a key may outlive its holder and its
   // lease.
   net::Task<void> WatchLeader();
@@ -130,26 +144,37 @@
   // Whether a record that is known here is gone, or older there.
   net::Task<CheckSays> LookForRecord(std::string key);
   // Whether the state service holds it, a job's end included.
-  net::Task<bool> Finds(std::string key);
+  net::Task<bool> Finds(std::string key, uint64_t stamp);
   // Whether any of what changed last is gone, or older there.
   net::Task<CheckSays> LookForNewest();
   // Whether a job has neither a live record nor an end.
   net::Task<CheckSays> LookForJob(std::string id);
+  // `hurried`: does not wait for one that gave no answer the last time.
   net::Task<std::vector<clients::PeerMessage>> AskAll(
-      clients::PeerMessage message);
+      clients::PeerMessage message, bool hurried = false);
   net::Task<std::vector<clients::PeerMessage>> AskAll() {
     return AskAll(Ledger());
   }
   net::Task<void> AskOne(std::shared_ptr<Ask> ask, clients::PeerClient* peer,
-                         clients::PeerMessage message);
+                         clients::PeerMessage message, bool waited);
   clients::PeerMessage Ledger() const;
   net::Task<void> Gather(uint64_t term);
+  // From every other controller at once; true if all of them have told all.
+  using Gatherer = net::Task<bool> (RecoveryDesk::*)(clients::PeerClient*);
+  net::Task<bool> GatherFromAll(Gatherer what);
+  net::Task<void> GatherOne(std::shared_ptr<Ask> ask, Gatherer what,
+                            clients::PeerClient* peer, bool* whole);
   net::Task<bool> GatherEnds(clients::PeerClient* peer);
   net::Task<bool> GatherMemory(clients::PeerClient* peer);
+  // Records the jobs that are remembered here alone, after a rebuild that this
+  // controller had no part in.
+  net::Task<void> HandIn(uint64_t epoch);
+  net::Task<bool> HandInRecord(std::string key, size_t* count);
   net::Task<void> CompareEnded(uint64_t term, bool whole);
   void FillLedger(CheckSays says, clients::PeerMessage* reply) const;
-  void FillMemory(const std::string& after, clients::PeerMessage* reply);
+  void FillMemory(const clients::PeerMessage& ask, clients::PeerMessage* reply);
   void FillEnded(const clients::PeerMessage& ask, clients::PeerMessage* reply);
+  bool IsPeer(const std::string& node) const;
   uint64_t HighestTerm() const;
 
   net::Loop& loop_;
@@ -179,10 +204,20 @@
   net::Time founded_ = -1e9;  // when a first epoch was seen to be young
   uint64_t gathered_ = 0;     // for the leader of that term
   uint64_t gathering_ = 0;
-  std::vector<std::string> memory_keys_;  // as it is being sent, in pages
-  std::string ended_part_;                // as it is being sent, in pieces
-  FinalsIndex present_;  // ends that the state service holds, in a round
-  FinalsIndex known_;    // those that were known when the round began
+  // What is being sent to each of the others, as it was when the first piece
+  // was asked for. Several ask at once after a crash of many: with one for all,
+  // the second took the end of the first one's pages for the end of its own.
+  struct Sending {
+    std::vector<std::string> memory_keys;
+    std::map<uint32_t, std::string> ended_parts;
+  };
+  std::map<std::string, Sending> sending_;
+  std::set<std::string> silent_;  // peers that gave no answer the last time
+  uint64_t rebuilt_epoch_ = 0;    // seen to be rebuilt, and since when
+  net::Time rebuilt_since_ = 0;
+  uint64_t handing_in_ = 0;  // for that epoch
+  FinalsIndex present_;      // ends that the state service holds, in a round
+  FinalsIndex known_;        // those that were known when the round began
 };
 
 }  // namespace oxbow::app
--- a/app/users.cc
+++ b/app/users.cc
@@ -1,14 +1,12 @@
 #include "app/users.h"
 
-#include <rapidjson/document.h>
 #include <spdlog/spdlog.h>
 
-#include <optional>
+#include <algorithm>
 #include <utility>
 
 #include "wire/names.h"
 #include "wire/records.h"
-#include "wire/worker_json.h"
 
 namespace oxbow::app {
 namespace {
@@ -23,13 +21,19 @@
 // Shares of the workers' lease.
 constexpr double kProxyTimeoutRatio = 0.06;
 constexpr double kCancelWaitRatio = 0.3;
+constexpr double kStateRestRatio = 0.05;
+// s; users wait 2 s for the answer to a question and 5 s for that to another
+// request, as the protocol says. They have half of it at the least to be told
+// that they should come again.
+constexpr double kPollWithin = 1;
+constexpr double kChangeWithin = 2.5;
+constexpr double kLeaderWithin = 0.4;  // of a question's second
+constexpr double kRelayWithin = 0.5;
+constexpr double kPollApart = 0.1;  // s between the peers that are asked
+constexpr double kChangeApart = 0.4;
 constexpr size_t kMostLiveJobs = 20'000;
 constexpr size_t kMostLiveTasks = 600'000;
 
-std::string_view WordOf(FinalState state) {
-  return state == FinalState::kDone ? "done" : "aborted";
-}
-
 PeerMessage RelayOf(PeerKind kind, std::string id) {
   PeerMessage message;
   message.kind = kind;
@@ -50,30 +54,6 @@
   return status;
 }
 
-void FillAnswer(const api::Status& status, PeerMessage* reply) {
-  if (status.found == api::Status::Found::kNo) {
-    reply->answer = PeerAnswer::kUnknownJob;
-  } else if (status.found == api::Status::Found::kYes) {
-    reply->answer = PeerAnswer::kYes;
-    reply->text = status.status;
-    reply->done = status.done;
-    reply->running = status.running;
-  }
-}
-
-// The job's record that another controller has sent.
-std::optional<JobRecord> JobIn(const PeerMessage& message) {
-  rapidjson::Document doc;
-  Record record;
-  doc.Parse(message.text.data(), message.text.size());
-  if (doc.HasParseError() ||
-      !wire::DecodeRecord(keys::Of(keys::kJob, message.job_id), doc, &record)) {
-    return std::nullopt;
-  }
-  const auto* job = std::get_if<JobRecord>(&record);
-  return job == nullptr ? std::nullopt : std::optional(*job);
-}
-
 }  // namespace
 
 Users::Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
@@ -88,9 +68,9 @@
       follower_(follower),
       election_(election),
       dealings_(dealings),
-      peers_(peers),
       zone_desk_(zone_desk),
-      recovery_(recovery) {}
+      recovery_(recovery),
+      relays_(loop, settings, election, peers) {}
 
 bool Users::Ready() {
   return follower_.ever_synced() && !follower_.types().empty();
@@ -106,15 +86,39 @@
 }
 
 bool Users::FinalKnown(const std::string& id, api::Status* out) const {
-  const FinalRecord end = catalog_.FindEnd(id);
+  FinalRecord end = catalog_.FindEnd(id);
+  if (end.state == FinalState::kNone) {
+    // Told by other controllers, while a leader that has just started may read
+    // an older copy in which the job lives.
+    end.state = catalog_.FindFinal(id);
+    const JobRecord* job = catalog_.FindJob(id);
+    if (end.state == FinalState::kDone && job == nullptr) return false;
+    if (job != nullptr) end.tasks = job->spec->tasks;
+  }
   if (end.state == FinalState::kNone) return false;
   out->found = api::Status::Found::kYes;
-  out->status = WordOf(end.state);
+  out->status = wire::NameOf(wire::kFinals, end.state);
   out->done = end.state == FinalState::kDone ? end.tasks : 0;
   out->running = 0;
   return true;
 }
 
+// That it has ended can't be old, whatever else can't be read now.
+bool Users::EndTold(const std::string& id, api::Status* out) const {
+  const FinalState end = catalog_.FindFinal(id);
+  if (end == FinalState::kNone) return false;
+  out->found = api::Status::Found::kYes;
+  out->status = wire::NameOf(wire::kFinals, end);
+  return true;
+}
+
+bool Users::UnseenHere(const std::string& id) {
+  JobView view;
+  const Controller* leading = dealings_.Leading();
+  return leading != nullptr && leading->AllAccounted() &&
+         !leading->View(id, &view);
+}
+
 bool Users::ViewHere(const std::string& id, api::Status* out) {
   JobView view;
   const Controller* leading = dealings_.Leading();
@@ -126,8 +130,9 @@
   return true;
 }
 
-net::Task<api::Status> Users::FreshRead(std::string id) {
+net::Task<api::Status> Users::FreshRead(std::string id, bool unseen) {
   api::Status status;
+  if (!StateAnswers()) co_return status;
   const StateResult live =
       co_await state_.Get(keys::Of(keys::kJob, id), Urgency::kUser);
   if (live.ok()) {
@@ -136,24 +141,16 @@
     dealings_.Perform();
     const auto* job = std::get_if<JobRecord>(&live.items[0].record);
     if (job == nullptr) co_return status;
-    if (recovery_.on() && job->final_state == FinalState::kNone &&
-        catalog_.FindJob(id) == nullptr) {
+    // The end of this record, or one that beats it.
+    if (FinalKnown(id, &status) || EndTold(id, &status)) co_return status;
+    if (recovery_.on() && catalog_.FindJob(id) == nullptr) {
       // The watch has passed it, and it was deleted: an older copy is back.
       recovery_.Sign(LossSign::kStepBack);
       co_return status;
     }
-    if (job->final_state == FinalState::kNone &&
-        !recovery_.MayTellLive(live.items[0].stamp)) {
-      co_return status;
-    }
+    if (!recovery_.MayTellLive(live.items[0].stamp)) co_return status;
     status.found = api::Status::Found::kYes;
-    if (job->final_state != FinalState::kNone) {
-      status.status = WordOf(job->final_state);
-      status.done =
-          job->final_state == FinalState::kDone ? job->spec->tasks : 0;
-    } else {
-      status.status = "pending";
-    }
+    status.status = "pending";
     co_return status;
   }
   if (live.status != StateStatus::kNotFound) co_return status;
@@ -167,7 +164,7 @@
       FinalKnown(id, &status);
     }
   } else if (ended.status == StateStatus::kNotFound) {
-    co_return co_await NotFound(std::move(id));
+    co_return co_await NotFound(std::move(id), unseen);
   }
   co_return status;
 }
@@ -175,86 +172,146 @@
 // A record that is missing proves nothing once the state service may have lost
 // data. What is remembered is told; else only a service that still holds the
 // epoch, looked at after the reads, is a reason to deny.
-net::Task<api::Status> Users::NotFound(std::string id) {
+net::Task<api::Status> Users::NotFound(std::string id, bool unseen) {
   api::Status status;
   if (!recovery_.on()) {
     status.found = api::Status::Found::kNo;
     co_return status;
   }
-  const FinalState end = catalog_.FindFinal(id);
-  if (end != FinalState::kNone) {
-    status.found = api::Status::Found::kYes;
-    status.status = WordOf(end);
-    co_return status;
-  }
+  if (EndTold(id, &status)) co_return status;
   if (catalog_.FindJob(id) != nullptr || !recovery_.MayDeny()) {
     co_return status;
   }
   const CheckSays says = co_await recovery_.Check();
   if (says != CheckSays::kStands || !recovery_.MayDeny()) co_return status;
-  const bool known = co_await recovery_.AnybodyKnows(id);
-  if (known || !recovery_.MayDeny()) {
+  const RecoveryDesk::Known known = co_await recovery_.AnybodyKnows(id);
+  if (known == RecoveryDesk::Known::kYes || !recovery_.MayDeny()) {
     recovery_.Sign(LossSign::kRecordMissing, keys::Of(keys::kJob, id));
     co_return status;
   }
+  // After a rebuild that may lack something, a task of it may still be seen by
+  // the leader, or the one that remembers it be away.
+  if (recovery_.SomeoneMayTell() &&
+      (!unseen || known != RecoveryDesk::Known::kNobody)) {
+    co_return status;
+  }
   status.found = api::Status::Found::kNo;
   co_return status;
 }
 
-// One that alone is cut off from the state service keeps its users for as long
-// as its sockets are good: half a minute of 503 for a fifth of all requests,
-// while four others could have answered. Nothing is accepted, and nothing
-// denied, but by the one who has written or read it.
-net::Task<PeerMessage> Users::Relay(PeerMessage message) {
-  PeerMessage none;
-  if (peers_.empty() || loop_.Now() < relay_not_before_) co_return none;
-  message.node = settings_.node;
-  clients::PeerClient& peer = *peers_[relay_to_ % peers_.size()];
-  const double ratio = message.kind == PeerKind::kRelayCancel
-                           ? kCancelWaitRatio + 2 * kProxyTimeoutRatio
-                           : kProxyTimeoutRatio;
-  const auto answer =
-      co_await peer.Ask(std::move(message), ratio * settings_.workers.lease_s);
-  if (answer.ok && answer.message.answer != PeerAnswer::kNo) {
-    co_return answer.message;
+// One that answers nobody is asked on nobody's behalf, now and then: a user who
+// waits for it to stay silent once more could have been told by another
+// controller meanwhile.
+bool Users::StateAnswers() {
+  const net::Time now = loop_.Now();
+  const double lease = settings_.workers.lease_s;
+  if (!state_.Failing() || now < state_.last_good() + kStateRestRatio * lease) {
+    return true;
+  }
+  if (!probing_ && now >= next_probe_) {
+    next_probe_ = now + kStateRestRatio * lease;
+    net::Spawn(ProbeState());
   }
-  // It is no better off, or not there: in an outage that all share, asking
-  // around for each request would only add to the load.
-  ++relay_to_;
-  relay_not_before_ =
-      loop_.Now() + settings_.workers.report_s / (2.0 * settings_.nodes);
-  co_return none;
+  return false;
+}
+
+net::Task<void> Users::ProbeState() {
+  probing_ = true;
+  co_await state_.Get(std::string(keys::kEpoch), Urgency::kUser);
+  probing_ = false;
+}
+
+// Those that their users have stopped waiting for go on for as long as what
+// they ask has time to answer.
+bool Users::Takes() const {
+  constexpr size_t kEach = 4;  // for each connection
+  return under_way_ <
+         kEach * static_cast<size_t>(settings_.limits.max_connections);
 }
 
 net::Task<api::Status> Users::Poll(std::string id) {
-  const api::Status status = co_await PollHere(id);
-  if (status.found != api::Status::Found::kCannotTell) co_return status;
-  co_return StatusOf(co_await Relay(RelayOf(PeerKind::kRelayPoll, id)));
+  api::Status status;
+  if (FinalKnown(id, &status) || ViewHere(id, &status)) co_return status;
+  if (!Takes()) co_return status;
+  auto awaited = std::make_shared<Awaited<api::Status>>(loop_);
+  net::Spawn(PollInto(std::move(id), awaited));
+  co_await awaited->done.Wait(kPollWithin);
+  co_return awaited->answer;
+}
+
+net::Task<void> Users::PollInto(std::string id, AwaitedStatus out) {
+  ++under_way_;
+  const double from = loop_.Now();
+  api::Status status = co_await PollHere(id);
+  // One whose user has gone is not handed on.
+  const double left = from + kPollWithin - loop_.Now();
+  if (status.found == api::Status::Found::kCannotTell && left > 0) {
+    status = StatusOf(co_await relays_.Ask(RelayOf(PeerKind::kRelayPoll, id),
+                                           kPollApart, left));
+  }
+  out->answer = status;
+  out->done.Set();
+  --under_way_;
 }
 
 net::Task<api::Status> Users::Cancel(std::string id) {
-  const api::Status status = co_await CancelOrPass(id);
-  if (status.found != api::Status::Found::kCannotTell) co_return status;
-  co_return StatusOf(co_await Relay(RelayOf(PeerKind::kRelayCancel, id)));
+  api::Status status;
+  if (FinalKnown(id, &status) || !Takes()) co_return status;
+  auto awaited = std::make_shared<Awaited<api::Status>>(loop_);
+  net::Spawn(CancelInto(std::move(id), awaited));
+  co_await awaited->done.Wait(kChangeWithin);
+  co_return awaited->answer;
+}
+
+net::Task<void> Users::CancelInto(std::string id, AwaitedStatus out) {
+  ++under_way_;
+  const double from = loop_.Now();
+  api::Status status = co_await CancelOrPass(id);
+  const double left = from + kChangeWithin - loop_.Now();
+  if (status.found == api::Status::Found::kCannotTell && left > 0) {
+    status = StatusOf(co_await relays_.Ask(RelayOf(PeerKind::kRelayCancel, id),
+                                           kChangeApart, left));
+  }
+  out->answer = status;
+  out->done.Set();
+  --under_way_;
 }
 
 net::Task<api::Submitted> Users::Submit(std::shared_ptr<const JobSpec> spec) {
+  if (!Takes()) co_return api::Submitted{};
+  auto awaited = std::make_shared<Awaited<api::Submitted>>(loop_);
+  net::Spawn(SubmitInto(std::move(spec), awaited));
+  co_await awaited->done.Wait(kChangeWithin);
+  co_return awaited->answer;
+}
+
+net::Task<void> Users::SubmitInto(std::shared_ptr<const JobSpec> spec,
+                                  AwaitedSubmitted out) {
+  ++under_way_;
+  out->answer = co_await SubmitAnywhere(std::move(spec));
+  out->done.Set();
+  --under_way_;
+}
+
+net::Task<api::Submitted> Users::SubmitAnywhere(
+    std::shared_ptr<const JobSpec> spec) {
   using Result = api::Submitted::Result;
+  const double from = loop_.Now();
   const api::Submitted here = co_await SubmitHere(spec);
-  if (here.result != Result::kTryLater) co_return here;
+  const double left = from + kChangeWithin - loop_.Now();
+  if (here.result != Result::kTryLater || left <= 0) co_return here;
   PeerMessage relay = RelayOf(PeerKind::kRelaySubmit, spec->id);
   relay.text =
       wire::EncodeRecord(JobRecord{spec, net::WallNow(), FinalState::kNone, 0});
   PeerMessage answer;
-  clients::PeerClient* leader = election_.LeaderPeer();
-  if (leader != nullptr && !recovery_.MayAccept()) {
+  if (election_.LeaderPeer() != nullptr && !recovery_.MayAccept()) {
     // Only the leader holds all that is remembered, and can tell a new job.
-    relay.node = settings_.node;
-    const auto told = co_await leader->Ask(
+    const auto told = co_await relays_.AskLeader(
         std::move(relay), kProxyTimeoutRatio * settings_.workers.lease_s);
     if (told.ok) answer = told.message;
   } else {
-    answer = co_await Relay(std::move(relay));
+    answer = co_await relays_.Ask(std::move(relay), kChangeApart,
+                                  std::min(left, 2 * kRelayWithin));
   }
   if (answer.answer == PeerAnswer::kYes) {
     co_return api::Submitted{Result::kAccepted};
@@ -268,23 +325,22 @@
 net::Task<api::Status> Users::PollHere(std::string id) {
   api::Status status;
   if (FinalKnown(id, &status) || ViewHere(id, &status)) co_return status;
-  clients::PeerClient* leader = election_.LeaderPeer();
-  if (leader != nullptr) {
-    PeerMessage ask;
-    ask.kind = PeerKind::kPoll;
-    ask.node = settings_.node;
-    ask.job_id = id;
-    const auto answer = co_await leader->Ask(
-        ask, kProxyTimeoutRatio * settings_.workers.lease_s);
-    if (answer.ok && answer.message.answer == PeerAnswer::kYes) {
-      status.found = api::Status::Found::kYes;
-      status.status = answer.message.text;
-      status.done = answer.message.done;
-      status.running = answer.message.running;
-      co_return status;
-    }
+  PeerMessage ask = RelayOf(PeerKind::kPoll, id);
+  const auto answer = co_await relays_.AskLeader(
+      std::move(ask),
+      std::min(kLeaderWithin, kProxyTimeoutRatio * settings_.workers.lease_s));
+  if (answer.ok && answer.message.answer == PeerAnswer::kYes) {
+    status.found = api::Status::Found::kYes;
+    status.status = answer.message.text;
+    status.done = answer.message.done;
+    status.running = answer.message.running;
+    co_return status;
   }
-  co_return co_await FreshRead(std::move(id));
+  const bool unseen =
+      answer.ok && answer.message.answer == PeerAnswer::kUnknownJob;
+  status = co_await FreshRead(id, unseen || UnseenHere(id));
+  if (status.found == api::Status::Found::kCannotTell) EndTold(id, &status);
+  co_return status;
 }
 
 net::Task<api::Submitted> Users::SubmitHere(
@@ -304,7 +360,9 @@
       static_cast<size_t>(settings_.state.value_kb * 1024)) {
     co_return api::Submitted{Result::kTooLarge};
   }
-  if (!recovery_.MayAccept()) co_return api::Submitted{Result::kTryLater};
+  if (!recovery_.MayAccept() || !StateAnswers()) {
+    co_return api::Submitted{Result::kTryLater};
+  }
   std::vector<Condition> conditions{{key, 0},
                                     {keys::Of(keys::kFinal, spec->id), 0}};
   recovery_.AddGuard(&conditions);
@@ -359,17 +417,12 @@
     const FinalState state = co_await dealings_.Cancel(id);
     if (state == FinalState::kNone) co_return unknown;
     status.found = api::Status::Found::kYes;
-    status.status = WordOf(state);
+    status.status = wire::NameOf(wire::kFinals, state);
     co_return status;
   }
-  clients::PeerClient* leader = election_.LeaderPeer();
-  if (leader == nullptr) co_return unknown;
-  PeerMessage ask;
-  ask.kind = PeerKind::kCancel;
-  ask.node = settings_.node;
-  ask.job_id = id;
-  const auto answer = co_await leader->Ask(
-      ask, (kCancelWaitRatio + 0.05) * settings_.workers.lease_s);
+  const auto answer = co_await relays_.AskLeader(
+      RelayOf(PeerKind::kCancel, id),
+      (kCancelWaitRatio + 0.05) * settings_.workers.lease_s);
   if (!answer.ok || answer.message.answer != PeerAnswer::kYes) {
     co_return unknown;
   }
@@ -438,96 +491,4 @@
   return view;
 }
 
-bool Users::Takes(PeerKind kind) {
-  switch (kind) {
-    case PeerKind::kPoll:
-    case PeerKind::kCancel:
-    case PeerKind::kHint:
-    case PeerKind::kReport:
-    case PeerKind::kRelayPoll:
-    case PeerKind::kRelayCancel:
-    case PeerKind::kRelaySubmit:
-      return true;
-    default:
-      return false;
-  }
-}
-
-net::Task<void> Users::OnPeer(PeerMessage message, PeerMessage* reply) {
-  switch (message.kind) {
-    case PeerKind::kPoll: {
-      api::Status status;
-      if (FinalKnown(message.job_id, &status) ||
-          ViewHere(message.job_id, &status)) {
-        reply->answer = PeerAnswer::kYes;
-        reply->text = status.status;
-        reply->done = status.done;
-        reply->running = status.running;
-      }
-      break;
-    }
-    case PeerKind::kCancel: {
-      if (dealings_.Leading() == nullptr) break;
-      if (!KnownHere(message.job_id)) {
-        const api::Status known = co_await FreshRead(message.job_id);
-        if (known.found != api::Status::Found::kYes ||
-            dealings_.Leading() == nullptr) {
-          break;
-        }
-      }
-      const FinalState state = co_await dealings_.Cancel(message.job_id);
-      if (state == FinalState::kNone) break;
-      reply->answer = PeerAnswer::kYes;
-      reply->text = WordOf(state);
-      break;
-    }
-    case PeerKind::kHint: {
-      const std::optional<JobRecord> job = JobIn(message);
-      if (!job) break;
-      follower_.Apply(keys::Of(keys::kJob, message.job_id), *job,
-                      message.stamp);
-      dealings_.Perform();
-      break;
-    }
-    case PeerKind::kReport: {
-      WorkerReport report;
-      ReportReply told;
-      if (!wire::ParseReport(message.text, &report) ||
-          !TakeReport(report, &told)) {
-        break;
-      }
-      reply->text = wire::EncodeReply(told);
-      if (reply->text.size() > ZoneDesk::kMostBytes) {
-        reply->text.clear();
-        break;
-      }
-      reply->answer = PeerAnswer::kYes;
-      break;
-    }
-    case PeerKind::kRelayPoll:
-      FillAnswer(co_await PollHere(message.job_id), reply);
-      break;
-    case PeerKind::kRelayCancel:
-      FillAnswer(co_await CancelOrPass(message.job_id), reply);
-      break;
-    case PeerKind::kRelaySubmit: {
-      const std::optional<JobRecord> job = JobIn(message);
-      if (!job) break;
-      if (KnownHere(message.job_id)) {
-        reply->answer = PeerAnswer::kKnownJob;
-        break;
-      }
-      const api::Submitted submitted = co_await SubmitHere(job->spec);
-      if (submitted.result == api::Submitted::Result::kAccepted) {
-        reply->answer = PeerAnswer::kYes;
-      } else if (submitted.result == api::Submitted::Result::kKnown) {
-        reply->answer = PeerAnswer::kKnownJob;
-      }
-      break;
-    }
-    default:
-      break;
-  }
-}
-
 }  // namespace oxbow::app
--- a/app/users.h
+++ b/app/users.h
@@ -12,6 +12,7 @@
 #include "app/fitness_desk.h"
 #include "app/follower.h"
 #include "app/recovery_desk.h"
+#include "app/relays.h"
 #include "app/zone_desk.h"
 #include "clients/peer.h"
 #include "clients/state.h"
@@ -46,20 +47,42 @@
                          clients::PeerMessage* reply);
 
  private:
+  // One answer, of which a user waits only so long.
+  template <typename Answer>
+  struct Awaited {
+    explicit Awaited(net::Loop& loop) : done(loop) {}
+    net::Event done;
+    Answer answer;
+  };
+  using AwaitedStatus = std::shared_ptr<Awaited<api::Status>>;
+  using AwaitedSubmitted = std::shared_ptr<Awaited<api::Submitted>>;
+
+  // Whether one more request may be under way here.
+  bool Takes() const;
+  net::Task<void> PollInto(std::string id, AwaitedStatus out);
+  net::Task<void> CancelInto(std::string id, AwaitedStatus out);
+  net::Task<void> SubmitInto(std::shared_ptr<const JobSpec> spec,
+                             AwaitedSubmitted out);
+  net::Task<api::Submitted> SubmitAnywhere(std::shared_ptr<const JobSpec> spec);
   net::Task<api::Status> PollHere(std::string id);
   net::Task<api::Status> CancelOrPass(std::string id);
   net::Task<api::Submitted> SubmitHere(std::shared_ptr<const JobSpec> spec);
-  // Hands a user's request to another controller, once and no further, when
-  // this one cannot reach the state service.
-  net::Task<clients::PeerMessage> Relay(clients::PeerMessage message);
-  // Reads the job afresh; brings the catalog up to date.
-  net::Task<api::Status> FreshRead(std::string id);
+  // Whether a user's request may wait for the state service.
+  bool StateAnswers();
+  net::Task<void> ProbeState();
+  // Reads the job afresh; brings the catalog up to date. `unseen`: the leader
+  // has just said that it knows nothing of it.
+  net::Task<api::Status> FreshRead(std::string id, bool unseen = false);
   // What is said of a job that has no record.
-  net::Task<api::Status> NotFound(std::string id);
+  net::Task<api::Status> NotFound(std::string id, bool unseen);
   // The leader's core takes the report; false if this is not the leader.
   bool TakeReport(const WorkerReport& report, ReportReply* reply);
   bool FinalKnown(const std::string& id, api::Status* out) const;
+  // Its end, of which only the kind may be known.
+  bool EndTold(const std::string& id, api::Status* out) const;
   bool ViewHere(const std::string& id, api::Status* out);
+  // Whether this one leads, has heard all machines, and knows nothing of it.
+  bool UnseenHere(const std::string& id);
 
   net::Loop& loop_;
   const Settings& settings_;
@@ -68,11 +91,12 @@
   Follower& follower_;
   Election& election_;
   Dealings& dealings_;
-  const FitnessDesk::Peers& peers_;
   ZoneDesk& zone_desk_;
   RecoveryDesk& recovery_;
-  size_t relay_to_ = 0;  // the peer that takes what is relayed
-  net::Time relay_not_before_ = 0;
+  Relays relays_;
+  size_t under_way_ = 0;  // users' requests
+  bool probing_ = false;  // the state service, on nobody's behalf
+  net::Time next_probe_ = 0;
 };
 
 }  // namespace oxbow::app
--- a/core/controller/restore.cc
+++ b/core/controller/restore.cc
@@ -73,8 +73,8 @@
   }
   if (!catalog_.epoch().whole) {
     alarms.push_back(
-        "jobs may have been lost with the state service's data: unknown ids "
-        "are not denied");
+        "jobs may have been lost with the state service's data: whoever misses "
+        "one submits it again");
   }
   return alarms;
 }
@@ -108,7 +108,44 @@
 }
 
 void Controller::TickRestore(Time now) {
-  if (catalog_.epoch().rebuilt) return;
+  // The picture against the records, once a lease: a record that came past
+  // every event (its hint lost, its job taken in while this leader took office)
+  // runs all the same, an end that was read on the side ends its job, and a job
+  // whose record is gone is asked about. Each of these would stay as it is for
+  // ever, and a cancellation of the last be refused for as long. Stands for all
+  // of them among those that are asked about.
+  const auto [next, first] = asked_jobs_.try_emplace("", now);
+  if (now >= next->second) {
+    next->second = now + settings_.workers.lease_s;
+    std::vector<std::string> news;
+    for (const auto& [id, record] : catalog_.jobs()) {
+      const auto it = jobs_.find(id);
+      if (it == jobs_.end() || (record.final_state != FinalState::kNone &&
+                                it->second->state() != JobState::kDone &&
+                                it->second->state() != JobState::kAborted)) {
+        news.push_back(id);
+      }
+    }
+    for (const std::string& id : news) OnJobRecord(id, now);
+    std::vector<std::pair<std::string, FinalState>> ended;
+    for (const auto& [id, job] : jobs_) {
+      if (job->state() == JobState::kDone ||
+          job->state() == JobState::kAborted ||
+          catalog_.FindJob(id) != nullptr) {
+        continue;
+      }
+      const FinalState end = catalog_.FindFinal(id);
+      if (end != FinalState::kNone) {
+        ended.emplace_back(id, end);
+      } else if (Careful()) {
+        actions_.push_back(AskJob{id});
+      }
+    }
+    for (const auto& [id, end] : ended) OnFinalRecorded(id, end, now);
+  }
+  // After the rebuild nothing is owed, but by one that had no part in it and
+  // leads before it has handed in what it remembers.
+  if (catalog_.epoch().rebuilt && catalog_.owed().empty()) return;
   // What is going on comes first; this fills the rest of the transactions.
   const auto piece = static_cast<size_t>(settings_.state.txn_ops);
   if (writes_.waiting() >= piece) return;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -19,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "tests/link.h"
 #include "tests/stand_ins.h"
 #include "wire/json.h"
 
@@ -57,6 +58,16 @@
       listen_.push_back(Local(FreePort()));
       back_.push_back(Local(FreePort()));
     }
+    for (int i = 0; i < kControllers; ++i) {
+      const auto way = [this](const net::Address& to) {
+        return std::make_unique<Link>(loop, to);
+      };
+      ways_.emplace_back();
+      ways_[i].push_back(way(Local(state_.port())));
+      for (int to = 0; to < kControllers; ++to) {
+        if (to != i) ways_[i].push_back(way(back_[to]));
+      }
+    }
     for (int i = 0; i < kControllers; ++i) {
       WriteSettings(i);
       std::remove((ConfigOf(i) + ".log").c_str());
@@ -129,6 +140,19 @@
     return false;
   }
 
+  // Cuts a controller off from the state service and from the others, both
+  // ways, or joins it to them again. Users and workers reach it.
+  void Isolate(int i, bool cut) {
+    for (int from = 0; from < kControllers; ++from) {
+      for (int way = 0; way < kControllers; ++way) {
+        // Its way to the state service comes first.
+        const int to = way == 0 ? -1 : way <= from ? way - 1 : way;
+        if (from == i || to == i) ways_[from][way]->Cut(cut);
+      }
+    }
+  }
+  const std::vector<net::Address>& listen() const { return listen_; }
+
   // As users do: another controller, a little later, until it is answered.
   net::Task<net::ClientResult> Ask(std::string method, std::string path,
                                    std::string body) {
@@ -190,11 +214,12 @@
   }
   void WriteSettings(int i) {
     std::string known;
-    for (int other = 0; other < kControllers; ++other) {
+    for (int other = 0, way = 1; other < kControllers; ++other) {
       if (other == i) continue;
       if (!known.empty()) known += ",";
-      known += fmt::format(R"({{"host_name":"{}","site":"a","address":"{}"}})",
-                           Name(other), back_[other].ToString());
+      known +=
+          fmt::format(R"({{"host_name":"{}","site":"a","address":"{}"}})",
+                      Name(other), Local(ways_[i][way++]->port()).ToString());
     }
     std::ofstream(ConfigOf(i)) << fmt::format(
         R"({{"host_name":"{}","site":"a","public_addr":"{}","back":"{}",
@@ -209,7 +234,7 @@
         "quota":{{"cpu":0.5,"mem_mb":256.0,"max_sockets":700}},
         "clock_error_ms":25.0}}}})",
         Name(i), listen_[i].ToString(), back_[i].ToString(), known,
-        Local(cloud_.port()).ToString(), Local(state_.port()).ToString(),
+        Local(cloud_.port()).ToString(), Local(ways_[i][0]->port()).ToString(),
         kControllers, kReport, kLease);
   }
 
@@ -218,6 +243,8 @@
   FakeCloud cloud_;
   std::vector<net::Address> listen_;
   std::vector<net::Address> back_;
+  // Of each controller: to the state service, then to the others in order.
+  std::vector<std::vector<std::unique_ptr<Link>>> ways_;
   std::vector<pid_t> pids_;
   std::vector<std::unique_ptr<net::HttpClient>> clients_;
   std::vector<std::shared_ptr<FakeWorker>> buried_;
--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <random>
 
+#include "tests/known_watch.h"
 #include "wire/json.h"
 
 // Servers run until their process ends, so a test that stops its loop leaves
@@ -33,15 +34,23 @@
 class Trial {
  public:
   Trial(Cluster& cluster, int rollouts)
-      : c_(cluster), rollouts_(rollouts), count_(kKindNames.size()) {}
+      : c_(cluster),
+        rollouts_(rollouts),
+        known_(
+            cluster.loop, cluster.listen(), kLease, cluster.random(),
+            [&cluster](const std::string& id) { return cluster.Present(id); }),
+        count_(kKindNames.size()) {}
 
   Task<void> Run() {
     net::Spawn(WatchFloors());
     net::Spawn(Trouble());
+    net::Spawn(known_.Run());
+    known_.NeverSubmitted("job-099999");
     constexpr int kAtOnce = 4;
     for (int i = 0; i < kAtOnce; ++i) net::Spawn(Line());
     while (finished_ < kAtOnce) co_await c_.loop.Sleep(0.05);
     over_ = true;
+    co_await known_.Finish();
     c_.loop.Stop();
   }
   void Print() const {
@@ -56,6 +65,8 @@
     std::printf(
         "leaders killed %d, outages %d, machines emptied %d, zones cut %d\n",
         kills_, outages_, drains_, cuts_);
+    std::printf("no job silent for more than %.1f s, %d answers\n",
+                known_.longest_silence(), known_.answers());
     std::vector<double> took = took_;
     std::sort(took.begin(), took.end());
     if (took.empty()) return;
@@ -121,10 +132,14 @@
     c_.cues[to] = cue;
     const auto submitted = co_await c_.Ask("POST", "/v2/runs", JobJson(from));
     EXPECT_TRUE(submitted.status == 201 || submitted.status == 200);
+    known_.Accepted(from);
     for (int i = 0; i < 1200 && c_.Well(from) < kTasks; ++i) {
       co_await c_.loop.Sleep(0.05);
     }
     EXPECT_EQ(c_.Well(from), kTasks) << from << " never came up";
+    // Which of the two goes in the end the roll-out says.
+    known_.CancelAsked(from);
+    known_.CancelAsked(to);
     const int floor = kTasks - n % 2;
     const auto declared = co_await c_.Ask(
         "POST", "/v2/rollouts",
@@ -140,6 +155,7 @@
     watched_[id] = {from, to, floor, kind, 0, 0};
     const auto second = co_await c_.Ask("POST", "/v2/runs", JobJson(to));
     EXPECT_TRUE(second.status == 201 || second.status == 200);
+    known_.Accepted(to);
     std::string step;
     std::string last;
     const double limit = c_.loop.Now() + 120;
@@ -174,6 +190,7 @@
     const auto stop =
         co_await c_.Ask("POST", "/v2/runs/" + stays + "/cancel", "");
     EXPECT_EQ(stop.status, 200);
+    known_.Cancelled(stays);
   }
 
   Task<void> WatchFloors() {
@@ -199,6 +216,7 @@
     co_await c_.loop.Sleep(3);
     while (!over_) {
       co_await c_.loop.Sleep(Between(2, 5));
+      known_.Trouble();
       const double what = Between(0, 1);
       if (what < 0.4) {
         const int leader = c_.Leader();
@@ -234,6 +252,7 @@
 
   Cluster& c_;
   int rollouts_;
+  KnownWatch known_;
   int begun_ = 0;
   int finished_ = 0;
   bool over_ = false;
--- /dev/null
+++ b/tests/known_watch.h
@@ -0,0 +1,139 @@
+// Asks about every job as users do, all through a test with real controllers,
+// and fails on what users may never see: a job of which nobody says anything
+// for too long, an older answer than one that was given, an accepted job that
+// neither runs nor is known.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/http_client.h"
+#include "net/loop.h"
+#include "tests/known_account.h"
+
+namespace oxbow::test {
+
+class KnownWatch {
+ public:
+  // After this long without an answer, s, a job counts as forgotten: 75 s at
+  // the deployments' lease of 10 s, in the same proportion at a shorter one.
+  // OXBOW_FORGOTTEN_S says another, 75 in the long form.
+  static double ForgottenAfter(double lease_s) {
+    const char* text = std::getenv("OXBOW_FORGOTTEN_S");
+    constexpr double kLeases = 7.5;
+    return text == nullptr ? kLeases * lease_s : std::strtod(text, nullptr);
+  }
+
+  // `present`: how many tasks of a job there are on machines.
+  KnownWatch(net::Loop& loop, std::vector<net::Address> controllers,
+             double lease_s, uint64_t seed,
+             std::function<int(const std::string&)> present)
+      : account(ForgottenAfter(lease_s)),
+        forgotten_s_(ForgottenAfter(lease_s)),
+        loop_(loop),
+        controllers_(std::move(controllers)),
+        poll_s_(0.2 * lease_s),
+        random_(seed),
+        present_(std::move(present)) {}
+
+  void Accepted(const std::string& id) {
+    account.Accepted(id, loop_.Now());
+    AskAbout(id);
+  }
+  void CancelAsked(const std::string& id) { account.CancelAsked(id); }
+  void Cancelled(const std::string& id) {
+    account.Ended(id, "aborted", loop_.Now());
+  }
+  void NeverSubmitted(const std::string& id) {
+    account.NeverSubmitted(id);
+    AskAbout(id);
+  }
+  void Trouble() { account.Trouble(loop_.Now()); }
+
+  // To be spawned once, and awaited at the end by Finish.
+  net::Task<void> Run() {
+    while (!over_) {
+      co_await loop_.Sleep(0.1 * poll_s_);
+      const double now = loop_.Now();
+      longest_ = std::max(longest_, account.LongestSilence(now));
+      for (const std::string& id : account.Forgotten(now)) {
+        if (told_.insert(id).second) {
+          ADD_FAILURE() << id << " is forgotten: no question about it was "
+                        << "answered for " << forgotten_s_ << " s";
+        }
+      }
+    }
+  }
+  // The troubles are over. Waits for as long as a job may be silent, or until
+  // each has been told of once more, and settles the account.
+  net::Task<void> Finish() {
+    const double from = loop_.Now();
+    while (!account.Unheard(from).empty() &&
+           loop_.Now() < from + forgotten_s_) {
+      co_await loop_.Sleep(0.1 * poll_s_);
+    }
+    for (const std::string& id : account.Unheard(from)) {
+      if (account.Lives(id) && present_(id) == 0) {
+        ADD_FAILURE() << id << " was accepted, and neither runs nor is known";
+      }
+    }
+    over_ = true;
+  }
+  double longest_silence() const { return longest_; }
+  int answers() const { return answers_; }
+
+  KnownAccount account;
+
+ private:
+  void AskAbout(const std::string& id) {
+    if (asked_.insert(id).second) net::Spawn(Ask(id));
+  }
+  // One user: stays with a controller as long as its connection does, since a
+  // balancer of connections leaves it there, whatever it is answered.
+  net::Task<void> Ask(std::string id) {
+    std::uniform_real_distribution<double> pause(0.5 * poll_s_, 1.5 * poll_s_);
+    constexpr double kPatience_s = 2;
+    std::unique_ptr<net::HttpClient> client;
+    while (!over_) {
+      if (client == nullptr) {
+        const net::Address& to = controllers_[random_() % controllers_.size()];
+        client = std::make_unique<net::HttpClient>(loop_, to, 100'000, 1);
+      }
+      const double asked = loop_.Now();
+      const net::ClientResult answer =
+          co_await client->Request("GET", "/v2/runs/" + id, "", kPatience_s);
+      if (over_) break;
+      if (answer.outcome != net::Outcome::kAnswered) {
+        client.reset();
+      } else {
+        ++answers_;
+        const std::string wrong =
+            account.Heard(id, answer.status, answer.body, asked, loop_.Now());
+        if (!wrong.empty()) ADD_FAILURE() << wrong;
+      }
+      co_await loop_.Sleep(pause(random_));
+    }
+  }
+
+  const double forgotten_s_;
+  net::Loop& loop_;
+  const std::vector<net::Address> controllers_;
+  const double poll_s_;
+  std::mt19937_64 random_;
+  std::function<int(const std::string&)> present_;
+  std::set<std::string> asked_;
+  std::set<std::string> told_;
+  double longest_ = 0;
+  int answers_ = 0;
+  bool over_ = false;
+};
+
+}  // namespace oxbow::test
--- /dev/null
+++ b/tests/link.h
@@ -0,0 +1,66 @@
+// A way between two processes of a test that can be cut: what is sent meanwhile
+// is held back and delivered afterwards, in order, as the protocol says of
+// networks. A connection that is opened in a cut is never answered.
+#pragma once
+
+#include <sys/socket.h>
+
+#include <array>
+#include <memory>
+#include <string_view>
+#include <utility>
+
+#include "net/loop.h"
+#include "net/socket.h"
+
+namespace oxbow::test {
+
+class Link {
+ public:
+  Link(net::Loop& loop, net::Address to)
+      : loop_(loop), to_(std::move(to)), listener_(loop, {"127.0.0.1", 0}) {
+    net::Spawn(Accept());
+  }
+  uint16_t port() const { return listener_.port(); }
+  void Cut(bool cut) { cut_ = cut; }
+
+ private:
+  using SocketPtr = std::shared_ptr<net::Socket>;
+
+  net::Task<void> Accept() {
+    for (;;) {
+      SocketPtr near = co_await listener_.Accept();
+      net::Spawn(Join(std::move(near)));
+    }
+  }
+  net::Task<void> Join(SocketPtr near) {
+    while (cut_) co_await loop_.Sleep(0.02);
+    SocketPtr far = co_await net::Socket::Connect(loop_, to_, loop_.Now() + 1);
+    if (far == nullptr) co_return;
+    net::Spawn(Pump(near, far));
+    net::Spawn(Pump(far, near));
+  }
+  net::Task<void> Pump(SocketPtr from, SocketPtr to) {
+    std::array<char, 16'384> buffer;
+    for (;;) {
+      const ssize_t n =
+          co_await from->Read(buffer.data(), buffer.size(), loop_.Now() + 1e6);
+      while (cut_) co_await loop_.Sleep(0.02);
+      const std::string_view bytes(buffer.data(),
+                                   static_cast<size_t>(n > 0 ? n : 0));
+      if (n <= 0) break;
+      const bool written = co_await to->Write(bytes, loop_.Now() + 10);
+      if (!written) break;
+    }
+    // The other direction ends with it.
+    shutdown(from->fd(), SHUT_RDWR);
+    shutdown(to->fd(), SHUT_RDWR);
+  }
+
+  net::Loop& loop_;
+  const net::Address to_;
+  net::Listener listener_;
+  bool cut_ = false;
+};
+
+}  // namespace oxbow::test
--- a/tests/recovery_test.cc
+++ b/tests/recovery_test.cc
@@ -9,7 +9,9 @@
 #include "core/lease/token.h"
 #include "core/recovery/epoch.h"
 #include "core/recovery/finals_index.h"
+#include "core/recovery/peer_choice.h"
 #include "core/recovery/trust.h"
+#include "tests/known_account.h"
 
 namespace oxbow {
 namespace {
@@ -309,6 +311,109 @@
   }
 }
 
+// --- whom users' requests are handed to
+
+// Three that can't tell and one that can: a request meets it, whatever those
+// before it have met.
+TEST(PeerChoice, EveryRequestMayReachEveryPeerThatAnswers) {
+  PeerChoice choice(4, 0.1, 0.5, 5);
+  choice.Helped(2);
+  EXPECT_EQ(choice.Order(), (std::vector<size_t>{2, 3, 0, 1}));
+  for (const size_t peer : choice.Order()) EXPECT_TRUE(choice.Answers(peer));
+}
+
+TEST(PeerChoice, NobodyWaitsForASilentPeerUntilATrialHasFoundIt) {
+  PeerChoice choice(2, 0.1, 0.5, 5);
+  choice.Silent(0, 1);
+  choice.Silent(0, 1.01);  // another that waited for it
+  EXPECT_FALSE(choice.Answers(0));
+  EXPECT_TRUE(choice.Answers(1));
+  EXPECT_FALSE(choice.MayTry(0, 1.05));
+  EXPECT_TRUE(choice.MayTry(0, 1.11));
+  EXPECT_FALSE(choice.MayTry(0, 1.12));  // under way
+  EXPECT_FALSE(choice.Answers(0));
+  choice.Silent(0, 1.2);
+  EXPECT_FALSE(choice.MayTry(0, 1.35));  // twice as long
+  EXPECT_TRUE(choice.MayTry(0, 1.41));
+  choice.Answered(0);
+  EXPECT_TRUE(choice.Answers(0));
+  EXPECT_FALSE(choice.MayTry(0, 1.42));
+}
+
+// Never longer than the longest rest, however long it was silent.
+TEST(PeerChoice, ARestHasAnEnd) {
+  PeerChoice choice(1, 0.1, 0.5, 5);
+  double now = 0;
+  for (int i = 0; i < 50; ++i) {
+    choice.Silent(0, now);
+    now += 0.51;
+    EXPECT_TRUE(choice.MayTry(0, now)) << i;
+  }
+}
+
+// Many that nobody can tell of don't keep out one that somebody can: those that
+// are of use cost nothing.
+TEST(PeerChoice, OnlyRequestsInVainAreLimited) {
+  PeerChoice choice(2, 0.1, 0.5, 5);
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_TRUE(choice.MayAskAround(10)) << i;
+    choice.Helped(1);
+  }
+  int in_vain = 0;
+  for (int i = 0; i < 100; ++i) in_vain += choice.MayAskAround(10) ? 1 : 0;
+  EXPECT_EQ(in_vain, 5);
+  EXPECT_TRUE(choice.MayAskAround(10.21));
+}
+
+// --- the tests' own account of what users are told
+
+class Account : public testing::Test {
+ public:
+  Account() { account_.Accepted("job-000001", 10); }
+  std::string Heard(int status, const std::string& word, double asked) {
+    return account_.Heard("job-000001", status,
+                          R"({"status":")" + word + R"("})", asked, asked);
+  }
+  test::KnownAccount account_{75};
+};
+
+TEST_F(Account, SilenceIsCountedForEachJobAndFromTheLastTrouble) {
+  account_.Accepted("job-000002", 10);
+  for (double now = 10; now < 80; now += 5) {
+    account_.Heard("job-000002", 200, R"({"status":"running"})", now, now);
+    Heard(503, "", now);  // no answer
+  }
+  EXPECT_TRUE(account_.Forgotten(84).empty());
+  EXPECT_EQ(account_.Forgotten(86), std::vector<std::string>{"job-000001"});
+  account_.Trouble(60);
+  EXPECT_TRUE(account_.Forgotten(134).empty());
+  EXPECT_EQ(account_.Forgotten(136).size(), 1U);
+}
+
+TEST_F(Account, AnOlderAnswerIsFound) {
+  EXPECT_EQ(Heard(200, "running", 11), "");
+  EXPECT_NE(Heard(404, "", 12), "");
+  EXPECT_EQ(Heard(200, "done", 20), "");
+  EXPECT_NE(Heard(200, "running", 21), "");
+  EXPECT_NE(Heard(200, "aborted", 22), "");
+  EXPECT_EQ(Heard(200, "done", 23), "");
+}
+
+TEST_F(Account, WhatWasAskedBeforeIsNotHeldAgainstTheAnswer) {
+  account_.CancelAsked("job-000001");
+  account_.Ended("job-000001", "aborted", 20);
+  EXPECT_EQ(Heard(200, "running", 19), "");
+  EXPECT_NE(Heard(200, "running", 20.5), "");
+}
+
+TEST_F(Account, NothingIsInventedAndNothingCancelledByItself) {
+  account_.NeverSubmitted("job-000009");
+  EXPECT_EQ(account_.Heard("job-000009", 404, "", 11, 11), "");
+  EXPECT_NE(account_.Heard("job-000009", 200, "{}", 12, 12), "");
+  EXPECT_TRUE(account_.Forgotten(1000).size() == 1);
+  EXPECT_NE(Heard(200, "aborted", 12), "");
+}
+
 // --- the right to lead
 
 // Who leads by lost data can't be read: the longest right is waited out, unless
--- a/tests/state_loss_test.cc
+++ b/tests/state_loss_test.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "tests/cluster.h"
+#include "tests/known_watch.h"
 
 namespace oxbow::test {
 namespace {
@@ -24,6 +25,7 @@
   bool all_end = false;       // all controllers end at the same moment
   bool jobs_known = true;     // somebody remembers every job that runs
   bool remembers_end = true;  // and the one that was cancelled
+  bool one_stays = false;     // all controllers but one end
 };
 
 void PrintTo(const Loss& loss, std::ostream* out) { *out << loss.name; }
@@ -108,13 +110,19 @@
     net::Spawn(watcher.Count());
     for (int i = 0; i < kControllers; ++i) net::Spawn(watcher.Poll(i));
     const int sessions = c_.SessionsLost();
-    if (loss_.all_end) {
-      for (int i = 0; i < kControllers; ++i) c_.Kill(i);
+    // The one that remembers is no leader, and not the first that is asked.
+    const int stays = loss_.one_stays ? (c_.Leader() + 1) % kControllers : -1;
+    if (loss_.all_end || loss_.one_stays) {
+      for (int i = 0; i < kControllers; ++i) {
+        if (i != stays) c_.Kill(i);
+      }
     }
     loss_.what(c_.state(), *copy);
     const double lost = c_.loop.Now();
-    if (loss_.all_end) {
-      for (int i = 0; i < kControllers; ++i) c_.Launch(i);
+    if (loss_.all_end || loss_.one_stays) {
+      for (int i = 0; i < kControllers; ++i) {
+        if (i != stays) c_.Launch(i);
+      }
     }
     co_await c_.loop.Sleep(0.5);
     const std::string fresh = IdOf(500);
@@ -211,7 +219,13 @@
          false, false},
     Loss{"an older copy, and all controllers end",
          [](FakeState& s, const FakeState::Copy& c) { s.Restore(c, false); },
-         true, true, false});
+         true, true, false},
+    Loss{"an older copy, and all but one end",
+         [](FakeState& s, const FakeState::Copy& c) { s.Restore(c, false); },
+         false, true, true, true},
+    Loss{"the same, the revision goes on",
+         [](FakeState& s, const FakeState::Copy& c) { s.Restore(c, true); },
+         false, true, true, true});
 
 INSTANTIATE_TEST_SUITE_P(Losses, StateLoss, kLosses);
 
@@ -221,10 +235,18 @@
 class Storm {
  public:
   Storm(Cluster& cluster, int losses)
-      : c_(cluster), losses_(losses), watcher_(cluster, kWatched) {}
+      : c_(cluster),
+        losses_(losses),
+        watcher_(cluster, kWatched),
+        known_(
+            cluster.loop, cluster.listen(), kLease, cluster.random(),
+            [&cluster](const std::string& id) { return cluster.Present(id); }) {
+  }
 
   Task<void> Run() {
+    net::Spawn(known_.Run());
     for (int i = 0; i < kServices; ++i) co_await Submit(IdOf(i));
+    known_.NeverSubmitted(IdOf(900));
     co_await UntilWell(IdOf(0), 30);
     for (int i = 0; i < kServices; ++i) co_await UntilWell(IdOf(i), 30);
     net::Spawn(watcher_.Count());
@@ -244,6 +266,7 @@
       co_await c_.loop.Sleep(Between(0.5, 4));
     }
     co_await c_.loop.Sleep(2 * kLease);
+    co_await known_.Finish();
     watcher_.over = true;
     for (const std::string& id : cancelled_) {
       EXPECT_EQ(c_.Present(id), 0) << id;
@@ -252,8 +275,9 @@
     EXPECT_EQ(c_.deleted_alive(), 0);
     std::printf(
         "%d losses, least up %d of %d, new jobs ran after at most %.2f "
-        "s:",
-        losses_, watcher_.least_up, kAll, slowest_);
+        "s, no job silent for more than %.1f s, %d answers:",
+        losses_, watcher_.least_up, kAll, slowest_, known_.longest_silence(),
+        known_.answers());
     for (const auto& [what, count] : happened_) {
       std::printf(" %s %d", what.c_str(), count);
     }
@@ -302,6 +326,10 @@
   }
 
   Task<void> LoseSomething(const FakeState::Copy& copy) {
+    co_await Lose(copy);
+    known_.Trouble();  // the last of it
+  }
+  Task<void> Lose(const FakeState::Copy& copy) {
     int killed = -1;
     const int what = losses_ <= kShort ? 3 + Of(3) : Of(6);
     if (what == 1 || what == 2) {  // the leader, or any
@@ -343,6 +371,7 @@
     const auto answer = co_await c_.Ask("POST", "/v2/runs", JobJson(id));
     EXPECT_TRUE(answer.status == 201 || answer.status == 200)
         << id << " " << answer.status << " " << answer.body;
+    known_.Accepted(id);
     asked_[id] = from;
   }
   Task<void> UntilWell(std::string id, double limit) {
@@ -356,9 +385,11 @@
     }
   }
   Task<void> Cancel(std::string id) {
+    known_.CancelAsked(id);
     const auto answer =
         co_await c_.Ask("POST", "/v2/runs/" + id + "/cancel", "");
     EXPECT_EQ(answer.status, 200) << id << " " << answer.body;
+    if (answer.status == 200) known_.Cancelled(id);
     cancelled_.insert(id);
   }
   Task<void> PollAll(int controller) {
@@ -388,6 +419,7 @@
   Cluster& c_;
   const int losses_;
   Watcher watcher_;
+  KnownWatch known_;
   std::set<std::string> accepted_;
   std::set<std::string> cancelled_;
   std::map<std::string, double> asked_;
@@ -412,5 +444,167 @@
   EXPECT_TRUE(storm.done);
 }
 
+// One controller hears its workers and its users, but neither the state service
+// nor its peers, whose connections stay open and say nothing. Users are told at
+// once, by it or by its silence about what it can't know, and nobody is
+// forgotten, during it or after.
+TEST(Isolated, UsersAreToldAtOnce) {
+  Cluster cluster(1, "service.conf");
+  bool ended = false;
+  KnownWatch known(cluster.loop, cluster.listen(), kLease, 1,
+                   [&](const std::string& id) { return cluster.Present(id); });
+  net::Spawn([](Cluster* c, KnownWatch* watch, bool* done) -> Task<void> {
+    net::Spawn(watch->Run());
+    for (int i = 0; i < 3; ++i) {
+      const auto answer = co_await c->Ask("POST", "/v2/runs", JobJson(IdOf(i)));
+      EXPECT_TRUE(answer.status == 201 || answer.status == 200);
+      watch->Accepted(IdOf(i));
+    }
+    watch->NeverSubmitted(IdOf(9));
+    watch->CancelAsked(IdOf(2));
+    const auto cancelled =
+        co_await c->Ask("POST", "/v2/runs/" + IdOf(2) + "/cancel", "");
+    EXPECT_EQ(cancelled.status, 200);
+    watch->Cancelled(IdOf(2));
+    while (c->Well(IdOf(0)) + c->Well(IdOf(1)) < 2 * kReplicas) {
+      co_await c->loop.Sleep(0.05);
+    }
+    // As the leader, and as one that follows.
+    for (const bool leads : {true, false}) {
+      int alone = c->Leader();
+      for (int i = 0; i < 500 && alone < 0; ++i) {
+        co_await c->loop.Sleep(0.02);
+        alone = c->Leader();
+      }
+      if (!leads) alone = (alone + 1) % kControllers;
+      c->Isolate(alone, true);
+      const double from = c->loop.Now();
+      double slowest_poll = 0;
+      int slow = 0;
+      int asked_in_all = 0;
+      double slowest_change = 0;
+      int answered = 0;
+      int round = 0;
+      while (c->loop.Now() < from + 2 * kLease) {
+        watch->Trouble();
+        for (const int job : {0, 1, 2, 9}) {
+          const double asked = c->loop.Now();
+          const auto answer =
+              co_await c->AskOne(alone, "GET", "/v2/runs/" + IdOf(job), "");
+          EXPECT_EQ(answer.outcome, net::Outcome::kAnswered);
+          EXPECT_NE(answer.status, 404) << IdOf(job);
+          // What has ended can't be old.
+          if (job == 2) {
+            EXPECT_EQ(answer.status, 200) << answer.body;
+          }
+          answered += answer.status == 200;
+          const double took = c->loop.Now() - asked;
+          slowest_poll = std::max(slowest_poll, took);
+          slow += took > 0.5;
+          ++asked_in_all;
+        }
+        const double asked = c->loop.Now();
+        const std::string fresh = IdOf(100 + (leads ? 0 : 50) + round);
+        const auto submitted =
+            co_await c->AskOne(alone, "POST", "/v2/runs", JobJson(fresh));
+        slowest_change = std::max(slowest_change, c->loop.Now() - asked);
+        EXPECT_EQ(submitted.status, 503) << fresh;
+        ++round;
+        co_await c->loop.Sleep(0.2);
+      }
+      std::printf(
+          "alone as %s: slowest answer to a question %.2f s, to a submission "
+          "%.2f s, %d of %d questions answered, %d in more than 0.5 s\n",
+          leads ? "leader" : "follower", slowest_poll, slowest_change, answered,
+          asked_in_all, slow);
+      // One in ten questions at the most waits for what does not come.
+      EXPECT_LT(slow, 0.1 * asked_in_all);
+      EXPECT_LT(slowest_poll, 1.3);
+      EXPECT_LT(slowest_change, 3);
+      c->Isolate(alone, false);
+      watch->Trouble();
+      co_await c->loop.Sleep(2 * kLease);
+      // As users do whose connection stays where it is.
+      for (const int job : {0, 1, 2}) {
+        const auto answer =
+            co_await c->AskOne(alone, "GET", "/v2/runs/" + IdOf(job), "");
+        EXPECT_EQ(answer.status, 200) << IdOf(job) << " at " << alone;
+      }
+    }
+    co_await watch->Finish();
+    std::printf("no job silent for more than %.1f s, %d answers\n",
+                watch->longest_silence(), watch->answers());
+    EXPECT_EQ(c->Well(IdOf(0)) + c->Well(IdOf(1)), 2 * kReplicas);
+    *done = true;
+    c->loop.Stop();
+  }(&cluster, &known, &ended));
+  cluster.loop.At(cluster.loop.Now() + 200, [&] { cluster.loop.Stop(); });
+  cluster.loop.Run();
+  EXPECT_TRUE(ended);
+}
+
+// All who remember a job are gone but one, which is cut off while the others
+// rebuild without it. It runs on as a task without a record, which nobody can
+// cancel, until that one is back and hands in what it remembers.
+TEST(Isolated, WhatOneAloneRemembersIsHandedIn) {
+  Cluster cluster(1, "service.conf");
+  bool ended = false;
+  net::Spawn([](Cluster* c, bool* done) -> Task<void> {
+    const auto before = co_await c->Ask("POST", "/v2/runs", JobJson(IdOf(0)));
+    EXPECT_TRUE(before.status == 201 || before.status == 200);
+    while (c->Well(IdOf(0)) < kReplicas) co_await c->loop.Sleep(0.05);
+    const auto copy = c->state().Save();
+    const auto after = co_await c->Ask("POST", "/v2/runs", JobJson(IdOf(1)));
+    EXPECT_TRUE(after.status == 201 || after.status == 200);
+    while (c->Well(IdOf(1)) < kReplicas) co_await c->loop.Sleep(0.05);
+    const int alone = (c->Leader() + 1) % kControllers;
+    c->Isolate(alone, true);
+    for (int i = 0; i < kControllers; ++i) {
+      if (i != alone) c->Kill(i);
+    }
+    c->state().Restore(*copy, false);
+    for (int i = 0; i < kControllers; ++i) {
+      if (i != alone) c->Launch(i);
+    }
+    // They find its tasks, open an epoch and rebuild.
+    const auto epoch = [c] {
+      rapidjson::Document doc;
+      doc.Parse(c->state().Value("ob/live/epoch").c_str());
+      return doc.IsObject() && json::GetUint(doc, "number") > 1 &&
+             json::GetBool(doc, "rebuilt");
+    };
+    const double from = c->loop.Now();
+    while (!epoch() && c->loop.Now() < from + 10 * kLease) {
+      co_await c->loop.Sleep(0.05);
+    }
+    EXPECT_TRUE(epoch()) << c->state().Value("ob/live/epoch");
+    co_await c->loop.Sleep(0.5 * kLease);
+    const std::string key = "ob/live/j/" + IdOf(1);
+    EXPECT_EQ(c->state().Value(key), "");
+    c->Isolate(alone, false);
+    const double back = c->loop.Now();
+    while (c->state().Value(key).empty() &&
+           c->loop.Now() < back + 7.5 * kLease) {
+      co_await c->loop.Sleep(0.05);
+    }
+    EXPECT_NE(c->state().Value(key), "");
+    std::printf("handed in %.2f s after its return\n", c->loop.Now() - back);
+    const auto cancelled =
+        co_await c->Ask("POST", "/v2/runs/" + IdOf(1) + "/cancel", "");
+    EXPECT_EQ(cancelled.status, 200) << cancelled.body;
+    const double until = c->loop.Now() + 2 * kLease;
+    while (c->Present(IdOf(1)) > 0 && c->loop.Now() < until) {
+      co_await c->loop.Sleep(0.05);
+    }
+    EXPECT_EQ(c->Present(IdOf(1)), 0);
+    EXPECT_EQ(c->Well(IdOf(0)), kReplicas);
+    *done = true;
+    c->loop.Stop();
+  }(&cluster, &ended));
+  cluster.loop.At(cluster.loop.Now() + 200, [&] { cluster.loop.Stop(); });
+  cluster.loop.Run();
+  EXPECT_TRUE(ended);
+}
+
 }  // namespace
 }  // namespace oxbow::test
