--- a/tests/state_loss_test.cc
+++ b/tests/state_loss_test.cc
@@ -444,6 +444,55 @@
   EXPECT_TRUE(storm.done);
 }
 
+// The leader ends in an outage, is back at once, and hears from the others that
+// all is well; then the service comes back with an older copy, in which the key
+// is its own. It may lead by it before anybody has noticed, but what it has
+// been told to have ended neither runs nor is told as alive.
+TEST(Newcomer, WhatHasEndedIsNotRevivedFromAnOlderCopy) {
+  Cluster cluster(1, "recovery.conf");
+  bool ended = false;
+  net::Spawn([](Cluster* c, bool* done) -> Task<void> {
+    const std::string job = IdOf(1);
+    const auto submitted = co_await c->Ask("POST", "/v2/runs", JobJson(job));
+    EXPECT_TRUE(submitted.status == 201 || submitted.status == 200);
+    while (c->Well(job) < kReplicas) co_await c->loop.Sleep(0.05);
+    const auto copy = c->state().Save();
+    const auto cancelled =
+        co_await c->Ask("POST", "/v2/runs/" + job + "/cancel", "");
+    EXPECT_EQ(cancelled.status, 200);
+    while (c->Present(job) > 0) co_await c->loop.Sleep(0.05);
+    co_await c->loop.Sleep(1);
+    const int leader = c->Leader();
+    c->state().down = true;
+    c->Kill(leader);
+    c->Launch(leader);
+    co_await c->loop.Sleep(1.5);
+    c->state().Restore(*copy, true);
+    c->state().down = false;
+    const double until = c->loop.Now() + 2 * kLease;
+    int told = 0;
+    while (c->loop.Now() < until) {
+      const auto answer =
+          co_await c->AskOne(leader, "GET", "/v2/runs/" + job, "");
+      if (answer.status == 200) {
+        ++told;
+        EXPECT_NE(answer.body.find("aborted"), std::string::npos)
+            << answer.body;
+      }
+      EXPECT_NE(answer.status, 404);
+      EXPECT_EQ(c->Present(job), 0) << "a cancelled job runs again";
+      if (testing::Test::HasFailure()) break;
+      co_await c->loop.Sleep(0.02);
+    }
+    EXPECT_GT(told, 0);
+    *done = true;
+    c->loop.Stop();
+  }(&cluster, &ended));
+  cluster.loop.At(cluster.loop.Now() + 60, [&] { cluster.loop.Stop(); });
+  cluster.loop.Run();
+  EXPECT_TRUE(ended);
+}
+
 // One controller hears its workers and its users, but neither the state service
 // nor its peers, whose connections stay open and say nothing. Users are told at
 // once, by it or by its silence about what it can't know, and nobody is
