A controller apart says so at once; one that forgot its right names its neighbour

Where peers answer, as in an outage that all share, nothing changes.

One that was started again inside a cut has forgotten its right. It asks the others of its zone and sends its workers by name to one that still holds one; before, they tried those outside first, five seconds each, of a lease of ten.

--- a/app/users.cc
+++ b/app/users.cc
@@ -92,7 +92,8 @@
       recovery_(recovery) {}
 
 bool Users::Ready() {
-  return follower_.ever_synced() && !follower_.types().empty();
+  return follower_.ever_synced() && !follower_.types().empty() &&
+         !zone_desk_.Apart();
 }
 
 const std::map<std::string, MachineType>* Users::Types() {
@@ -206,7 +207,9 @@
 // denied, but by the one who has written or read it.
 net::Task<PeerMessage> Users::Relay(PeerMessage message) {
   PeerMessage none;
-  if (peers_.empty() || loop_.Now() < relay_not_before_) co_return none;
+  if (peers_.empty() || zone_desk_.Apart() || loop_.Now() < relay_not_before_) {
+    co_return none;
+  }
   message.node = settings_.node;
   clients::PeerClient& peer = *peers_[relay_to_ % peers_.size()];
   const double ratio = message.kind == PeerKind::kRelayCancel
@@ -267,6 +270,8 @@
 net::Task<api::Status> Users::PollHere(std::string id) {
   api::Status status;
   if (FinalKnown(id, &status) || ViewHere(id, &status)) co_return status;
+  // Nobody can be asked: said at once, so that the user asks another.
+  if (zone_desk_.Apart()) co_return status;
   clients::PeerClient* leader = election_.LeaderPeer();
   if (leader != nullptr) {
     PeerMessage ask;
@@ -293,8 +298,8 @@
   for (const auto& [id, job] : catalog_.jobs()) {
     if (job.final_state == FinalState::kNone) tasks += job.spec->tasks;
   }
-  if (!follower_.ever_synced() || catalog_.jobs().size() >= kMostLiveJobs ||
-      tasks > kMostLiveTasks) {
+  if (!follower_.ever_synced() || zone_desk_.Apart() ||
+      catalog_.jobs().size() >= kMostLiveJobs || tasks > kMostLiveTasks) {
     co_return api::Submitted{Result::kTryLater};
   }
   const std::string key = keys::Of(keys::kJob, spec->id);
@@ -343,7 +348,7 @@
 
 net::Task<api::Status> Users::CancelOrPass(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status)) co_return status;
+  if (FinalKnown(id, &status) || zone_desk_.Apart()) co_return status;
   if (!KnownHere(id)) {
     status = co_await FreshRead(id);
     if (status.found != api::Status::Found::kYes || FinalKnown(id, &status)) {
@@ -424,7 +429,12 @@
   // that a leader reaches, of the term that is known here, is sent to that one.
   const bool named = keeping == ZoneDesk::Keeping::kSentOn &&
                      term == TermOf(catalog_.epoch(), catalog_.leader().stamp);
-  if (named || !zone_desk_.CutOff()) out.leader = election_.LeaderName();
+  if (named || !zone_desk_.CutOff()) {
+    out.leader = election_.LeaderName();
+  } else if (keeping == ZoneDesk::Keeping::kNo &&
+             report.zone == settings_.zone) {
+    out.leader = zone_desk_.Neighbour();
+  }
   if (out.leader != settings_.node) out.result = Result::kElsewhere;
   co_return out;
 }
--- a/app/zone_desk.cc
+++ b/app/zone_desk.cc
@@ -17,6 +17,9 @@
 // lease ends: it must find those inside ready by the first.
 constexpr double kAskEvery = 0.03;
 constexpr double kWait = 0.06;
+constexpr double kNeighbourEvery = 0.05;
+constexpr double kNeighbourHolds = 0.15;
+constexpr double kApartAfter = 0.2;
 constexpr double kRecordEvery = 0.1;
 constexpr double kRecordWait = 0.1;
 constexpr double kUnheard = 0.25;  // since a controller has asked the leader
@@ -58,6 +61,7 @@
   if (!on_ || ZoneRight(settings_.workers) <= 0) return;
   net::Spawn(AskLoop());
   net::Spawn(RecordLoop());
+  net::Spawn(NeighbourLoop());
 }
 
 PeerMessage ZoneDesk::Message(PeerKind kind) const {
@@ -92,6 +96,48 @@
   }
 }
 
+net::Task<void> ZoneDesk::NeighbourLoop() {
+  const double lease = settings_.workers.lease_s;
+  for (;;) {
+    if (!CutOff()) {
+      cut_since_ = 1e18;
+    } else {
+      cut_since_ = std::min(cut_since_, loop_.Refresh());
+      for (const auto& peer : peers_) net::Spawn(AskNeighbour(peer.get()));
+    }
+    co_await loop_.Sleep(kNeighbourEvery * lease);
+  }
+}
+
+// The question is the one for the right: from a leader its answer does no harm.
+net::Task<void> ZoneDesk::AskNeighbour(clients::PeerClient* peer) {
+  const double lease = settings_.workers.lease_s;
+  const net::Time sent = loop_.Refresh();
+  const auto answer =
+      co_await peer->Ask(Message(PeerKind::kKeepZone), kWait * lease);
+  if (!answer.ok) co_return;
+  peer_heard_ = loop_.Now();
+  const bool near = std::any_of(
+      settings_.peers.begin(), settings_.peers.end(), [&](const auto& p) {
+        return p.name == peer->name() && p.zone == settings_.zone;
+      });
+  if (near && answer.message.done > 0) {
+    neighbour_ = peer->name();
+    neighbour_until_ = sent + kNeighbourHolds * lease;
+  }
+}
+
+std::string ZoneDesk::Neighbour() const {
+  return CutOff() && loop_.Now() < neighbour_until_ ? neighbour_
+                                                    : std::string();
+}
+
+bool ZoneDesk::Apart() const {
+  return !peers_.empty() && CutOff() &&
+         loop_.Now() - std::max(cut_since_, peer_heard_) >
+             kApartAfter * settings_.workers.lease_s;
+}
+
 net::Task<void> ZoneDesk::Probe() {
   if (!probing_) {
     probing_ = true;
@@ -297,6 +343,8 @@
     return;
   }
   Controller* core = seams_.leading();
+  // One that has forgotten its right sends its workers here.
+  if (core == nullptr) reply->done = CutOff() && keeper_.Holds(now) ? 1 : 0;
   if (core != nullptr) peer_met_[message.node] = now;
   if (core != nullptr && core->OnKeepAsked(message.node, message.text,
                                            Seconds(message.running), now)) {
--- a/app/zone_desk.h
+++ b/app/zone_desk.h
@@ -56,6 +56,12 @@
 
   // Whether neither the state service nor the leader can be reached.
   bool CutOff() const;
+  // A controller of the own zone that may, where this one has forgotten its
+  // right, or never had one; empty if none is known.
+  std::string Neighbour() const;
+  // Whether it has reached neither the state service nor any controller for a
+  // while: nothing that a user asks can be answered here.
+  bool Apart() const;
   enum class Keeping : uint8_t {
     kNo,
     kYes,     // the report may be answered here, without orders
@@ -84,6 +90,9 @@
   // Keeps the record of the right alive, which ends by itself.
   net::Task<void> RecordLoop();
   net::Task<void> RecordOnce();
+  // While cut off: who is reached all the same, and who of them may keep.
+  net::Task<void> NeighbourLoop();
+  net::Task<void> AskNeighbour(clients::PeerClient* peer);
   net::Task<void> AskOne(clients::PeerClient* peer, uint64_t revision);
   clients::PeerMessage Message(clients::PeerKind kind) const;
 
@@ -102,6 +111,10 @@
   net::Time leader_missed_ = -1e9;  // asked when it did not
   net::Time state_missed_ = -1e9;   // probed when it did not answer in time
   bool probing_ = false;
+  net::Time cut_since_ = 1e18;   // as far as is known
+  net::Time peer_heard_ = -1e9;  // any of them, while cut off
+  std::string neighbour_;        // in the own zone, that may keep
+  net::Time neighbour_until_ = -1e9;
   // As the leader.
   std::map<std::string, net::Time> peer_met_;  // by its asking
   struct Visitor {
--- a/core/lease/zone_keeping.cc
+++ b/core/lease/zone_keeping.cc
@@ -42,8 +42,7 @@
 }
 
 bool ZoneKeeper::Keep(Time now) {
-  if (now >= until_ || now >= recorded_until_ || now < stands_back_until_)
-    return false;
+  if (!Holds(now)) return false;
   kept_ = now;
   return true;
 }
--- a/core/lease/zone_keeping.h
+++ b/core/lease/zone_keeping.h
@@ -45,6 +45,10 @@
   void RecordedAnew(Time sent, Time now);
   // Whether a report may be answered now; notes that it is.
   bool Keep(Time now);
+  // The same, without noting anything.
+  bool Holds(Time now) const {
+    return now < until_ && now < recorded_until_ && now >= stands_back_until_;
+  }
   // Asked to stand back: not to keep for a moment. False while it keeps.
   bool AskedToStandBack(Time now);
   // s since a report was answered last; negative: none ever was.
