--- a/app/users.cc
+++ b/app/users.cc
@@ -429,10 +429,9 @@
   // that a leader reaches, of the term that is known here, is sent to that one.
   const bool named = keeping == ZoneDesk::Keeping::kSentOn &&
                      term == TermOf(catalog_.epoch(), catalog_.leader().stamp);
-  if (named || !zone_desk_.CutOff()) {
-    out.leader = election_.LeaderName();
-  } else if (keeping == ZoneDesk::Keeping::kNo &&
-             report.zone == settings_.zone) {
+  if (named || !zone_desk_.CutOff()) out.leader = election_.LeaderName();
+  if (out.leader.empty() && keeping == ZoneDesk::Keeping::kNo &&
+      report.zone == settings_.zone) {
     out.leader = zone_desk_.Neighbour();
   }
   if (out.leader != settings_.node) out.result = Result::kElsewhere;
--- a/app/zone_desk.cc
+++ b/app/zone_desk.cc
@@ -99,10 +99,9 @@
 net::Task<void> ZoneDesk::NeighbourLoop() {
   const double lease = settings_.workers.lease_s;
   for (;;) {
-    if (!CutOff()) {
-      cut_since_ = 1e18;
-    } else {
-      cut_since_ = std::min(cut_since_, loop_.Refresh());
+    cut_since_ =
+        CutOff() ? std::min(cut_since_, loop_.Refresh()) : net::Time{1e18};
+    if (CutOff() || LeaderUnknown()) {
       for (const auto& peer : peers_) net::Spawn(AskNeighbour(peer.get()));
     }
     co_await loop_.Sleep(kNeighbourEvery * lease);
@@ -128,8 +127,14 @@
 }
 
 std::string ZoneDesk::Neighbour() const {
-  return CutOff() && loop_.Now() < neighbour_until_ ? neighbour_
-                                                    : std::string();
+  const bool wanted = CutOff() || LeaderUnknown();
+  return wanted && loop_.Now() < neighbour_until_ ? neighbour_ : std::string();
+}
+
+// One that has just started inside a cut waits in vain for the state service:
+// its neighbour knows sooner than it does.
+bool ZoneDesk::LeaderUnknown() const {
+  return seams_.leader() == nullptr && seams_.leading() == nullptr;
 }
 
 bool ZoneDesk::Apart() const {
--- a/app/zone_desk.h
+++ b/app/zone_desk.h
@@ -92,6 +92,7 @@
   net::Task<void> RecordOnce();
   // While cut off: who is reached all the same, and who of them may keep.
   net::Task<void> NeighbourLoop();
+  bool LeaderUnknown() const;
   net::Task<void> AskNeighbour(clients::PeerClient* peer);
   net::Task<void> AskOne(clients::PeerClient* peer, uint64_t revision);
   clients::PeerMessage Message(clients::PeerKind kind) const;
--- a/tests/election_walk_test.cc
+++ b/tests/election_walk_test.cc
@@ -33,11 +33,14 @@
   kLeaderRefused,   // by the state service alone
   kLeaderApart,     // from state service and peers, not from workers
   kFollowersApart,
+  kLeaderLeftOut,  // after an outage the service is back, but not for it
+  kOneLetIn,       // after one without a leader, for one of three alone
 };
 constexpr std::array kEvents = {
     Event::kStart,         Event::kLeaderGone,     Event::kHandOver,
     Event::kOutage,        Event::kOutageNoLeader, Event::kAllGone,
-    Event::kLeaderRefused, Event::kLeaderApart,    Event::kFollowersApart};
+    Event::kLeaderRefused, Event::kLeaderApart,    Event::kFollowersApart,
+    Event::kLeaderLeftOut, Event::kOneLetIn};
 
 struct Ending {
   int node = 0;
@@ -69,7 +72,9 @@
   }
   void Plan() override {
     if (event_ != Event::kStart && Now(now_, begins_)) Begin();
-    if (event_ == Event::kOutageNoLeader && Now(now_, begins_ + 0.5)) {
+    const bool no_leader =
+        event_ == Event::kOutageNoLeader || event_ == Event::kOneLetIn;
+    if (no_leader && Now(now_, begins_ + 0.5)) {
       const int leader = Leader();
       if (leader >= 0) End(leader, 10);
     }
@@ -97,6 +102,16 @@
       case Event::kOutageNoLeader:
         outage_until_ = now_ + 7;
         break;
+      case Event::kLeaderLeftOut:
+        outage_until_ = now_ + 1.5;
+        nodes_[leader].refused_until = now_ + 12;
+        break;
+      case Event::kOneLetIn:
+        outage_until_ = now_ + 4;
+        for (int i = 0; i < kNodes; ++i) {
+          if (i != (leader + 1) % kNodes) nodes_[i].refused_until = now_ + 9;
+        }
+        break;
       case Event::kAllGone:
         for (int i = 0; i < kNodes; ++i) End(i, 0.2 + 2 * i);
         break;
