--- a/app/users.cc
+++ b/app/users.cc
@@ -73,7 +73,8 @@
       relays_(loop, settings, election, peers) {}
 
 bool Users::Ready() {
-  return follower_.ever_synced() && !follower_.types().empty();
+  return follower_.ever_synced() && !follower_.types().empty() &&
+         !zone_desk_.Apart();
 }
 
 const std::map<std::string, MachineType>* Users::Types() {
@@ -325,6 +326,11 @@
 net::Task<api::Status> Users::PollHere(std::string id) {
   api::Status status;
   if (FinalKnown(id, &status) || ViewHere(id, &status)) co_return status;
+  // Nobody can be asked: said at once, so that the user asks another.
+  if (zone_desk_.Apart()) {
+    EndTold(id, &status);
+    co_return status;
+  }
   PeerMessage ask = RelayOf(PeerKind::kPoll, id);
   const auto answer = co_await relays_.AskLeader(
       std::move(ask),
@@ -350,8 +356,8 @@
   for (const auto& [id, job] : catalog_.jobs()) {
     if (job.final_state == FinalState::kNone) tasks += job.spec->tasks;
   }
-  if (!follower_.ever_synced() || catalog_.jobs().size() >= kMostLiveJobs ||
-      tasks > kMostLiveTasks) {
+  if (!follower_.ever_synced() || zone_desk_.Apart() ||
+      catalog_.jobs().size() >= kMostLiveJobs || tasks > kMostLiveTasks) {
     co_return api::Submitted{Result::kTryLater};
   }
   const std::string key = keys::Of(keys::kJob, spec->id);
@@ -405,7 +411,7 @@
 
 net::Task<api::Status> Users::CancelOrPass(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status)) co_return status;
+  if (FinalKnown(id, &status) || zone_desk_.Apart()) co_return status;
   if (!KnownHere(id)) {
     status = co_await FreshRead(id);
     if (status.found != api::Status::Found::kYes || FinalKnown(id, &status)) {
@@ -467,14 +473,25 @@
   }
   // Answered with the token that the worker knows, and without orders: it lives
   // on, and whoever leads next counts from when it takes office.
-  if ((report.token > 0 && election_.Keeps(report.token >> kTokenBits)) ||
-      zone_desk_.Keeps(report)) {
+  const uint64_t term = report.token >> kTokenBits;
+  ZoneDesk::Keeping keeping = ZoneDesk::Keeping::kYes;
+  if (report.token == 0 || !election_.Keeps(term)) {
+    keeping = zone_desk_.Keeps(report);
+  }
+  if (keeping == ZoneDesk::Keeping::kYes) {
     out.reply.token = report.token;
     out.result = Result::kAnswered;
     co_return out;
   }
-  // A worker sent to one that it can't reach would lose its time there.
-  if (!zone_desk_.CutOff()) out.leader = election_.LeaderName();
+  // A worker sent to one that it can't reach would lose its time there. One
+  // that a leader reaches, of the term that is known here, is sent to that one.
+  const bool named = keeping == ZoneDesk::Keeping::kSentOn &&
+                     term == TermOf(catalog_.epoch(), catalog_.leader().stamp);
+  if (named || !zone_desk_.CutOff()) out.leader = election_.LeaderName();
+  if (out.leader.empty() && keeping == ZoneDesk::Keeping::kNo &&
+      report.zone == settings_.zone) {
+    out.leader = zone_desk_.Neighbour();
+  }
   if (out.leader != settings_.node) out.result = Result::kElsewhere;
   co_return out;
 }
--- a/app/zone_desk.cc
+++ b/app/zone_desk.cc
@@ -17,6 +17,9 @@
 // lease ends: it must find those inside ready by the first.
 constexpr double kAskEvery = 0.03;
 constexpr double kWait = 0.06;
+constexpr double kNeighbourEvery = 0.05;
+constexpr double kNeighbourHolds = 0.15;
+constexpr double kApartAfter = 0.2;
 constexpr double kRecordEvery = 0.1;
 constexpr double kRecordWait = 0.1;
 constexpr double kUnheard = 0.25;  // since a controller has asked the leader
@@ -50,12 +53,15 @@
       life_(std::move(life)),
       started_(loop.Now()),
       seams_(std::move(seams)),
-      keeper_(settings.workers) {}
+      keeper_(settings.workers),
+      record_(keeper_),
+      signs_(settings.workers) {}
 
 void ZoneDesk::Start() {
   if (!on_ || ZoneRight(settings_.workers) <= 0) return;
   net::Spawn(AskLoop());
   net::Spawn(RecordLoop());
+  net::Spawn(NeighbourLoop());
 }
 
 PeerMessage ZoneDesk::Message(PeerKind kind) const {
@@ -90,6 +96,53 @@
   }
 }
 
+net::Task<void> ZoneDesk::NeighbourLoop() {
+  const double lease = settings_.workers.lease_s;
+  for (;;) {
+    cut_since_ =
+        CutOff() ? std::min(cut_since_, loop_.Refresh()) : net::Time{1e18};
+    if (CutOff() || LeaderUnknown()) {
+      for (const auto& peer : peers_) net::Spawn(AskNeighbour(peer.get()));
+    }
+    co_await loop_.Sleep(kNeighbourEvery * lease);
+  }
+}
+
+// The question is the one for the right: from a leader its answer does no harm.
+net::Task<void> ZoneDesk::AskNeighbour(clients::PeerClient* peer) {
+  const double lease = settings_.workers.lease_s;
+  const net::Time sent = loop_.Refresh();
+  const auto answer =
+      co_await peer->Ask(Message(PeerKind::kKeepZone), kWait * lease);
+  if (!answer.ok) co_return;
+  peer_heard_ = loop_.Now();
+  const bool near = std::any_of(
+      settings_.peers.begin(), settings_.peers.end(), [&](const auto& p) {
+        return p.name == peer->name() && p.zone == settings_.zone;
+      });
+  if (near && answer.message.done > 0) {
+    neighbour_ = peer->name();
+    neighbour_until_ = sent + kNeighbourHolds * lease;
+  }
+}
+
+std::string ZoneDesk::Neighbour() const {
+  const bool wanted = CutOff() || LeaderUnknown();
+  return wanted && loop_.Now() < neighbour_until_ ? neighbour_ : std::string();
+}
+
+// One that has just started inside a cut waits in vain for the state service:
+// its neighbour knows sooner than it does.
+bool ZoneDesk::LeaderUnknown() const {
+  return seams_.leader() == nullptr && seams_.leading() == nullptr;
+}
+
+bool ZoneDesk::Apart() const {
+  return !peers_.empty() && CutOff() &&
+         loop_.Now() - std::max(cut_since_, peer_heard_) >
+             kApartAfter * settings_.workers.lease_s;
+}
+
 net::Task<void> ZoneDesk::Probe() {
   if (!probing_) {
     probing_ = true;
@@ -106,36 +159,58 @@
 }
 
 net::Task<void> ZoneDesk::RecordLoop() {
-  const double lease = settings_.workers.lease_s;
-  const std::string key = keys::Of(keys::kZone, settings_.node);
   for (;;) {
-    const net::Time sent = loop_.Refresh();
-    if (lease_id_ != 0) {
-      const clients::StateResult result =
-          co_await state_.Renew(lease_id_, kRecordWait * lease);
-      if (result.ok()) {
-        keeper_.Recorded(sent);
-      } else if (result.status == clients::StateStatus::kNotFound) {
-        lease_id_ = 0;
-        continue;
-      }
-    } else {
-      const clients::StateResult granted =
+    const RecordStep before = record_.step();
+    co_await RecordOnce();
+    // One step leads to the next; what fails, and what stands, waits a while.
+    const bool on = record_.step() != before && before != RecordStep::kWrite &&
+                    record_.step() != RecordStep::kRenew;
+    if (!on) {
+      co_await loop_.Sleep(kRecordEvery * settings_.workers.lease_s);
+    }
+  }
+}
+
+net::Task<void> ZoneDesk::RecordOnce() {
+  using clients::StateResult;
+  using clients::StateStatus;
+  const net::Time sent = loop_.Refresh();
+  const std::string key = keys::Of(keys::kZone, settings_.node);
+  switch (record_.step()) {
+    case RecordStep::kRead: {
+      const StateResult read =
+          co_await state_.Get(key, clients::Urgency::kLease);
+      if (read.ok()) record_.WasRead(read.items[0].stamp);
+      if (read.status == StateStatus::kNotFound) record_.WasRead(0);
+      break;
+    }
+    case RecordStep::kLease: {
+      const StateResult granted =
           co_await state_.CreateLease(ZoneRecordLease(settings_.workers));
-      if (granted.ok()) {
-        std::vector<Condition> none;
-        std::vector<KeyChange> changes{
-            {key, LeaderRecord{settings_.node, life_, 0, false}}};
-        const clients::StateResult written =
-            co_await state_.Write(std::move(none), std::move(changes),
-                                  clients::Urgency::kLease, granted.lease_id);
-        if (written.ok()) {
-          lease_id_ = granted.lease_id;
-          keeper_.RecordedAnew(sent, loop_.Refresh());
-        }
+      if (granted.ok()) record_.LeaseGranted(granted.lease_id, sent);
+      break;
+    }
+    case RecordStep::kWrite: {
+      std::vector<Condition> conditions{{key, record_.stamp()}};
+      std::vector<KeyChange> changes{
+          {key, LeaderRecord{settings_.node, life_, 0, false}}};
+      const StateResult written =
+          co_await state_.Write(std::move(conditions), std::move(changes),
+                                clients::Urgency::kLease, record_.lease_id());
+      if (written.ok()) {
+        record_.Written(loop_.Refresh());
+      } else {
+        record_.NotWritten();
       }
+      break;
+    }
+    case RecordStep::kRenew: {
+      const StateResult renewed = co_await state_.Renew(
+          record_.lease_id(), kRecordWait * settings_.workers.lease_s);
+      if (renewed.ok()) record_.Renewed(sent);
+      if (renewed.status == StateStatus::kNotFound) record_.LeaseEnded();
+      break;
     }
-    co_await loop_.Sleep(kRecordEvery * lease);
   }
 }
 
@@ -224,9 +299,17 @@
   return leader_missed_ > leader_met_;
 }
 
-bool ZoneDesk::Keeps(const WorkerReport& report) {
-  return report.token > 0 && report.zone == settings_.zone && CutOff() &&
-         keeper_.Keep(loop_.Refresh());
+ZoneDesk::Keeping ZoneDesk::Keeps(const WorkerReport& report) {
+  if (!CutOff()) {
+    signs_.Clear();
+    return Keeping::kNo;
+  }
+  if (report.token == 0 || report.zone != settings_.zone) return Keeping::kNo;
+  const net::Time now = loop_.Refresh();
+  if (signs_.SentOn(report, now)) return Keeping::kSentOn;
+  if (!keeper_.Keep(now)) return Keeping::kNo;
+  signs_.Kept(report, now);
+  return Keeping::kYes;
 }
 
 void ZoneDesk::DoAsk(const AskStandBack& ask, uint64_t revision) {
@@ -265,6 +348,8 @@
     return;
   }
   Controller* core = seams_.leading();
+  // One that has forgotten its right sends its workers here.
+  if (core == nullptr) reply->done = CutOff() && keeper_.Holds(now) ? 1 : 0;
   if (core != nullptr) peer_met_[message.node] = now;
   if (core != nullptr && core->OnKeepAsked(message.node, message.text,
                                            Seconds(message.running), now)) {
--- a/app/zone_desk.h
+++ b/app/zone_desk.h
@@ -14,7 +14,9 @@
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/controller.h"
+#include "core/lease/cut_signs.h"
 #include "core/lease/zone_keeping.h"
+#include "core/lease/zone_record.h"
 #include "core/model/report.h"
 #include "net/loop.h"
 
@@ -54,8 +56,18 @@
 
   // Whether neither the state service nor the leader can be reached.
   bool CutOff() const;
-  // Whether the worker's report may be answered here, without orders.
-  bool Keeps(const WorkerReport& report);
+  // A controller of the own zone that may, where this one has forgotten its
+  // right, or never had one; empty if none is known.
+  std::string Neighbour() const;
+  // Whether it has reached neither the state service nor any controller for a
+  // while: nothing that a user asks can be answered here.
+  bool Apart() const;
+  enum class Keeping : uint8_t {
+    kNo,
+    kYes,     // the report may be answered here, without orders
+    kSentOn,  // a leader reaches the worker: it is to look for that one
+  };
+  Keeping Keeps(const WorkerReport& report);
 
   // --- as the leader
   void DoAsk(const AskStandBack& ask, uint64_t revision);
@@ -77,6 +89,11 @@
   net::Task<void> Probe();
   // Keeps the record of the right alive, which ends by itself.
   net::Task<void> RecordLoop();
+  net::Task<void> RecordOnce();
+  // While cut off: who is reached all the same, and who of them may keep.
+  net::Task<void> NeighbourLoop();
+  bool LeaderUnknown() const;
+  net::Task<void> AskNeighbour(clients::PeerClient* peer);
   net::Task<void> AskOne(clients::PeerClient* peer, uint64_t revision);
   clients::PeerMessage Message(clients::PeerKind kind) const;
 
@@ -89,11 +106,16 @@
   const net::Time started_;
   Seams seams_;
   ZoneKeeper keeper_;
+  ZoneRecord record_;
+  CutSigns signs_;
   net::Time leader_met_ = -1e9;     // asked when it answered, or was this one
   net::Time leader_missed_ = -1e9;  // asked when it did not
   net::Time state_missed_ = -1e9;   // probed when it did not answer in time
   bool probing_ = false;
-  uint64_t lease_id_ = 0;  // of the record
+  net::Time cut_since_ = 1e18;   // as far as is known
+  net::Time peer_heard_ = -1e9;  // any of them, while cut off
+  std::string neighbour_;        // in the own zone, that may keep
+  net::Time neighbour_until_ = -1e9;
   // As the leader.
   std::map<std::string, net::Time> peer_met_;  // by its asking
   struct Visitor {
