--- /dev/null
+++ b/core/tiers/tiers.cc
@@ -0,0 +1,211 @@
+#include "core/tiers/tiers.h"
+
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <set>
+#include <utility>
+
+#include "core/model/state_machine.h"
+
+namespace oxbow {
+namespace {
+
+using enum TierSource;
+
+constexpr std::array kChanges = {
+    std::pair{kBuiltIn, kBuiltIn},    std::pair{kBuiltIn, kRecorded},
+    std::pair{kRecorded, kRecorded},  std::pair{kRecorded, kLastKnown},
+    std::pair{kRecorded, kBuiltIn},   std::pair{kLastKnown, kLastKnown},
+    std::pair{kLastKnown, kRecorded}, std::pair{kLastKnown, kBuiltIn},
+};
+
+template <typename T>
+bool Has(const std::vector<T>& list, const T& value) {
+  return list.empty() ||
+         std::find(list.begin(), list.end(), value) != list.end();
+}
+
+std::string Number(double value) {
+  std::array<char, 32> text;
+  std::snprintf(text.data(), text.size(), "%g", value);
+  return text.data();
+}
+
+bool PlainWord(const std::string& word, size_t most) {
+  return !word.empty() && word.size() <= most &&
+         std::all_of(word.begin(), word.end(),
+                     [](unsigned char c) { return c > ' ' && c < 0x7f; });
+}
+
+std::string WhyNoList(const std::string& where,
+                      const std::vector<std::string>& words,
+                      const TierBounds& bounds) {
+  if (words.size() > bounds.most_words) {
+    return where + ": " + std::to_string(words.size()) + " names, at most " +
+           std::to_string(bounds.most_words);
+  }
+  for (const std::string& word : words) {
+    if (!PlainWord(word, bounds.most_word)) {
+      return where + ": \"" + word.substr(0, bounds.most_word) +
+             "\" is no name";
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+TierBounds TierBounds::From(const Settings& settings) {
+  TierBounds bounds;
+  const double lease = settings.workers.lease_s;
+  bounds.least_floor_s = lease;
+  bounds.most_floor_s = 24 * lease;
+  bounds.usual_floor_s = 12 * lease;
+  // Room is left for the author, the note and the version beside the text.
+  bounds.most_text = static_cast<size_t>(settings.state.value_kb * 1024 / 2);
+  return bounds;
+}
+
+bool TierMatch::Matches(const JobSpec& spec) const {
+  return Has(classes, spec.job_class) && Has(teams, spec.team) &&
+         Has(priorities, spec.priority) && Has(kinds, spec.kind);
+}
+
+TierSet::TierSet() : TierSet({}, {}) {}
+
+TierSet::TierSet(std::vector<Tier> tiers, const TierBounds& bounds)
+    : listed_(std::move(tiers)), by_rank_(listed_) {
+  std::sort(by_rank_.begin(), by_rank_.end(),
+            [](const Tier& a, const Tier& b) { return a.rank < b.rank; });
+  Tier rest;
+  rest.name = kRestTier;
+  rest.rank = UINT32_MAX;
+  by_rank_.push_back(rest);
+  for (Tier& tier : by_rank_) {
+    if (tier.floor_s <= 0) tier.floor_s = bounds.usual_floor_s;
+  }
+  for (const Tier& tier : listed_) {
+    const auto it = std::find_if(
+        by_rank_.begin(), by_rank_.end(),
+        [&](const Tier& other) { return other.rank == tier.rank; });
+    places_.push_back(static_cast<uint8_t>(it - by_rank_.begin()));
+  }
+}
+
+uint8_t TierSet::Classify(const JobSpec& spec) const {
+  for (size_t i = 0; i < listed_.size(); ++i) {
+    if (listed_[i].match.Matches(spec)) return places_[i];
+  }
+  return static_cast<uint8_t>(by_rank_.size() - 1);
+}
+
+bool TierSet::operator==(const TierSet& other) const {
+  const auto same = [](const Tier& a, const Tier& b) {
+    return a.name == b.name && a.rank == b.rank &&
+           a.match.classes == b.match.classes &&
+           a.match.teams == b.match.teams &&
+           a.match.priorities == b.match.priorities &&
+           a.match.kinds == b.match.kinds && a.kept_share == b.kept_share &&
+           a.most_share == b.most_share && a.floor_s == b.floor_s;
+  };
+  return std::equal(listed_.begin(), listed_.end(), other.listed_.begin(),
+                    other.listed_.end(), same);
+}
+
+std::string WhyNoTiers(const std::vector<Tier>& tiers,
+                       const TierBounds& bounds) {
+  if (tiers.empty()) return "tiers: none given; withdraw the record instead";
+  if (tiers.size() > bounds.most_tiers) {
+    return "tiers: " + std::to_string(tiers.size()) + " given, at most " +
+           std::to_string(bounds.most_tiers);
+  }
+  std::set<std::string> names;
+  std::set<uint32_t> ranks;
+  double kept = 0;
+  for (const Tier& tier : tiers) {
+    if (!PlainWord(tier.name, bounds.most_word)) {
+      return "name: \"" + tier.name.substr(0, bounds.most_word) +
+             "\" is no name";
+    }
+    const std::string where = "tier " + tier.name + ", ";
+    if (tier.name == kRestTier) {
+      return where + "name: kept for what no tier matches";
+    }
+    if (!names.insert(tier.name).second) return where + "name: given twice";
+    if (tier.rank == UINT32_MAX || !ranks.insert(tier.rank).second) {
+      return where + "rank: " + std::to_string(tier.rank) + " given twice";
+    }
+    // Written so that what is no number fails too.
+    if (!(tier.kept_share >= 0 && tier.kept_share <= 1)) {
+      return where + "kept_share: " + Number(tier.kept_share) +
+             " is not between 0 and 1";
+    }
+    if (!(tier.most_share > 0 && tier.most_share <= 1)) {
+      return where + "most_share: " + Number(tier.most_share) +
+             " is not above 0 and at most 1";
+    }
+    if (tier.kept_share > tier.most_share) {
+      return where + "kept_share: " + Number(tier.kept_share) +
+             " is more than the tier may hold, " + Number(tier.most_share);
+    }
+    kept += tier.kept_share;
+    if (kept > 1 + 1e-9) {
+      return where + "kept_share: the shares add up to " + Number(kept) +
+             ", more than 1";
+    }
+    if (tier.floor_s != 0 && !(tier.floor_s >= bounds.least_floor_s &&
+                               tier.floor_s <= bounds.most_floor_s)) {
+      return where + "floor_s: " + Number(tier.floor_s) + " is not between " +
+             Number(bounds.least_floor_s) + " and " +
+             Number(bounds.most_floor_s);
+    }
+    for (std::string why :
+         {WhyNoList(where + "duty", tier.match.classes, bounds),
+          WhyNoList(where + "crew", tier.match.teams, bounds)}) {
+      if (!why.empty()) return why;
+    }
+  }
+  for (size_t i = 0; i + 1 < tiers.size(); ++i) {
+    if (tiers[i].match.MatchesAll()) {
+      return "tier " + tiers[i + 1].name + ", match: tier " + tiers[i].name +
+             " before it matches every job";
+    }
+  }
+  return {};
+}
+
+TiersInForce::TiersInForce() : set_(std::make_shared<const TierSet>()) {}
+
+void TiersInForce::Change(TierSource next) {
+  CheckedChange(source_, next, kChanges, "tiers in force");
+  if (next != kBuiltIn) return;
+  version_ = 0;
+  set_ = std::make_shared<const TierSet>();
+}
+
+void TiersInForce::OnRecord(uint64_t version, TierSet set) {
+  Change(kRecorded);
+  version_ = version;
+  refused_.clear();
+  refused_version_ = 0;
+  set_ = std::make_shared<const TierSet>(std::move(set));
+}
+
+void TiersInForce::OnBadRecord(uint64_t version, const std::string& why) {
+  Change(source_ == kBuiltIn ? kBuiltIn : kLastKnown);
+  refused_version_ = version;
+  refused_ = why;
+}
+
+void TiersInForce::OnNoRecord() {
+  if (source_ != kBuiltIn) Change(kLastKnown);
+}
+
+void TiersInForce::OnWithdrawn() {
+  Change(kBuiltIn);
+  refused_.clear();
+  refused_version_ = 0;
+}
+
+}  // namespace oxbow
--- /dev/null
+++ b/wire/tiers_json.cc
@@ -0,0 +1,167 @@
+#include "wire/tiers_json.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+
+#include "wire/field_reader.h"
+#include "wire/json.h"
+#include "wire/names.h"
+
+namespace oxbow::wire {
+namespace {
+
+std::string ReadWords(const rapidjson::Value& match, const char* key,
+                      std::vector<std::string>* out) {
+  const auto* list = json::Find(match, key);
+  if (list == nullptr) return {};
+  if (!list->IsArray()) return std::string(key) + ": not a list";
+  for (const auto& word : list->GetArray()) {
+    if (!word.IsString()) return std::string(key) + ": not a list of names";
+    out->emplace_back(json::View(word));
+  }
+  // An empty list would match everything, which nobody means by it.
+  if (out->empty()) return std::string(key) + ": an empty list";
+  return {};
+}
+
+template <typename Names, typename Term>
+std::string ReadTerms(const rapidjson::Value& match, const char* key,
+                      const Names& names, std::vector<Term>* out) {
+  std::vector<std::string> words;
+  const std::string why = ReadWords(match, key, &words);
+  if (!why.empty()) return why;
+  for (const std::string& word : words) {
+    Term term{};
+    if (!TermOf(names, word, &term)) {
+      return std::string(key) + ": \"" + word.substr(0, 64) + "\" is unknown";
+    }
+    out->push_back(term);
+  }
+  return {};
+}
+
+std::string ReadMatch(const rapidjson::Value& value, TierMatch* out) {
+  const auto* match = json::Find(value, "match");
+  if (match == nullptr) return {};
+  if (!match->IsObject()) return "match: not an object";
+  std::string why = ReadWords(*match, "duty", &out->classes);
+  if (why.empty()) why = ReadWords(*match, "crew", &out->teams);
+  if (why.empty()) {
+    why = ReadTerms(*match, "standing", kPriorities, &out->priorities);
+  }
+  if (why.empty()) why = ReadTerms(*match, "form", kJobKinds, &out->kinds);
+  return why;
+}
+
+std::string ReadTier(const rapidjson::Value& value, Tier* out) {
+  if (!value.IsObject()) return "not an object";
+  FieldReader read(value);
+  read.String("name", &out->name);
+  read.Count("rank", 0, UINT32_MAX - 1, &out->rank);
+  if (!read.error().empty()) return read.error() + " is missing or wrong";
+  const auto share = [&](const char* key, double* to) -> std::string {
+    const auto* v = json::Find(value, key);
+    if (v == nullptr) return {};
+    if (!v->IsNumber()) return std::string(key) + ": not a number";
+    *to = v->GetDouble();
+    return {};
+  };
+  std::string why = share("kept_share", &out->kept_share);
+  if (why.empty()) why = share("most_share", &out->most_share);
+  if (why.empty()) why = share("floor_s", &out->floor_s);
+  if (why.empty()) why = ReadMatch(value, &out->match);
+  if (!why.empty()) return "tier " + out->name.substr(0, 64) + ", " + why;
+  return {};
+}
+
+template <typename List, typename Name>
+void WriteList(json::Writer& w, const char* key, const List& list,
+               const Name& name) {
+  if (list.empty()) return;
+  w.Key(key);
+  w.StartArray();
+  for (const auto& item : list) json::String(w, name(item));
+  w.EndArray();
+}
+
+}  // namespace
+
+std::string ReadTiers(std::string_view text, const TierBounds& bounds,
+                      std::vector<Tier>* out) {
+  out->clear();
+  if (text.size() > bounds.most_text) {
+    return "the text has " + std::to_string(text.size()) + " bytes, at most " +
+           std::to_string(bounds.most_text);
+  }
+  rapidjson::Document doc;
+  if (!json::Parse(text, &doc)) {
+    return std::string("not JSON at byte ") +
+           std::to_string(doc.GetErrorOffset()) + ": " +
+           rapidjson::GetParseError_En(doc.GetParseError());
+  }
+  const auto* tiers = json::Find(doc, "tiers");
+  if (tiers == nullptr || !tiers->IsArray()) return "tiers: not a list";
+  std::vector<Tier> read;
+  for (const auto& value : tiers->GetArray()) {
+    Tier tier;
+    const std::string why = ReadTier(value, &tier);
+    if (!why.empty()) {
+      return "entry " + std::to_string(read.size()) + ": " + why;
+    }
+    read.push_back(std::move(tier));
+    // Enough for the check below to refuse it.
+    if (read.size() > bounds.most_tiers) break;
+  }
+  const std::string why = WhyNoTiers(read, bounds);
+  if (why.empty()) *out = std::move(read);
+  return why;
+}
+
+std::string WriteTiers(const std::vector<Tier>& tiers) {
+  rapidjson::StringBuffer buffer;
+  json::Writer w(buffer);
+  const auto word = [](const std::string& text) { return text; };
+  w.StartObject();
+  w.Key("tiers");
+  w.StartArray();
+  for (const Tier& tier : tiers) {
+    w.StartObject();
+    json::Field(w, "name", tier.name);
+    w.Key("rank");
+    w.Uint(tier.rank);
+    w.Key("match");
+    w.StartObject();
+    WriteList(w, "duty", tier.match.classes, word);
+    WriteList(w, "crew", tier.match.teams, word);
+    WriteList(w, "standing", tier.match.priorities,
+              [](Priority p) { return NameOf(kPriorities, p); });
+    WriteList(w, "form", tier.match.kinds,
+              [](JobKind k) { return NameOf(kJobKinds, k); });
+    w.EndObject();
+    w.Key("kept_share");
+    w.Double(tier.kept_share);
+    w.Key("most_share");
+    w.Double(tier.most_share);
+    if (tier.floor_s > 0) {
+      w.Key("floor_s");
+      w.Double(tier.floor_s);
+    }
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return json::Text(buffer);
+}
+
+void TakeTiers(std::string_view text, uint64_t version,
+               const TierBounds& bounds, TiersInForce* in_force) {
+  std::vector<Tier> tiers;
+  const std::string why = ReadTiers(text, bounds, &tiers);
+  if (why.empty()) {
+    in_force->OnRecord(version, TierSet(std::move(tiers), bounds));
+  } else {
+    in_force->OnBadRecord(version, why);
+  }
+}
+
+}  // namespace oxbow::wire
