--- a/tests/tiers_test.cc
+++ b/tests/tiers_test.cc
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "core/tiers/policy.h"
 #include "wire/tiers_json.h"
 
