--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "wire/tiers_json.h"
+
 namespace oxbow::app {
 namespace {
 
@@ -55,7 +57,37 @@
   health_.Clear();
 }
 
+void Dealings::FollowTiers() {
+  if (tuning_.tiers <= 0) return;
+  const TierSource before = tiers_.source();
+  const uint64_t version = tiers_.version();
+  const std::string refused = tiers_.refused();
+  const auto it = catalog_.operators().find(std::string(wire::kTiersRecord));
+  if (it == catalog_.operators().end()) {
+    tiers_.OnNoRecord();
+  } else if (it->second.withdrawn) {
+    tiers_.OnWithdrawn();
+  } else {
+    wire::TakeTiers(it->second.text, it->second.version,
+                    TierBounds::From(settings_), &tiers_);
+  }
+  if (!tiers_.refused().empty() && tiers_.refused() != refused) {
+    spdlog::warn("tiers: version {} can't be used, version {} stays: {}",
+                 tiers_.refused_version(), tiers_.version(), tiers_.refused());
+  } else if (before != tiers_.source() || version != tiers_.version()) {
+    spdlog::info("tiers: version {} is in force", tiers_.version());
+  }
+}
+
 void Dealings::RecordTaken(const std::string& key) {
+  if (key.starts_with(keys::kOperator) &&
+      key.substr(keys::kOperator.size()) == wire::kTiersRecord) {
+    FollowTiers();
+    if (controller_) {
+      Tell(controller_->revision(),
+           [this](Controller& c) { c.UseTiers(tiers_.set()); });
+    }
+  }
   if (!controller_) return;
   const auto about = [&](std::string_view prefix, const auto& event) {
     if (!controller_ || !key.starts_with(prefix)) return;
@@ -93,6 +125,8 @@
   controller_ =
       std::make_unique<Controller>(settings_, tuning_, catalog_, revision, now,
                                    net::WallNow() - now, revision, keepers);
+  FollowTiers();
+  controller_->UseTiers(tiers_.set());
   controller_->log_detail = spdlog::should_log(spdlog::level::debug);
   if (!follower_.types().empty()) {
     std::vector<MachineType> types;
--- a/app/dealings.h
+++ b/app/dealings.h
@@ -19,6 +19,7 @@
 #include "clients/state.h"
 #include "clients/worker.h"
 #include "core/controller/controller.h"
+#include "core/tiers/tiers.h"
 #include "net/loop.h"
 
 namespace oxbow::app {
@@ -60,6 +61,9 @@
     FinalState state = FinalState::kNone;
   };
 
+  // Reads the tiers that are recorded; every controller does, so that its own
+  // leadership begins with the last version known.
+  void FollowTiers();
   net::Task<void> TickLoop();
   net::Task<void> ListLoop();
   void TellWaiters(const JobFinal& end);
@@ -85,6 +89,7 @@
   RecoveryDesk& recovery_;
   clients::WorkerClients workers_;
   clients::HealthClient health_;
+  TiersInForce tiers_;
   std::unique_ptr<Controller> controller_;
   bool performing_ = false;
   std::unordered_map<std::string, std::vector<std::shared_ptr<FinalWaiter>>>
--- a/app/main.cc
+++ b/app/main.cc
@@ -12,6 +12,7 @@
 #include "app/options.h"
 #include "app/rollout_cli.h"
 #include "app/settings.h"
+#include "app/tiers_cli.h"
 #include "core/model/patience.h"
 #include "net/http_client.h"
 #include "net/loop.h"
@@ -154,7 +155,47 @@
   add("pause", "hold one where it is", "id", true);
   add("resume", "let a paused one go on", "id", true);
   add("abort", "take one back", "id", true);
+  TiersCommand tiers_command;
+  CLI::App* tiers = cli.add_subcommand("tiers", "priority tiers of jobs");
+  tiers->require_subcommand(1);
+  const auto add_tiers = [&](const char* verb, const char* help) {
+    CLI::App* sub = tiers->add_subcommand(verb, help);
+    const std::string name = verb;
+    const bool file = name == "check" || name == "set";
+    const bool changes = name == "set" || name == "withdraw";
+    sub->add_option("--config", config,
+                    "the settings that a file is checked against");
+    if (file) sub->add_option("file", tiers_command.file)->required();
+    if (name != "check") {
+      sub->add_option("--address", tiers_command.address,
+                      "any controller, IP:PORT")
+          ->required();
+      sub->add_flag("--json", tiers_command.json, "print texts as they came");
+    }
+    if (changes) {
+      sub->add_option("--version", tiers_command.version,
+                      "the version that is replaced; 0: there is none")
+          ->required();
+      sub->add_option("--author", tiers_command.author, "who changes it");
+      sub->add_option("--note", tiers_command.note, "why");
+    }
+    sub->callback([&tiers_command, verb] { tiers_command.verb = verb; });
+  };
+  add_tiers("show", "the tiers as recorded");
+  add_tiers("check", "check a file and show what it means");
+  add_tiers("set", "record a file's tiers");
+  add_tiers("withdraw", "go back to the built-in order");
+  add_tiers("history", "the versions that are kept");
   CLI11_PARSE(cli, argc, argv);
+  if (tiers->parsed()) {
+    Settings settings;
+    if (!config.empty()) {
+      Tuning tuning;
+      const int error = Load(config, "", &settings, &tuning);
+      if (error != 0) return error;
+    }
+    return RunTiers(tiers_command, settings);
+  }
   if (rollouts->parsed()) return RunRollout(rollout);
   if (!SetUpLog()) return kBadSettings;
   Settings settings;
--- a/app/node.cc
+++ b/app/node.cc
@@ -5,6 +5,8 @@
 #include <random>
 #include <utility>
 
+#include "wire/tiers_json.h"
+
 namespace oxbow::app {
 namespace {
 
@@ -34,9 +36,18 @@
 
 // The kinds of operators' records, one place for each subsystem to bring its
 // own.
-std::vector<RecordKind> RecordKinds(const Settings& /*settings*/,
-                                    const Tuning& /*tuning*/) {
-  return {};
+std::vector<RecordKind> RecordKinds(const Settings& settings,
+                                    const Tuning& tuning) {
+  std::vector<RecordKind> kinds;
+  if (tuning.tiers > 0) {
+    const TierBounds bounds = TierBounds::From(settings);
+    kinds.push_back({std::string(wire::kTiersRecord), "tiers",
+                     [bounds](const std::string&, const std::string& text) {
+                       std::vector<Tier> tiers;
+                       return wire::ReadTiers(text, bounds, &tiers);
+                     }});
+  }
+  return kinds;
 }
 
 net::HttpServer::Limits ServerLimits(const Settings& settings) {
--- a/app/options.cc
+++ b/app/options.cc
@@ -53,6 +53,7 @@
     Entry{"rollouts", "at_once", &Tuning::rollouts_at_once, 0, 64},
     Entry{"rollouts", "check_share", &Tuning::rollout_check_share, 0.001, 0.5},
     Entry{"rollouts", "cpu_share", &Tuning::rollout_cpu_share, 0.01, 0.5},
+    Entry{"tiers", "follow", &Tuning::tiers, 0, 1},
 };
 
 std::string* g_error = nullptr;  // libConfuse's callback carries no context
@@ -70,7 +71,7 @@
 std::string LoadTuning(const std::string& path, Tuning* out) {
   constexpr std::array kBlocks = {"placement", "queue",  "leadership",
                                   "machines",  "limits", "rollouts",
-                                  "recovery"};
+                                  "recovery",  "tiers"};
   constexpr size_t kMostInBlock = 16;
   std::array<std::array<cfg_opt_t, kMostInBlock>, kBlocks.size()> blocks;
   for (size_t b = 0; b < kBlocks.size(); ++b) {
--- /dev/null
+++ b/app/tiers_cli.h
@@ -0,0 +1,25 @@
+// `oxbowbank tiers ...`: the operators' priority tiers.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/model/settings.h"
+
+namespace oxbow::app {
+
+struct TiersCommand {
+  std::string verb;      // show, check, set, withdraw, history
+  std::string address;   // of any controller; not for check
+  std::string file;      // for check and set
+  uint64_t version = 0;  // the one that is replaced; 0: there is none
+  std::string author;
+  std::string note;
+  bool json = false;
+};
+
+// Returns the exit code (app/record_client.h). `settings`: what a file is
+// checked against before it is sent; the deployment's own word is the last.
+int RunTiers(const TiersCommand& command, const Settings& settings);
+
+}  // namespace oxbow::app
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -36,7 +36,8 @@
       queue_order_(settings, tuning),
       writes_(settings, Mandate(catalog, revision), *this, actions_),
       ears_(settings, tuning, patience_, machines_, now, seed, actions_),
-      zones_(settings, now, keepers) {
+      zones_(settings, now, keepers),
+      tiers_(settings, tuning.tiers > 0) {
   for (const TeamSettings& team : settings.teams)
     teams_.push_back({team, {}, {}, {}});
   for (const auto& [host, record] : catalog.machines()) {
@@ -89,6 +90,7 @@
   }
   // What is written back gets a new stamp, but is as old as it was.
   job->from_before = record.stamp <= revision_;
+  job->tier = tiers_.Classify(job->spec());
   Job& added = *job;
   jobs_[record.spec->id] = std::move(job);
   // A worker may have told of the job before its record was read here.
@@ -267,6 +269,7 @@
   std::erase_if(refused_until_,
                 [now](const auto& e) { return e.second <= now; });
   if (now >= next_supply_) {
+    SurveyTiers();
     PlanSupply(now);
     next_supply_ = now + settings_.workers.report_s;
     for (auto& [id, job] : jobs_) RetireIfClear(*job);
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -31,6 +31,7 @@
 #include "core/placement/placement.h"
 #include "core/provision/provision.h"
 #include "core/rollout/rollout.h"
+#include "core/tiers/policy.h"
 
 namespace oxbow {
 
@@ -64,6 +65,9 @@
   void OnRolloutRecord(const std::string& id, Time now);
   // A record of the operators has changed, or one of this leader's own stands.
   void OnOperatorRecord(const std::string& name, Time now);
+  // The tiers in force, at the beginning and whenever they change. Running
+  // work moves to its new tier as it is.
+  void UseTiers(std::shared_ptr<const TierSet> set);
   void OnHealth(const std::string& rollout, const ResidentKey& key,
                 const CheckOutcome& outcome, Time now);
   // What each controller reaches, this one's answer first.
@@ -116,6 +120,7 @@
   bool View(const std::string& id, JobView* out) const;
   bool AllAccounted() const;
   const Rollout* FindRollout(const std::string& id) const;
+  const TierPolicy& tiers() const { return tiers_; }
   FitnessState fitness() const { return ears_.fitness(); }
   const Hearing& hearing() const { return ears_.hearing(); }
   // What the leader keeps from doing at this moment, for whoever asks; a line
@@ -145,6 +150,11 @@
     Time next_try = 0;
     void Change(RentalState next);
   };
+  struct Emptying {
+    Machine* machine = nullptr;
+    double cost = 0;
+    std::vector<ResidentKey> victims;
+  };
   struct ClassStats {
     double run_s = 0;
     int seen = 0;
@@ -252,6 +262,18 @@
   // not be known here yet.
   bool MayBeRestricted(const Job& job) const;
 
+  // tiers.cc
+  void BeginTiers(const std::vector<Job*>& order,
+                  const std::vector<Machine*>& usable, bool accounted,
+                  Time now);
+  // Whether the job may take that room on the machine.
+  bool TierAllows(const Job& job, const Machine& m) const;
+  // Whether what makes room for the job would only take kept room.
+  bool TakesKept(const Job& job, const Machine& m, const Emptying& plan) const;
+  void SurveyTiers();
+  // Room that is kept is not there for those who wait.
+  void SetKeptAside(SupplyInput& input) const;
+
   // schedule.cc
   void ComputeGuarantees();
   bool Placeable(const Job& job, Time now, bool accounted) const;
@@ -278,11 +300,6 @@
   void MakeTeamRoom(Job& job, uint32_t tasks, Time now);
   // Stops a task so that another may run.
   void Preempt(Machine& m, Resident& victim, const JobSpec& for_job, Time now);
-  struct Emptying {
-    Machine* machine = nullptr;
-    double cost = 0;
-    std::vector<ResidentKey> victims;
-  };
   std::optional<Emptying> PlanEmptying(const Job& job, Machine& m,
                                        Resources taken, Time now) const;
   void CarryOut(const Emptying& plan, const JobSpec& for_job, Time now);
@@ -365,7 +382,9 @@
   // The largest task with accelerators seen; zero when there was none.
   Resources accelerator_shape_;
 
-  bool part_is_held_ = false;  // in this pass, for a gang
+  TierPolicy tiers_;
+  std::set<const Job*> over_share_;  // in this pass
+  bool part_is_held_ = false;        // in this pass, for a gang
   bool dirty_ = true;
   bool urgent_dirty_ = true;  // a live service is concerned
   Time next_schedule_ = 0;
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -261,6 +261,7 @@
   if (spec.kind != JobKind::kArray) m.lasting += r.need;
   if (r.stopping) m.leaving += r.need;
   if (r.job->team() >= 0) teams_[r.job->team()].used += r.need;
+  tiers_.Hold(r.job->tier, r.need);
   r.job->ChangePresence(m.index(), 1, 0);
 }
 
@@ -273,6 +274,7 @@
   if (spec.kind != JobKind::kArray) m.lasting -= r.need;
   if (r.stopping) m.leaving -= r.need;
   if (r.job->team() >= 0) teams_[r.job->team()].used -= r.need;
+  tiers_.Release(r.job->tier, r.need);
   r.job->ChangePresence(m.index(), -1, 0);
   r.need = {};
   r.holds = false;
--- a/core/controller/queue_order.h
+++ b/core/controller/queue_order.h
@@ -22,8 +22,12 @@
 
 // A job's place in the queue, least first; then by age, then by id.
 struct QueuePlace {
-  int rank = 0;    // by priority and guarantee
-  int group = 0;   // within the rank
+  int rank = 0;  // by priority and guarantee
+  // Of the operators, within the rank: a tier comes before another where
+  // neither job could stop the other. What was started against that would be
+  // stopped again at once.
+  int tier = 0;
+  int group = 0;   // within the tier
   double key = 0;  // within the group
   // It goes first since it has waited for long: an array then starts only as
   // much as shows that it has begun.
@@ -31,6 +35,7 @@
 
   bool Before(const QueuePlace& o) const {
     if (rank != o.rank) return rank < o.rank;
+    if (tier != o.tier) return tier < o.tier;
     if (group != o.group) return group < o.group;
     return key < o.key;
   }
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -89,6 +89,17 @@
     if (Placeable(*job, now, accounted)) order.push_back(job.get());
   }
   if (order.empty()) return;
+  std::vector<Machine*> usable;
+  std::vector<Machine*> alive;
+  for (auto& m : machines_) {
+    std::erase_if(m->reservations, [&](const Reservation& r) {
+      return now > r.until || !r.job->live() || Wanted(*r.job) == 0;
+    });
+    if (m->state() == MachineState::kGone) continue;
+    alive.push_back(m.get());
+    if (Usable(*m, now)) usable.push_back(m.get());
+  }
+  BeginTiers(order, usable, accounted, now);
   struct Entry {
     QueuePlace place;
     Job* job;
@@ -96,8 +107,11 @@
   std::vector<Entry> entries;
   entries.reserve(order.size());
   for (Job* job : order) {
-    entries.push_back(
-        {queue_order_.PlaceOf(*job, RunSeconds(job->spec()), now), job});
+    QueuePlace where = queue_order_.PlaceOf(*job, RunSeconds(job->spec()), now);
+    where.tier = tiers_.Order(*job, job->tier);
+    // What has waited for the rules' floor comes next after the best tier.
+    if (where.by_floor) where.tier = std::min(where.tier, 1);
+    entries.push_back({where, job});
   }
   std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
     if (a.place.Before(b.place)) return true;
@@ -107,25 +121,23 @@
     }
     return a.job->id() < b.job->id();
   });
-  std::vector<Machine*> usable;
-  std::vector<Machine*> alive;
-  for (auto& m : machines_) {
-    std::erase_if(m->reservations, [&](const Reservation& r) {
-      return now > r.until || !r.job->live() || Wanted(*r.job) == 0;
-    });
-    if (m->state() == MachineState::kGone) continue;
-    alive.push_back(m.get());
-    if (Usable(*m, now)) usable.push_back(m.get());
-  }
   const double bandwidth = MeanBandwidth(alive);
-  for (const Entry& entry : entries) {
+  const auto place = [&](const Entry& entry) {
     Job* job = entry.job;
+    if (!tiers_.MayStart(*job, job->tier)) return;
     if (job->spec().kind == JobKind::kGang) {
       PlaceGang(*job, entry.place, usable, bandwidth, now);
     } else {
       PlaceJob(*job, entry.place, usable, bandwidth, now);
     }
+  };
+  for (const Entry& entry : entries) place(entry);
+  // What the others have left is not left idle.
+  tiers_.OthersServed();
+  for (const Entry& entry : entries) {
+    if (over_share_.contains(entry.job)) place(entry);
   }
+  over_share_.clear();
   for (Machine* m : usable) Pump(*m, now);
 }
 
@@ -136,7 +148,7 @@
   std::vector<Machine*> fitting;
   for (Machine* m : usable) {
     if (spec.need.FitsIn(m->RoomFor(&job, spec.priority)) &&
-        Allowed(spec, *m, where)) {
+        Allowed(spec, *m, where) && TierAllows(job, *m)) {
       fitting.push_back(m);
     }
   }
@@ -164,6 +176,9 @@
   r.order = StartOrder::kQueued;
   r.started = now;
   m.idle_since = 0;
+  tiers_.Take(m.zone, spec.need);
+  tiers_.Started(job, job.tier, m.zone, spec.need,
+                 m.BytesToFetch(spec.image, spec.image_gb) > 0, now);
   m.QueueImage(spec.image, spec.image_gb, now);
   m.queue.push_back({OrderKind::kStart, spec.id, task, attempt, 0});
   Put(m, std::move(r), /*there=*/true);
@@ -233,6 +248,11 @@
       }
       return;
     }
+    if (!tiers_.MayStart(job, job.tier)) return;
+    if (!tiers_.WithinShare(job, job.tier, job.spec().need)) {
+      over_share_.insert(&job);
+      return;
+    }
     Machine* m = nullptr;
     if (job.spec().kind == JobKind::kService) {
       const auto place = FindReplicaPlace(job, usable, where, bandwidth, now);
@@ -256,7 +276,10 @@
     }
     for (uint32_t n = 0; n < here; ++n) {
       task = job.PeekPending();
-      if (task < 0 || !TeamAllows(job, 1) || !Allowed(job.spec(), *m, where)) {
+      if (task < 0 || !TeamAllows(job, 1) || !Allowed(job.spec(), *m, where) ||
+          !TierAllows(job, *m) ||
+          (n > 0 && (!tiers_.MayStart(job, job.tier) ||
+                     !tiers_.WithinShare(job, job.tier, job.spec().need)))) {
         break;
       }
       const uint64_t attempt = NextNumber();
@@ -288,6 +311,10 @@
     MakeTeamRoom(job, tasks, now);
     return;
   }
+  if (!tiers_.WithinShare(job, job.tier, spec.need * tasks)) {
+    over_share_.insert(&job);
+    return;
+  }
   std::vector<std::string> zones;
   if (spec.one_zone) {
     for (const Machine* m : usable) {
@@ -320,10 +347,14 @@
       // The gang starts with its slowest fetch.
       fetch = std::max(fetch, FetchSeconds(*m, spec, bandwidth));
       m->used += spec.need;
+      tiers_.Take(m->zone, spec.need);
       where.Add(m->zone, 1);
       chosen.push_back(m);
     }
-    for (Machine* m : chosen) m->used -= spec.need;
+    for (Machine* m : chosen) {
+      m->used -= spec.need;
+      tiers_.Give(m->zone, spec.need);
+    }
     if (chosen.size() == tasks && (best.empty() || fetch < best_fetch)) {
       best = std::move(chosen);
       best_fetch = fetch;
@@ -341,6 +372,7 @@
     job.PopPending();
     Start(job, static_cast<uint32_t>(task), *m, attempt, now);
   }
+  tiers_.TurnUsed(job, job.tier, now);
 }
 
 bool Controller::MayPreempt(const Job& job, const Resident& victim,
@@ -516,7 +548,7 @@
     for (Machine* m : usable) {
       if (!Allowed(spec, *m, where)) continue;
       if (auto option = PlanEmptying(job, *m, HeldFor(job, *m), now)) {
-        options.push_back(std::move(*option));
+        if (!TakesKept(job, *m, *option)) options.push_back(std::move(*option));
       }
     }
   }
@@ -563,6 +595,7 @@
     const Resources runs_off = m->total() - held - m->lasting;
     for (uint32_t n = 0; n < wanted; ++n, taken += spec.need) {
       if (auto plan = PlanEmptying(job, *m, taken, now)) {
+        if (TakesKept(job, *m, *plan)) break;
         slots.push_back({std::move(*plan), false});
       } else if (spec.need.FitsIn(runs_off - taken)) {
         slots.push_back({{m, m->used.cpus, {}}, true});
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -61,10 +61,12 @@
     if (a->spec().priority != b->spec().priority) {
       return a->spec().priority < b->spec().priority;
     }
+    if (a->tier != b->tier) return a->tier < b->tier;
     if (a->submitted() != b->submitted())
       return a->submitted() < b->submitted();
     return a->id() < b->id();
   });
+  SetKeptAside(input);
   for (const Job* job : waiting) {
     SupplyDemand demand;
     demand.spec = &job->spec();
--- /dev/null
+++ b/core/controller/tiers.cc
@@ -0,0 +1,122 @@
+// What the leader's picture says about tiers, and what they say to placement.
+
+#include <algorithm>
+
+#include "core/controller/controller.h"
+
+namespace oxbow {
+
+void Controller::UseTiers(std::shared_ptr<const TierSet> set) {
+  if (!tiers_.Use(std::move(set))) return;
+  tiers_.ForgetHeld();
+  for (auto& [id, job] : jobs_) {
+    job->tier = tiers_.Classify(job->spec());
+  }
+  for (const auto& m : machines_) {
+    for (const auto& [key, r] : m->residents) {
+      if (r.holds) tiers_.Hold(r.job->tier, r.need);
+    }
+  }
+  Log("tiers: " + std::to_string(tiers_.set().listed().size()) +
+      " in force besides the one for what is left over");
+  dirty_ = true;
+}
+
+void Controller::BeginTiers(const std::vector<Job*>& order,
+                            const std::vector<Machine*>& usable, bool accounted,
+                            Time now) {
+  over_share_.clear();
+  if (!tiers_.active()) return;
+  TierView view;
+  view.machines = usable.size();
+  for (const Machine* m : usable) {
+    view.total[m->zone] += m->total();
+    view.free[m->zone] += m->free();
+  }
+  for (const Job* job : order) {
+    view.waiting.push_back({job, job->tier, now - job->submitted(),
+                            job->placed() + job->done() > 0});
+  }
+  // Before each machine has been heard, nobody knows what is missing.
+  const double settled = 3 * settings_.workers.lease_s;
+  for (const auto& [id, job] : jobs_) {
+    if (!accounted || job->tier != 0 || !job->live() ||
+        job->spec().kind != JobKind::kService ||
+        now - job->submitted() < settled) {
+      continue;
+    }
+    view.best_wanted += job->placed() + Wanted(*job);
+    view.best_placed += job->placed();
+    view.best_running += job->running();
+  }
+  const RecoveryStep before = tiers_.recovery().step();
+  tiers_.Begin(view, now);
+  const RecoveryStep step = tiers_.recovery().step();
+  if (step == before) return;
+  if (step == RecoveryStep::kLoss) {
+    Log("tiers: many replicas of the best tier are lost, the others wait");
+  } else if (step == RecoveryStep::kNextTier) {
+    Log("tiers: the best tier has had its time, the others follow");
+  } else if (step == RecoveryStep::kRest) {
+    Log("tiers: all may start again");
+  }
+}
+
+bool Controller::TierAllows(const Job& job, const Machine& m) const {
+  const JobSpec& spec = job.spec();
+  if (tiers_.MayUse(job, job.tier, m.zone, spec.need,
+                    m.BytesToFetch(spec.image, spec.image_gb) > 0)) {
+    return true;
+  }
+  // Room that was made for the job by stopping others is its own: refused here,
+  // they would have been stopped for nothing.
+  return spec.need.FitsIn(HeldFor(job, m));
+}
+
+bool Controller::TakesKept(const Job& job, const Machine& m,
+                           const Emptying& plan) const {
+  const JobSpec& spec = job.spec();
+  return plan.victims.empty() && spec.need.FitsIn(m.free()) &&
+         !TierAllows(job, m);
+}
+
+void Controller::SurveyTiers() {
+  if (!tiers_.active()) return;
+  for (size_t place = 0; place < tiers_.set().size(); ++place) {
+    const auto tier = static_cast<uint8_t>(place);
+    if (!tiers_.Keeps(tier)) continue;
+    std::map<int32_t, Resources> by_machine;
+    for (const auto& [id, job] : jobs_) {
+      if (job->tier != tier) continue;
+      for (const auto& [index, presence] : job->presence()) {
+        by_machine[index] += job->spec().need * presence.holding;
+      }
+    }
+    std::map<std::string, TierHolding> where;
+    for (const auto& [index, held] : by_machine) {
+      TierHolding& holding = where[machines_[static_cast<size_t>(index)]->zone];
+      holding.in_zone += held;
+      holding.on_one_machine = Larger(holding.on_one_machine, held);
+    }
+    tiers_.Survey(tier, where);
+  }
+}
+
+void Controller::SetKeptAside(SupplyInput& input) const {
+  if (!tiers_.active()) return;
+  uint8_t last = 0;
+  for (const auto& [id, job] : jobs_) {
+    if (job->live() && job->unplaced() > 0) last = std::max(last, job->tier);
+  }
+  std::map<std::string, Resources> kept;
+  for (SupplyRoom& room : input.rooms) {
+    const auto [it, first] = kept.try_emplace(room.kind.zone);
+    if (first) it->second = tiers_.KeptAgainst(last, room.kind.zone);
+    const Resources aside =
+        Smaller(Larger(it->second, {}), Larger(room.free, {}));
+    room.free -= aside;
+    it->second -= aside;
+  }
+}
+
+}  // namespace oxbow
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -141,6 +141,8 @@
   double rollout_check_share = 0.05;
   // Processor time for them, as a share of this controller's.
   double rollout_cpu_share = 0.15;
+  // Whether the operators' priority tiers are followed; 0: no.
+  double tiers = 0;
 };
 
 // Two steady clocks may drift apart by 0.05%; twice that is allowed for.
--- a/core/tiers/recovery.cc
+++ b/core/tiers/recovery.cc
@@ -38,7 +38,9 @@
   CheckedChange(step_, next, kChanges, "recovery");
   since_ = now;
   if (next == kLoss) released_ = 0;
-  if (next == kRest) rest_until_ = now + (now - held_since_);
+  if (next == kRest) {
+    rest_until_ = now + std::min(now - held_since_, limits_.LongestWait());
+  }
 }
 
 bool Recovery::Missing(const RecoveryView& view) const {
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -8,6 +8,7 @@
 
 #include "tests/sim.h"
 #include "wire/names.h"
+#include "wire/tiers_json.h"
 
 namespace oxbow::test {
 namespace {
@@ -92,6 +93,8 @@
         sim_.tuning.rollouts_at_once = std::stod(word);
       } else if (name == "give_up_ratio") {
         sim_.tuning.give_up_ratio = std::stod(word);
+      } else if (name == "tiers") {
+        sim_.tuning.tiers = std::stod(word);
       } else if (name == "silent_share") {
         sim_.tuning.silent_share = std::stod(word);
       } else {
@@ -179,6 +182,20 @@
         w.notice = seconds;
       } else
         FAIL() << "unknown fault";
+    } else if (verb == "tier") {
+      // tier NAME RANK [class=A,B] [team=..] [kept=S] [most=S] [floor=S]
+      ReadTier(words);
+    } else if (verb == "tiers") {
+      // tiers set | bad | lost | withdrawn
+      words >> word;
+      if (word == "lost") {
+        sim_.RecordTiers(std::nullopt);
+      } else {
+        sim_.RecordTiers(Sim::TiersRecord{
+            word == "bad" ? "{\"tiers\":[" : wire::WriteTiers(tiers_),
+            word == "withdrawn"});
+      }
+      tiers_.clear();
     } else if (verb == "rollout") {
       sim_.Declare(ReadRollout(words));
     } else if (verb == "wish") {
@@ -266,6 +283,25 @@
     return spec;
   }
 
+  void ReadTier(std::istringstream& words) {
+    Tier tier;
+    words >> tier.name >> tier.rank;
+    const Options o = ReadOptions(words);
+    const auto list = [&](const char* key, std::vector<std::string>* out) {
+      if (!o.contains(key)) return;
+      std::istringstream names(o.at(key));
+      for (std::string name; std::getline(names, name, ',');) {
+        out->push_back(name);
+      }
+    };
+    list("class", &tier.match.classes);
+    list("team", &tier.match.teams);
+    tier.kept_share = Number(o, "kept", 0);
+    tier.most_share = Number(o, "most", 1);
+    tier.floor_s = Number(o, "floor", 0);
+    tiers_.push_back(tier);
+  }
+
   void Submit(std::istringstream& words) {
     JobSpec spec;
     std::string kind;
@@ -315,6 +351,21 @@
           << record->reason;
       return;
     }
+    if (what == "tiers") {  // built-in | recorded | last-known
+      words >> name;
+      const TierSource source = sim_.tiers_in_force().source();
+      EXPECT_EQ(source == TierSource::kBuiltIn    ? "built-in"
+                : source == TierSource::kRecorded ? "recorded"
+                                                  : "last-known",
+                name);
+      return;
+    }
+    if (what == "others-wait") {  // yes | no: for the best tier
+      ASSERT_NE(sim_.leader(), nullptr);
+      words >> name;
+      EXPECT_EQ(sim_.leader()->tiers().recovery().holds(), name == "yes");
+      return;
+    }
     if (what == "leading") {
       words >> name;
       EXPECT_NE(sim_.leader(), nullptr);
@@ -340,6 +391,10 @@
     if (what == "running") {
       words >> name;
       actual = sim_.CountRunning(name);
+    } else if (what == "tier-of") {  // its place in the order of ranks
+      words >> name;
+      ASSERT_NE(sim_.leader(), nullptr);
+      actual = sim_.leader()->jobs().at(name)->tier;
     } else if (what == "present") {
       words >> name;
       actual = sim_.CountPresent(name);
@@ -373,6 +428,7 @@
   }
 
   Sim sim_;
+  std::vector<Tier> tiers_;
   int expectations_ = 0;
   bool broken_expected_ = false;
 };
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "wire/tiers_json.h"
+
 namespace oxbow::test {
 namespace {
 
@@ -120,6 +122,8 @@
   catalog_.Followed(revision_);
   leader_ = std::make_unique<Controller>(settings, tuning, catalog_, revision_,
                                          now_, 1e6, 7, RecordedKeepers());
+  FollowTiers();
+  leader_->UseTiers(tiers_in_force_[leading_].set());
   std::vector<MachineType> all;
   for (const auto& [name, type] : types) all.push_back(type);
   leader_->OnTypes(all);
@@ -140,6 +144,45 @@
   }
 }
 
+void Sim::RecordTiers(std::optional<TiersRecord> record) {
+  tiers_record_ = std::move(record);
+  ++tiers_version_;
+  const std::string key = keys::Of(keys::kOperator, wire::kTiersRecord);
+  if (tiers_record_) {
+    tiers_record_->version = tiers_version_;
+    store_[key] = {OperatorRecord{"tiers", tiers_record_->text, tiers_version_,
+                                  "", "", 0, tiers_record_->withdrawn, 0},
+                   ++revision_};
+  } else {
+    store_.erase(key);
+    ++revision_;
+  }
+  news_.emplace_back(key, revision_);
+}
+
+void Sim::FollowTiers() {
+  if (state_down) return;
+  controllers_[leading_];
+  for (const auto& [name, node] : controllers_) {
+    const bool leads = name == leading_;
+    if (node.gone || node.no_state || tiers_seen_[name] == tiers_version_ ||
+        (leads && now_ < stalled_until_)) {
+      continue;
+    }
+    tiers_seen_[name] = tiers_version_;
+    TiersInForce& in_force = tiers_in_force_[name];
+    if (!tiers_record_) {
+      in_force.OnNoRecord();
+    } else if (tiers_record_->withdrawn) {
+      in_force.OnWithdrawn();
+    } else {
+      wire::TakeTiers(tiers_record_->text, tiers_record_->version,
+                      TierBounds::From(settings), &in_force);
+    }
+    if (leads && leader_) leader_->UseTiers(in_force.set());
+  }
+}
+
 void Sim::Declare(const RolloutSpec& spec) {
   RolloutRecord record;
   record.spec = std::make_shared<RolloutSpec>(spec);
@@ -166,6 +209,7 @@
 }
 
 void Sim::Watch() {
+  FollowTiers();
   if (!leader_ || state_down || now_ < stalled_until_) return;
   const auto news = std::exchange(news_, {});
   for (const auto& [key, revision] : news) {
@@ -977,6 +1021,7 @@
   const auto same = [](const Resources& a, const Resources& b) {
     return a.FitsIn(b) && b.FitsIn(a);
   };
+  std::vector<Resources> by_tier(leader_->tiers().set().size());
   for (const auto& m : leader_->machines()) {
     Resources used;
     Resources staying;
@@ -991,6 +1036,7 @@
       ++here.holding;
       const Resources& need = r.job->spec().need;
       used += need;
+      by_tier.at(r.job->tier) += need;
       used_by[static_cast<size_t>(r.job->spec().priority)] += need;
       if (r.stopping) leaving += need;
       const JobKind kind = r.job->spec().kind;
@@ -1003,6 +1049,12 @@
       Break("sums of " + m->host());
     }
   }
+  for (size_t place = 0; place < by_tier.size(); ++place) {
+    if (!same(by_tier[place],
+              leader_->tiers().held(static_cast<uint8_t>(place)))) {
+      Break("what tier " + std::to_string(place) + " holds");
+    }
+  }
   for (const auto& [id, job] : leader_->jobs()) {
     int holding = 0;
     const auto& fresh = jobs[job.get()];
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/controller/controller.h"
+#include "core/tiers/tiers.h"
 
 namespace oxbow::test {
 
@@ -155,6 +156,16 @@
   void CancelJob(const std::string& id);
   void Run(double seconds);
 
+  // The record of the tiers, as operators leave it in the state service;
+  // absent: there is none.
+  struct TiersRecord {
+    std::string text;
+    bool withdrawn = false;
+    uint64_t version = 0;
+  };
+  void RecordTiers(std::optional<TiersRecord> record);
+  const TiersInForce& tiers_in_force() { return tiers_in_force_[leading_]; }
+
   // A user declares a roll-out, or asks for something about it.
   void Declare(const RolloutSpec& spec);
   void Wish(const std::string& id, RolloutWish wish);
@@ -227,6 +238,8 @@
   // The one that goes for the free key first.
   void Succeed(const std::string& name);
   SimController& LeaderNode() { return controllers_[leading_]; }
+  // Every controller that reaches the state service follows the record.
+  void FollowTiers();
   bool Well(const SimTask& t) const;
   void CheckRules();
   // The leader's indices against a fresh count of what they stand for.
@@ -242,6 +255,10 @@
   std::unique_ptr<Controller> leader_;
   std::string leading_ = "a";
   std::map<std::string, SimController> controllers_;
+  std::optional<TiersRecord> tiers_record_;
+  uint64_t tiers_version_ = 0;
+  std::map<std::string, TiersInForce> tiers_in_force_;
+  std::map<std::string, uint64_t> tiers_seen_;
   std::vector<Time> handed_over_;  // within a lease
   Time fit_at_ = 100;
   std::map<std::string, SimWorker> workers_;
