--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "wire/tiers_json.h"
+
 namespace oxbow::test {
 namespace {
 
@@ -125,6 +127,8 @@
   }
   leader_ = std::make_unique<Controller>(settings, tuning, catalog_, revision_,
                                          now_, 1e6, 7, RecordedKeepers());
+  FollowTiers();
+  leader_->UseTiers(tiers_in_force_[leading_].set());
   std::vector<MachineType> all;
   for (const auto& [name, type] : types) all.push_back(type);
   leader_->OnTypes(all);
@@ -145,6 +149,45 @@
   }
 }
 
+void Sim::RecordTiers(std::optional<TiersRecord> record) {
+  tiers_record_ = std::move(record);
+  ++tiers_version_;
+  const std::string key = keys::Of(keys::kOperator, wire::kTiersRecord);
+  if (tiers_record_) {
+    tiers_record_->version = tiers_version_;
+    store_[key] = {OperatorRecord{"tiers", tiers_record_->text, tiers_version_,
+                                  "", "", 0, tiers_record_->withdrawn, 0},
+                   ++revision_};
+  } else {
+    store_.erase(key);
+    ++revision_;
+  }
+  news_.emplace_back(key, revision_);
+}
+
+void Sim::FollowTiers() {
+  if (state_down) return;
+  controllers_[leading_];
+  for (const auto& [name, node] : controllers_) {
+    const bool leads = name == leading_;
+    if (node.gone || node.no_state || tiers_seen_[name] == tiers_version_ ||
+        (leads && now_ < stalled_until_)) {
+      continue;
+    }
+    tiers_seen_[name] = tiers_version_;
+    TiersInForce& in_force = tiers_in_force_[name];
+    if (!tiers_record_) {
+      in_force.OnNoRecord();
+    } else if (tiers_record_->withdrawn) {
+      in_force.OnWithdrawn();
+    } else {
+      wire::TakeTiers(tiers_record_->text, tiers_record_->version,
+                      TierBounds::From(settings), &in_force);
+    }
+    if (leads && leader_) leader_->UseTiers(in_force.set());
+  }
+}
+
 void Sim::Declare(const RolloutSpec& spec) {
   RolloutRecord record;
   record.spec = std::make_shared<RolloutSpec>(spec);
@@ -264,6 +307,7 @@
                    [](const Later& a, const Later& b) { return a.at < b.at; });
   for (Later& l : due) l.what();
   if (tuning.rollouts_at_once > 0) Watch();
+  if (tuning.tiers > 0) FollowTiers();
   AskForZones();
   for (auto& [host, w] : workers_) AdvanceWorker(w);
   if (leader_ && now_ >= stalled_until_) {
@@ -1036,6 +1080,7 @@
   const auto same = [](const Resources& a, const Resources& b) {
     return a.FitsIn(b) && b.FitsIn(a);
   };
+  std::vector<Resources> by_tier(leader_->tiers().set().size());
   for (const auto& m : leader_->machines()) {
     Resources used;
     Resources staying;
@@ -1050,6 +1095,7 @@
       ++here.holding;
       const Resources& need = r.job->spec().need;
       used += need;
+      by_tier.at(r.job->tier) += need;
       used_by[static_cast<size_t>(r.job->spec().priority)] += need;
       if (r.stopping) leaving += need;
       const JobKind kind = r.job->spec().kind;
@@ -1062,6 +1108,12 @@
       Break("sums of " + m->host());
     }
   }
+  for (size_t place = 0; place < by_tier.size(); ++place) {
+    if (!same(by_tier[place],
+              leader_->tiers().held(static_cast<uint8_t>(place)))) {
+      Break("what tier " + std::to_string(place) + " holds");
+    }
+  }
   for (const auto& [id, job] : leader_->jobs()) {
     int holding = 0;
     const auto& fresh = jobs[job.get()];
