Calendar: bookings, what may start by them, times out of rules and zones

Operators want heavy work kept out of peak hours by whoever leads. Bookings are records with their times worked out in UTC; core/calendar answers whether work may start now from an interval of true time, and what is to become of work that runs past its chance.

--- /dev/null
+++ b/app/recurrence.cc
@@ -0,0 +1,212 @@
+#include "app/recurrence.h"
+
+#include <date/date.h>
+#include <date/tz.h>
+#include <libical/ical.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace oxbow::app {
+namespace {
+
+using Local = date::local_seconds;
+
+// Steps of the iterator, those before the horizon included.
+constexpr int kMostSteps = 20'000;
+
+std::optional<Local> ParseLocal(const std::string& text) {
+  std::istringstream in(text);
+  Local out;
+  in >> date::parse("%Y-%m-%dT%H:%M:%S", out);
+  // A text that goes on was meant otherwise: with an offset, perhaps.
+  if (in.fail() || in.peek() != std::istringstream::traits_type::eof()) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+icaltimetype ToIcal(Local at) {
+  const auto day = date::floor<date::days>(at);
+  const date::year_month_day date(day);
+  const date::hh_mm_ss time(at - day);
+  icaltimetype out = icaltime_null_time();
+  out.year = static_cast<int>(date.year());
+  out.month = static_cast<int>(static_cast<unsigned>(date.month()));
+  out.day = static_cast<int>(static_cast<unsigned>(date.day()));
+  out.hour = static_cast<int>(time.hours().count());
+  out.minute = static_cast<int>(time.minutes().count());
+  out.second = static_cast<int>(time.seconds().count());
+  return out;
+}
+
+Local FromIcal(const icaltimetype& t) {
+  const date::year_month_day date(date::year(t.year),
+                                  date::month(static_cast<unsigned>(t.month)),
+                                  date::day(static_cast<unsigned>(t.day)));
+  return date::local_days(date) + std::chrono::hours(t.hour) +
+         std::chrono::minutes(t.minute) + std::chrono::seconds(t.second);
+}
+
+double ToUtc(const date::time_zone& zone, Local at, date::choose choice) {
+  // An hour that is missing is the moment at which it is skipped.
+  return static_cast<double>(
+      zone.to_sys(at, choice).time_since_epoch().count());
+}
+
+struct FreeIterator {
+  void operator()(icalrecur_iterator* i) const { icalrecur_iterator_free(i); }
+};
+
+using Iterator = std::unique_ptr<icalrecur_iterator, FreeIterator>;
+
+// Whether its days ever come: hour by hour the library looks for them twenty
+// times as long.
+bool MayMatch(icalrecurrencetype rule, Local first) {
+  if (rule.freq == ICAL_HOURLY_RECURRENCE) {
+    rule.freq = ICAL_DAILY_RECURRENCE;
+    rule.count = 0;
+    rule.interval = 1;
+    rule.by_hour[0] = rule.by_minute[0] = rule.by_second[0] =
+        rule.by_set_pos[0] = ICAL_RECURRENCE_ARRAY_MAX;
+  }
+  // The library takes some such rules, and no others, for malformed.
+  const Iterator days(icalrecur_iterator_new(rule, ToIcal(first)));
+  return days && !icaltime_is_null_time(icalrecur_iterator_next(days.get()));
+}
+
+class Expansion {
+ public:
+  Expansion(const Horizon& horizon, Booking* booking)
+      : horizon_(horizon), booking_(*booking) {}
+
+  std::string Run() {
+    booking_.times.clear();
+    booking_.known_until = 0;
+    try {
+      zone_ = date::locate_zone(booking_.zone);
+    } catch (const std::exception&) {
+      return "zone: " + booking_.zone + " is not known here";
+    }
+    const auto first = ParseLocal(booking_.starts);
+    if (!first) {
+      return "starts: " + booking_.starts +
+             " is not like 2026-12-02T01:00:00, local time";
+    }
+    for (const std::string& text : booking_.except) {
+      const auto at = ParseLocal(text);
+      if (!at) return "except: " + text + " is not like 2026-12-02T01:00:00";
+      except_.insert(*at);
+    }
+    if (booking_.rule.empty()) {
+      Add(*first);
+      return booking_.times.empty() && !past_
+                 ? "starts: " + booking_.starts + " does not exist in " +
+                       booking_.zone
+                 : std::string();
+    }
+    return Recur(*first);
+  }
+
+ private:
+  // In doubt a window is the shorter of two, a peak the longer.
+  UtcInterval Of(Local from) const {
+    const bool window = booking_.kind == BookingKind::kWindow;
+    const auto length =
+        std::chrono::seconds(static_cast<int64_t>(booking_.length_s));
+    return {ToUtc(*zone_, from,
+                  window ? date::choose::latest : date::choose::earliest),
+            ToUtc(*zone_, from + length,
+                  window ? date::choose::earliest : date::choose::latest)};
+  }
+
+  void Add(Local from) {
+    const UtcInterval t = Of(from);
+    if (!(t.from < t.to)) return;  // all of it in a missing hour
+    if (t.to <= horizon_.from) {
+      past_ = true;
+      return;
+    }
+    std::vector<UtcInterval>& times = booking_.times;
+    if (!times.empty() && t.from <= times.back().to) {
+      times.back().to = std::max(times.back().to, t.to);
+    } else {
+      times.push_back(t);
+    }
+  }
+
+  std::string Recur(Local first) {
+    // What repeats more often would be told by millions of times, and the
+    // library looks for a moment that never comes second by second.
+    const icalrecurrencetype rule =
+        icalrecurrencetype_from_string(booking_.rule.c_str());
+    if (rule.freq == ICAL_NO_RECURRENCE) {
+      return "rule: " + booking_.rule + " is no RRULE";
+    }
+    if (rule.freq == ICAL_SECONDLY_RECURRENCE ||
+        rule.freq == ICAL_MINUTELY_RECURRENCE) {
+      return "rule: " + booking_.rule + " repeats more often than HOURLY";
+    }
+    if (!MayMatch(rule, first)) {
+      return "rule: " + booking_.rule + " never matches";
+    }
+    const Iterator next(icalrecur_iterator_new(rule, ToIcal(first)));
+    if (!next) return "rule: " + booking_.rule + " can't be followed";
+    // Far behind its beginning, the steps up to now are skipped; a count has
+    // to be counted.
+    const Local now{std::chrono::seconds(static_cast<int64_t>(horizon_.from))};
+    const auto back =
+        std::chrono::seconds(static_cast<int64_t>(booking_.length_s)) +
+        date::days(2);
+    if (rule.count == 0 && first < now - back) {
+      icalrecur_iterator_set_start(next.get(), ToIcal(now - back));
+    }
+    const double end = horizon_.from + horizon_.length;
+    for (int steps = 0; steps < kMostSteps; ++steps) {
+      const icaltimetype t = icalrecur_iterator_next(next.get());
+      if (icaltime_is_null_time(t)) {
+        return booking_.times.empty() && !past_
+                   ? "rule: " + booking_.rule + " never matches"
+                   : std::string();
+      }
+      const Local at = FromIcal(t);
+      if (at < first || except_.contains(at)) continue;
+      const double from = Of(at).from;
+      std::vector<UtcInterval>& times = booking_.times;
+      const bool past_end = from > end && !times.empty();
+      const bool touches = !times.empty() && from <= times.back().to;
+      if (past_end || (times.size() >= horizon_.most && !touches)) {
+        times.back().to = std::min(times.back().to, from);
+        booking_.known_until = from;
+        return {};
+      }
+      Add(at);
+    }
+    return "rule: " + booking_.rule + " does not come to an end within " +
+           std::to_string(kMostSteps) + " steps";
+  }
+
+  const Horizon& horizon_;
+  Booking& booking_;
+  const date::time_zone* zone_ = nullptr;
+  std::set<Local> except_;
+  bool past_ = false;  // some time was left out since it is over
+};
+
+}  // namespace
+
+std::string WorkOutTimes(const Horizon& horizon, Booking* booking) {
+  return Expansion(horizon, booking).Run();
+}
+
+extern "C" __attribute__((visibility("default"))) void oxbow_work_out_times(
+    const Horizon* horizon, Booking* booking, std::string* wrong) {
+  *wrong = WorkOutTimes(*horizon, booking);
+}
+
+}  // namespace oxbow::app
--- /dev/null
+++ b/app/recurrence.h
@@ -0,0 +1,26 @@
+// Works out the times of a booking from its rule and its time zone: the one
+// place that uses the libraries for them. The command line alone needs it, so
+// it stands in a module of its own that the controllers never load.
+#pragma once
+
+#include <string>
+
+#include "core/calendar/booking.h"
+
+namespace oxbow::app {
+
+struct Horizon {
+  double from = 0;    // what ends before it is left out, s since 1970
+  double length = 0;  // s; a rule that has no time in it gets its next one
+  size_t most = 0;    // times
+};
+
+// Fills `times` and `known_until`; returns what is wrong with the rule, in one
+// line that names the value, or nothing.
+std::string WorkOutTimes(const Horizon& horizon, Booking* booking);
+
+// The name and the form under which the module offers it.
+inline constexpr char kWorkOutTimes[] = "oxbow_work_out_times";
+using WorkOutTimesCall = void (*)(const Horizon*, Booking*, std::string*);
+
+}  // namespace oxbow::app
--- /dev/null
+++ b/tests/calendar_test.cc
@@ -0,0 +1,339 @@
+// The calendar: times out of rules, what may be booked, and what may start.
+
+#include "core/calendar/calendar.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "app/recurrence.h"
+#include "core/calendar/check.h"
+#include "wire/calendar_json.h"
+
+namespace oxbow::test {
+namespace {
+
+constexpr double kDay = 86400;
+constexpr double kHour = 3600;
+// 2026-03-01T00:00:00Z
+constexpr double kMarch = 1772323200;
+
+Booking Rule(BookingKind kind, const std::string& zone,
+             const std::string& starts, double length,
+             const std::string& rule) {
+  Booking b;
+  b.id = "b";
+  b.kind = kind;
+  b.zone = zone;
+  b.starts = starts;
+  b.length_s = length;
+  b.rule = rule;
+  return b;
+}
+
+std::string Expand(Booking& b, double from = kMarch, double length = 300 * kDay,
+                   size_t most = 300) {
+  return app::WorkOutTimes({from, length, most}, &b);
+}
+
+TEST(Recurrence, DaysOfTwentyThreeAndTwentyFiveHours) {
+  // Berlin: 29 March 2026 has 23 hours, 25 October has 25.
+  Booking b = Rule(BookingKind::kWindow, "Europe/Berlin", "2026-03-28T00:00:00",
+                   kDay, "FREQ=DAILY;COUNT=3");
+  ASSERT_EQ(Expand(b), "");
+  // They touch, so they are one: 71 hours.
+  ASSERT_EQ(b.times.size(), 1U);
+  EXPECT_EQ(b.times[0].length(), 71 * kHour);
+  b = Rule(BookingKind::kPeak, "Europe/Berlin", "2026-10-24T22:00:00",
+           8 * kHour, "FREQ=DAILY;COUNT=2");
+  ASSERT_EQ(Expand(b), "");
+  ASSERT_EQ(b.times.size(), 2U);
+  EXPECT_EQ(b.times[0].length(), 9 * kHour);
+  EXPECT_EQ(b.times[1].length(), 8 * kHour);
+  EXPECT_EQ(b.known_until, 0);
+}
+
+TEST(Recurrence, MissingAndDoubledHour) {
+  // 02:00 to 03:00 is missing on 29 March: nothing is left of the window.
+  Booking b = Rule(BookingKind::kWindow, "Europe/Berlin", "2026-03-28T02:00:00",
+                   kHour, "FREQ=DAILY;COUNT=3");
+  ASSERT_EQ(Expand(b), "");
+  EXPECT_EQ(b.times.size(), 2U);
+  // The doubled one on 25 October: a window is the second, a peak is both.
+  b = Rule(BookingKind::kWindow, "Europe/Berlin", "2026-10-25T02:00:00", kHour,
+           "");
+  ASSERT_EQ(Expand(b), "");
+  const double second = b.times.at(0).from;
+  EXPECT_EQ(b.times[0].length(), kHour);
+  b.kind = BookingKind::kPeak;
+  ASSERT_EQ(Expand(b), "");
+  EXPECT_EQ(b.times.at(0).from, second - kHour);
+  EXPECT_EQ(b.times[0].length(), 2 * kHour);
+}
+
+TEST(Recurrence, LeapDayIsFoundYearsAhead) {
+  Booking b =
+      Rule(BookingKind::kWindow, "America/Jamaica", "2024-02-29T01:00:00",
+           kHour, "FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=29");
+  ASSERT_EQ(Expand(b), "");
+  ASSERT_EQ(b.times.size(), 1U);
+  EXPECT_EQ(b.times[0].from, 1835416800);  // 2028-02-29T06:00:00Z
+  EXPECT_GT(b.known_until, b.times[0].to + 3 * 365 * kDay);
+}
+
+TEST(Recurrence, ExceptionsAreLeftOut) {
+  Booking b = Rule(BookingKind::kWindow, "UTC", "2026-03-02T00:00:00", kHour,
+                   "FREQ=DAILY;COUNT=4");
+  b.except = {"2026-03-03T00:00:00"};
+  ASSERT_EQ(Expand(b), "");
+  ASSERT_EQ(b.times.size(), 3U);
+  EXPECT_EQ(b.times[1].from - b.times[0].from, 2 * kDay);
+}
+
+TEST(Recurrence, WhatCannotBeFollowedIsRefusedByName) {
+  const auto wrong = [](const std::string& rule) {
+    Booking b =
+        Rule(BookingKind::kWindow, "UTC", "2026-03-02T00:00:00", kHour, rule);
+    return Expand(b);
+  };
+  EXPECT_NE(wrong("FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30").find("never matches"),
+            std::string::npos);
+  EXPECT_NE(wrong("FREQ=HOURLY;BYMONTH=2;BYMONTHDAY=30").find("never matches"),
+            std::string::npos);
+  EXPECT_NE(wrong("FREQ=SECONDLY").find("HOURLY"), std::string::npos);
+  EXPECT_NE(wrong("nightly").find("no RRULE"), std::string::npos);
+  Booking b = Rule(BookingKind::kWindow, "Mars/Olympus", "2026-03-02T00:00:00",
+                   kHour, "");
+  EXPECT_EQ(Expand(b), "zone: Mars/Olympus is not known here");
+  b = Rule(BookingKind::kWindow, "UTC", "2026-03-02T00:00:00+02", kHour, "");
+  EXPECT_NE(Expand(b).find("starts"), std::string::npos);
+}
+
+TEST(Recurrence, ARuleWithoutEndIsBounded) {
+  Booking b = Rule(BookingKind::kPeak, "UTC", "2020-01-01T00:00:00", kHour / 2,
+                   "FREQ=HOURLY");
+  ASSERT_EQ(Expand(b, kMarch, 4000 * kDay, 300), "");
+  EXPECT_EQ(b.times.size(), 300U);
+  EXPECT_EQ(b.known_until, b.times.back().from + kHour);
+  // One that leaves no gap is one stretch.
+  b.length_s = kHour;
+  ASSERT_EQ(Expand(b, kMarch, 10 * kDay, 300), "");
+  ASSERT_EQ(b.times.size(), 1U);
+  EXPECT_EQ(b.times[0].to, b.known_until);
+  const std::string text = wire::WriteBooking(b);
+  Booking again;
+  EXPECT_EQ(wire::ReadBooking("b", text, true, &again), "");
+}
+
+class CalendarRules : public testing::Test {
+ protected:
+  static constexpr double kLease = 10;
+  static constexpr double kBound = 0.025;
+
+  CalendarRules() : calendar_(kLease, kBound) {
+    spec_.id = "job-000001";
+    spec_.job_class = "rebuild";
+    spec_.team = "vision";
+    spec_.tasks = 10;
+    spec_.need = {8, 0, 1};
+  }
+  void Book(const std::string& id, BookingKind kind,
+            std::vector<UtcInterval> times,
+            Overrun overrun = Overrun::kHoldBack, double known_until = 0) {
+    Booking b;
+    b.id = id;
+    b.kind = kind;
+    b.work.cores_above = 64;
+    b.overrun = overrun;
+    b.times = std::move(times);
+    b.known_until = known_until;
+    calendar_.Take(b, ++version_, 0);
+  }
+  // The wall clock shows so much and is right by its bound.
+  Hold At(double wall, double run_s = 1) {
+    calendar_.Confirmed(0, 0);
+    calendar_.ReadWall({wall, 0, 0});
+    return calendar_.MayStart(spec_, "", run_s, 0).hold;
+  }
+
+  Calendar calendar_;
+  JobSpec spec_;
+  uint64_t version_ = 0;
+};
+
+TEST_F(CalendarRules, BothEdgesAreGuarded) {
+  Book("night", BookingKind::kWindow, {{1000, 2000}});
+  EXPECT_EQ(At(1000), Hold::kNoWindow);  // it may be 999.975
+  EXPECT_EQ(At(1000.03), Hold::kFree);
+  EXPECT_EQ(At(1995, 0), Hold::kFree);
+  // An answer that is carried out 4 s later would be past the end.
+  EXPECT_EQ(At(1995.98, 0), Hold::kNoWindow);
+  EXPECT_EQ(At(2100), Hold::kNoWindow);
+}
+
+TEST_F(CalendarRules, TheSteadyClockDriftsSinceTheLook) {
+  Book("noon", BookingKind::kPeak, {{5000, 6000}});
+  calendar_.Confirmed(3990, 3990);
+  calendar_.ReadWall({1002.5, 0, 0});
+  // 3,990 s later by a clock that may be a thousandth off.
+  EXPECT_EQ(calendar_.MayStart(spec_, "", 0, 3990).hold, Hold::kInPeak);
+  calendar_.ReadWall({4992.5, 3990, 3990});
+  EXPECT_EQ(calendar_.MayStart(spec_, "", 0, 3990).hold, Hold::kFree);
+  // A stall between the looks at the two clocks.
+  calendar_.ReadWall({4992.5, 3980, 3990});
+  EXPECT_EQ(calendar_.MayStart(spec_, "", 0, 3990).hold, Hold::kInPeak);
+}
+
+TEST_F(CalendarRules, OnlyWhatIsNamedIsHeld) {
+  Book("night", BookingKind::kWindow, {{1000, 2000}});
+  EXPECT_EQ(At(500), Hold::kNoWindow);
+  EXPECT_EQ(calendar_.MayStart(spec_, "", 1, 0).until, 1000);
+  spec_.tasks = 8;  // 64 cores, not above
+  EXPECT_EQ(At(500), Hold::kFree);
+  spec_.tasks = 10;
+  spec_.kind = JobKind::kService;
+  EXPECT_EQ(At(500), Hold::kFree);
+  spec_.kind = JobKind::kArray;
+  spec_.priority = Priority::kProduction;
+  EXPECT_EQ(At(500), Hold::kFree);
+}
+
+TEST_F(CalendarRules, WhatWontFitWaitsForAChanceThatIsLongEnough) {
+  Book("night", BookingKind::kWindow, {{1000, 1100}, {3000, 3400}});
+  EXPECT_EQ(At(1010, 50), Hold::kFree);      // 75 s with its slack
+  EXPECT_EQ(At(1010, 100), Hold::kWontFit);  // the next one is longer
+  EXPECT_EQ(calendar_.MayStart(spec_, "", 100, 0).until, 3000);
+  // Too long for any: in the first part of the longest.
+  EXPECT_EQ(At(1010, 1000), Hold::kWontFit);
+  EXPECT_EQ(At(3010, 1000), Hold::kFree);
+  EXPECT_EQ(At(3150, 1000), Hold::kWontFit);
+}
+
+TEST_F(CalendarRules, OverrunsGoAsTheBookingSays) {
+  Book("noon", BookingKind::kPeak, {{1000, 2000}}, Overrun::kRunOn);
+  EXPECT_EQ(At(900, 500), Hold::kFree);
+  Book("noon", BookingKind::kPeak, {{1000, 2000}}, Overrun::kSaveAndStop);
+  EXPECT_EQ(At(900, 500), Hold::kWontFit);  // it can't save
+  spec_.checkpoint_s = 10;
+  EXPECT_EQ(At(900, 500), Hold::kFree);
+  EXPECT_EQ(At(1001), Hold::kInPeak);
+  EXPECT_EQ(calendar_.Caught(spec_, "", 0), OverrunStep::kSaveAndStop);
+  spec_.checkpoint_s = 0;
+  EXPECT_EQ(calendar_.Caught(spec_, "", 0), OverrunStep::kTakeBack);
+  calendar_.ReadWall({900, 0, 0});
+  EXPECT_EQ(calendar_.Caught(spec_, "", 0), OverrunStep::kNone);
+}
+
+TEST_F(CalendarRules, PastTheKnownTimesNothingIsSurelyAllowed) {
+  Book("noon", BookingKind::kPeak, {{1000, 2000}}, Overrun::kRunOn, 5000);
+  EXPECT_EQ(At(4000), Hold::kFree);
+  EXPECT_EQ(At(5001), Hold::kHorizon);
+}
+
+TEST_F(CalendarRules, AnOldCalendarStartsNothingThatItNames) {
+  using enum CalendarStanding;
+  EXPECT_EQ(calendar_.standing(1e6), kNone);
+  Book("noon", BookingKind::kPeak, {{1e6, 2e6}});
+  EXPECT_EQ(At(1000), Hold::kFree);
+  EXPECT_EQ(calendar_.standing(kStaleLeases * kLease), kCurrent);
+  EXPECT_EQ(calendar_.standing(kTooOldLeases * kLease), kStale);
+  const double later = kTooOldLeases * kLease + 1;
+  EXPECT_EQ(calendar_.standing(later), kTooOld);
+  EXPECT_EQ(calendar_.MayStart(spec_, "", 1, later).hold, Hold::kTooOld);
+  spec_.tasks = 1;
+  EXPECT_EQ(calendar_.MayStart(spec_, "", 1, later).hold, Hold::kFree);
+}
+
+TEST_F(CalendarRules, AnOlderVersionIsNoNewsAndACancelledOneStaysGone) {
+  Book("noon", BookingKind::kPeak, {{1000, 2000}});
+  Booking old;
+  old.id = "noon";
+  calendar_.Take(old, 0, 0);
+  EXPECT_EQ(At(1500), Hold::kInPeak);
+  calendar_.Withdraw("noon", 2, 0);
+  EXPECT_EQ(At(1500), Hold::kFree);
+  version_ = 1;
+  Book("noon", BookingKind::kPeak, {{1000, 2000}});  // version 2 again
+  EXPECT_TRUE(calendar_.empty());
+}
+
+class BookingChecks : public testing::Test {
+ protected:
+  BookingChecks() {
+    settings_.workers.lease_s = 10;
+    settings_.clock_off_ms = 25;
+    Objective objective;
+    objective.job_class = "rebuild";
+    settings_.objectives.push_back(objective);
+    settings_.teams.push_back({"vision", 0, 200, 0, 16});
+    context_.settings = &settings_;
+    context_.wall = 1000;
+    context_.fleet = {1000, 100, 1000};
+    booking_.id = "night";
+    booking_.work.classes = {"rebuild"};
+    booking_.room_share = 0.5;
+    booking_.length_s = 1000;
+    booking_.times = {{2000, 3000}};
+  }
+  std::string Why() { return WhyNoBooking(booking_, context_); }
+  void ExpectsWord(const std::string& word) {
+    EXPECT_NE(Why().find(word), std::string::npos) << Why();
+  }
+
+  Settings settings_;
+  BookingContext context_;
+  Booking booking_;
+};
+
+TEST_F(BookingChecks, NamesTheValueThatIsWrong) {
+  EXPECT_EQ(Why(), "");
+  Booking other = booking_;
+  other.id = "other";
+  other.room_share = 0.6;
+  other.times = {{2500, 2600}};
+  context_.others = {other};
+  ExpectsWord("together with other");
+  other.kind = BookingKind::kPeak;
+  other.times = {{1900, 3100}};
+  context_.others = {other};
+  ExpectsWord("inside the peak other");
+  context_.others.clear();
+  context_.wall = 3500;
+  ExpectsWord("in the past");
+  context_.wall = 1930;
+  ExpectsWord("notice of 80.05 s");
+  context_.replaces = booking_;  // its time was known before
+  EXPECT_EQ(Why(), "");
+  context_.wall = 1000;
+  booking_.work.classes = {"rebuilt"};
+  ExpectsWord("class rebuilt is not known");
+  booking_.work.classes.clear();
+  ExpectsWord("names nothing");
+  booking_.work.teams = {"vision"};
+  ExpectsWord("over the teams' limit of 200");
+  booking_.room_share = 0.2;
+  EXPECT_EQ(Why(), "");
+  booking_.work.cores_above = 200;
+  ExpectsWord("not below the teams' limit of 200");
+  booking_.work.teams = {"visions"};
+  ExpectsWord("team visions is not known");
+}
+
+TEST(CalendarJson, ReadsBackWhatItWrote) {
+  Booking b = Rule(BookingKind::kPeak, "Europe/Berlin", "2026-03-28T08:00:00",
+                   kHour, "FREQ=DAILY");
+  b.work.teams = {"vision"};
+  b.work.accelerators_above = 8;
+  b.overrun = Overrun::kSaveAndStop;
+  ASSERT_EQ(Expand(b), "");
+  Booking again;
+  ASSERT_EQ(wire::ReadBooking("b", wire::WriteBooking(b), true, &again), "");
+  EXPECT_EQ(wire::WriteBooking(again), wire::WriteBooking(b));
+  EXPECT_EQ(again.times.size(), b.times.size());
+  EXPECT_EQ(wire::ReadBooking("a b", "{}", true, &again), "the id a b");
+  EXPECT_EQ(wire::ReadBooking("b", "{\"kind\":\"hour\"}", true, &again),
+            "field kind");
+}
+
+}  // namespace
+}  // namespace oxbow::test
--- /dev/null
+++ b/wire/calendar_json.cc
@@ -0,0 +1,182 @@
+#include "wire/calendar_json.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cmath>
+
+#include "core/calendar/calendar.h"
+#include "wire/field_reader.h"
+#include "wire/json.h"
+#include "wire/names.h"
+
+namespace oxbow::wire {
+namespace {
+
+using BookingName = std::pair<BookingKind, std::string_view>;
+constexpr std::array kBookingKinds = {
+    BookingName{BookingKind::kWindow, "window"},
+    BookingName{BookingKind::kPeak, "peak"}};
+
+using OverrunName = std::pair<Overrun, std::string_view>;
+constexpr std::array kOverruns = {
+    OverrunName{Overrun::kRunOn, "run_on"},
+    OverrunName{Overrun::kSaveAndStop, "save_and_stop"},
+    OverrunName{Overrun::kHoldBack, "hold_back"}};
+
+constexpr size_t kMostNames = 32;
+constexpr size_t kMostExcept = 64;
+constexpr size_t kMostText = 512;
+constexpr double kLongest = 31 * 86400;     // s
+constexpr double kLastMoment = 4102444800;  // 2100: room for arithmetic
+
+std::string ReadNames(const rapidjson::Value& value, const char* key,
+                      size_t most, std::vector<std::string>* out) {
+  FieldReader read(value);
+  std::optional<std::vector<std::string>> names;
+  read.OptionalStrings(key, &names);
+  if (!read.error().empty()) return read.error();
+  if (!names) return {};
+  *out = std::move(*names);
+  const bool good =
+      out->size() <= most &&
+      std::all_of(out->begin(), out->end(), [](const std::string& name) {
+        return !name.empty() && name.size() <= 200;
+      });
+  return good ? std::string() : std::string("field ") + key;
+}
+
+std::string ReadWork(const rapidjson::Value& value, WorkRule* out) {
+  const auto* work = json::Find(value, "work");
+  if (work == nullptr || !work->IsObject()) return "field work";
+  std::string wrong = ReadNames(*work, "classes", kMostNames, &out->classes);
+  if (wrong.empty()) wrong = ReadNames(*work, "teams", kMostNames, &out->teams);
+  if (wrong.empty()) wrong = ReadNames(*work, "tiers", kMostNames, &out->tiers);
+  FieldReader read(*work);
+  read.AmountIfGiven("cores_above", 0, &out->cores_above);
+  read.AmountIfGiven("accelerators_above", 0, &out->accelerators_above);
+  if (wrong.empty()) wrong = read.error();
+  return wrong.empty() ? wrong : "work, " + wrong;
+}
+
+// Pairs of begin and length, s.
+std::string ReadTimes(const rapidjson::Value& value, Booking* out) {
+  const auto* times = json::Find(value, "times");
+  if (times == nullptr || !times->IsArray() || times->Size() > kMostTimes) {
+    return "field times";
+  }
+  for (const auto& pair : times->GetArray()) {
+    if (!pair.IsArray() || pair.Size() != 2 || !pair[0].IsNumber() ||
+        !pair[1].IsNumber()) {
+      return "field times";
+    }
+    const double from = pair[0].GetDouble();
+    const double length = pair[1].GetDouble();
+    if (!(from >= 0 && from < kLastMoment && length > 0 &&
+          length < kLastMoment)) {
+      return "field times";
+    }
+    if (!out->times.empty() && from < out->times.back().to) {
+      return "field times";
+    }
+    out->times.push_back({from, from + length});
+  }
+  FieldReader read(value);
+  read.AmountIfGiven("known_until", 0, &out->known_until);
+  return read.error();
+}
+
+void WriteNames(json::Writer& w, const char* key,
+                const std::vector<std::string>& names) {
+  if (names.empty()) return;
+  w.Key(key);
+  w.StartArray();
+  for (const std::string& name : names) json::String(w, name);
+  w.EndArray();
+}
+
+}  // namespace
+
+bool ValidBookingId(std::string_view id) {
+  constexpr size_t kMost = 60;
+  return !id.empty() && id.size() <= kMost &&
+         std::all_of(id.begin(), id.end(), [](unsigned char c) {
+           return std::isalnum(c) || c == '.' || c == '-' || c == '_';
+         });
+}
+
+std::string ReadBooking(const std::string& id, const std::string& text,
+                        bool with_times, Booking* out) {
+  *out = {};
+  out->id = id;
+  if (!ValidBookingId(id)) return "the id " + id.substr(0, 80);
+  rapidjson::Document doc;
+  if (!json::Parse(text, &doc)) return "not JSON";
+  if (!doc.IsObject()) return "not an object";
+  FieldReader read(doc);
+  read.Word("kind", kBookingKinds, &out->kind);
+  if (json::Find(doc, "overrun") != nullptr) {
+    read.Word("overrun", kOverruns, &out->overrun);
+  }
+  read.AmountIfGiven("room", 0, &out->room_share);
+  read.String("zone", &out->zone);
+  read.String("starts", &out->starts);
+  read.StringIfGiven("rule", &out->rule);
+  read.Amount("length_s", 1, &out->length_s);
+  if (!read.error().empty()) return read.error();
+  if (out->length_s > kLongest) return "field length_s";
+  if (out->zone.size() > 80) return "field zone";
+  if (out->starts.size() > 30) return "field starts";
+  if (out->rule.size() > kMostText) return "field rule";
+  std::string wrong = ReadNames(doc, "except", kMostExcept, &out->except);
+  if (wrong.empty()) wrong = ReadWork(doc, &out->work);
+  if (wrong.empty() && with_times) wrong = ReadTimes(doc, out);
+  return wrong;
+}
+
+std::string WriteBooking(const Booking& booking) {
+  rapidjson::StringBuffer buffer;
+  json::Writer w(buffer);
+  w.StartObject();
+  json::Field(w, "kind", NameOf(kBookingKinds, booking.kind));
+  w.Key("work");
+  w.StartObject();
+  WriteNames(w, "classes", booking.work.classes);
+  WriteNames(w, "teams", booking.work.teams);
+  WriteNames(w, "tiers", booking.work.tiers);
+  if (booking.work.cores_above >= 0) {
+    w.Key("cores_above");
+    w.Double(booking.work.cores_above);
+  }
+  if (booking.work.accelerators_above >= 0) {
+    w.Key("accelerators_above");
+    w.Double(booking.work.accelerators_above);
+  }
+  w.EndObject();
+  w.Key("room");
+  w.Double(booking.room_share);
+  json::Field(w, "overrun", NameOf(kOverruns, booking.overrun));
+  json::Field(w, "zone", booking.zone);
+  json::Field(w, "starts", booking.starts);
+  if (!booking.rule.empty()) json::Field(w, "rule", booking.rule);
+  WriteNames(w, "except", booking.except);
+  w.Key("length_s");
+  w.Double(booking.length_s);
+  w.Key("times");
+  w.StartArray();
+  for (const UtcInterval& t : booking.times) {
+    w.StartArray();
+    w.Int64(std::llround(t.from));
+    w.Int64(std::llround(t.to) - std::llround(t.from));
+    w.EndArray();
+  }
+  w.EndArray();
+  if (booking.known_until > 0) {
+    w.Key("known_until");
+    w.Int64(std::llround(booking.known_until));
+  }
+  w.EndObject();
+  return json::Text(buffer);
+}
+
+}  // namespace oxbow::wire
--- /dev/null
+++ b/wire/calendar_json.h
@@ -0,0 +1,22 @@
+// Bookings of the calendar as operators write them and the records hold them.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core/calendar/booking.h"
+
+namespace oxbow::wire {
+
+inline constexpr std::string_view kCalendarPrefix = "calendar/";
+
+// 1 to 60 letters, digits, dots, dashes or underscores.
+bool ValidBookingId(std::string_view id);
+
+// Reads a booking; returns what is malformed, or nothing. A declaration has no
+// times yet, a record must have them.
+std::string ReadBooking(const std::string& id, const std::string& text,
+                        bool with_times, Booking* out);
+std::string WriteBooking(const Booking& booking);
+
+}  // namespace oxbow::wire
