--- a/tests/sim.h
+++ b/tests/sim.h
@@ -170,6 +170,7 @@
     bookings_.clear();
     rebuilt_at_ = now_ + seconds;
   }
+  bool rebuilding() const { return now_ < rebuilt_at_; }
   // True time, s since 1970.
   double true_wall() const { return now_ + kEpochOffset; }
   // An account of its own of starts that must not be, by true time: why the
