Calendar: the command, and what tells the leader of bookings and the clocks

oxbowbank calendar book, list, show, cancel, check, next, extend over the operators' records; a checker for the kind; the leader is shown the clocks before every event, and when the live records had last been read whole.

--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "app/calendar_desk.h"
+
 namespace oxbow::app {
 namespace {
 
@@ -69,6 +71,7 @@
     c.OnRolloutRecord(id, loop_.Now());
   });
   about(keys::kOperator, [this](Controller& c, const std::string& name) {
+    if (tuning_.calendar_on > 0) TellBooking(catalog_, name, c, loop_.Now());
     c.OnOperatorRecord(name, loop_.Now());
   });
 }
@@ -93,6 +96,10 @@
   controller_ =
       std::make_unique<Controller>(settings_, tuning_, catalog_, revision, now,
                                    net::WallNow() - now, revision, keepers);
+  if (tuning_.calendar_on > 0) {
+    TellBookings(catalog_, *controller_, now);
+    LookAtClocks();
+  }
   controller_->log_detail = spdlog::should_log(spdlog::level::debug);
   if (!follower_.types().empty()) {
     std::vector<MachineType> types;
@@ -109,6 +116,7 @@
   // seconds ago; a message read since then may tell of a session that began
   // later than that.
   loop_.Refresh();
+  if (tuning_.calendar_on > 0) LookAtClocks();
   try {
     event(*controller_);
   } catch (const IllegalTransition& error) {
@@ -119,6 +127,14 @@
   Perform();
 }
 
+// Between two looks at the steady clock, so that a stall shows.
+void Dealings::LookAtClocks() {
+  const net::Time before = loop_.Refresh();
+  const double wall = net::WallNow();
+  const net::Time after = loop_.Refresh();
+  controller_->OnClocks({wall, before, after}, follower_.confirmed(), after);
+}
+
 net::Task<void> Dealings::TickLoop() {
   for (;;) {
     co_await loop_.Sleep(kTick * settings_.workers.report_s);
--- a/app/dealings.h
+++ b/app/dealings.h
@@ -54,6 +54,8 @@
   net::Task<FinalState> Cancel(std::string id);
 
  private:
+  // Shows the leader the time of day, before every event.
+  void LookAtClocks();
   struct FinalWaiter {
     explicit FinalWaiter(net::Loop& loop) : event(loop) {}
     net::Event event;
--- a/app/follower.cc
+++ b/app/follower.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <unordered_set>
 #include <utility>
 
@@ -63,6 +64,7 @@
 }
 
 net::Task<bool> Follower::Resync(uint64_t generation) {
+  const net::Time asked = loop_.Refresh();
   std::string after;
   uint64_t revision = 0;
   std::unordered_set<std::string> listed;
@@ -88,6 +90,7 @@
   catalog_.EraseMissing(listed, revision);
   catalog_.Followed(revision);
   synced_ = ever_synced_ = true;
+  confirmed_ = asked;
   spdlog::info("state read up to revision {}: {} jobs, {} machines", revision,
                catalog_.jobs().size(), catalog_.machines().size());
   seams_.caught_up();
@@ -96,14 +99,18 @@
 
 net::Task<void> Follower::FollowLoop(uint64_t generation) {
   const double pause = 0.2 * settings_.workers.report_s;
+  const double lease = settings_.workers.lease_s;
   while (generation == generation_) {
     if (!synced_) {
       const bool ok = co_await Resync(generation);
       if (!ok) co_await loop_.Sleep(pause);
       continue;
     }
-    StateResult news = co_await state_.Follow(
-        std::string(keys::kLive), catalog_.followed(), kFollowBlock_s);
+    // The answer is as old as its question at the most.
+    const net::Time asked = loop_.Refresh();
+    StateResult news =
+        co_await state_.Follow(std::string(keys::kLive), catalog_.followed(),
+                               std::min(kFollowBlock_s, lease));
     if (generation != generation_) co_return;
     if (news.status == StateStatus::kTooOld) {
       synced_ = false;
@@ -113,6 +120,7 @@
         if (generation != generation_) co_return;
       }
       catalog_.Followed(news.revision);
+      confirmed_ = asked;
       seams_.caught_up();
     } else {
       co_await loop_.Sleep(pause);
--- a/app/follower.h
+++ b/app/follower.h
@@ -37,6 +37,8 @@
 
   bool synced() const { return synced_; }  // and the watch goes on
   bool ever_synced() const { return ever_synced_; }
+  // All that the state service held at this moment has been taken in.
+  net::Time confirmed() const { return confirmed_; }
   const std::map<std::string, MachineType>& types() const { return types_; }
 
  private:
@@ -57,6 +59,7 @@
   uint64_t generation_ = 0;
   bool synced_ = false;
   bool ever_synced_ = false;
+  net::Time confirmed_ = -1e9;
 };
 
 }  // namespace oxbow::app
--- a/app/main.cc
+++ b/app/main.cc
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <string>
 
+#include "app/calendar_cli.h"
 #include "app/node.h"
 #include "app/options.h"
 #include "app/rollout_cli.h"
@@ -114,6 +115,50 @@
   return exit;
 }
 
+CLI::App* AddCalendar(CLI::App& cli, CalendarCommand* command) {
+  CLI::App* all =
+      cli.add_subcommand("calendar", "windows and peaks for heavy work");
+  all->require_subcommand(1);
+  const auto add = [&](const char* verb, const char* help, bool id) {
+    CLI::App* sub = all->add_subcommand(verb, help);
+    sub->add_option("--address", command->address, "any controller, IP:PORT")
+        ->required();
+    if (id) sub->add_option("id", command->id, "the booking's id")->required();
+    sub->callback([command, verb] { command->verb = verb; });
+    return sub;
+  };
+  const auto changes = [&](CLI::App* sub) {
+    sub->add_option("--author", command->author, "who changes it")->required();
+    sub->add_option("--note", command->note, "why");
+    sub->add_option("--notice", command->notice_s,
+                    "what a rule has sooner is left out, s");
+    return sub;
+  };
+  const auto declares = [&](CLI::App* sub) {
+    sub->add_option("file", command->file, "a declaration")->required();
+    return sub;
+  };
+  const auto replaces = [&](CLI::App* sub) {
+    sub->add_option("--version", command->version,
+                    "the version that it replaces; -1: whichever is there");
+  };
+  replaces(declares(changes(add("book", "book, or change a booking", true))));
+  replaces(changes(add("cancel", "cancel a booking", true)));
+  changes(add("extend", "work the rules' times out further ahead", false));
+  add("list", "all bookings", false);
+  add("show", "one booking, with its times", true);
+  CLI::App* check = declares(add("check", "look at a declaration only", true));
+  check->add_option("--config", command->config,
+                    "the platform's settings file (JSON): checks names too");
+  CLI::App* next = add("next", "when work may start", false);
+  next->add_option("--class", command->job_class, "of the work");
+  next->add_option("--team", command->team, "of the work");
+  next->add_option("--cores", command->cores, "of all its tasks");
+  next->add_option("--accelerators", command->accelerators, "of all its tasks");
+  next->add_option("--run", command->run_s, "of one task, s");
+  return all;
+}
+
 int Main(int argc, char** argv) {
   CLI::App cli("A cluster scheduler for services, training and batch work.");
   cli.require_subcommand(1);
@@ -154,7 +199,10 @@
   add("pause", "hold one where it is", "id", true);
   add("resume", "let a paused one go on", "id", true);
   add("abort", "take one back", "id", true);
+  CalendarCommand calendar;
+  CLI::App* calendars = AddCalendar(cli, &calendar);
   CLI11_PARSE(cli, argc, argv);
+  if (calendars->parsed()) return RunCalendar(calendar);
   if (rollouts->parsed()) return RunRollout(rollout);
   if (!SetUpLog()) return kBadSettings;
   Settings settings;
--- a/app/node.cc
+++ b/app/node.cc
@@ -5,6 +5,9 @@
 #include <random>
 #include <utility>
 
+#include "app/calendar_desk.h"
+#include "wire/calendar_json.h"
+
 namespace oxbow::app {
 namespace {
 
@@ -34,9 +37,20 @@
 
 // The kinds of operators' records, one place for each subsystem to bring its
 // own.
-std::vector<RecordKind> RecordKinds(const Settings& /*settings*/,
-                                    const Tuning& /*tuning*/) {
-  return {};
+std::vector<RecordKind> RecordKinds(const Settings& settings,
+                                    const Tuning& tuning,
+                                    const Catalog& catalog,
+                                    const Follower& follower) {
+  std::vector<RecordKind> kinds;
+  if (tuning.calendar_on > 0) {
+    kinds.push_back({std::string(wire::kCalendarPrefix), "booking",
+                     [&settings, &catalog, &follower](const std::string& name,
+                                                      const std::string& text) {
+                       return CheckBooking(settings, catalog, follower, name,
+                                           text);
+                     }});
+  }
+  return kinds;
 }
 
 net::HttpServer::Limits ServerLimits(const Settings& settings) {
@@ -114,7 +128,8 @@
            [&loop] { return loop.Now(); }}),
       rollout_routes_(rollout_desk_),
       record_desk_(
-          settings, catalog_, state_, RecordKinds(settings, tuning),
+          settings, catalog_, state_,
+          RecordKinds(settings, tuning, catalog_, follower_),
           {[this](const std::string& key, const Record& record,
                   uint64_t stamp) { follower_.Apply(key, record, stamp); },
            [this] { return follower_.ever_synced(); },
--- a/core/calendar/calendar.h
+++ b/core/calendar/calendar.h
@@ -34,7 +34,7 @@
 // In worker leases. A booking binds nobody sooner than the notice after it was
 // recorded, so a leader that does not know of it has stopped starting by then.
 // A new leader waits for its first confirmation like any other.
-inline constexpr double kStaleLeases = 2;
+inline constexpr double kStaleLeases = 3;
 inline constexpr double kTooOldLeases = 6;
 inline constexpr double kNoticeLeases = 8;
 // A worker drops the answer to a report that is older, s (protocol): a start in
--- a/wire/calendar_json.h
+++ b/wire/calendar_json.h
@@ -10,7 +10,7 @@
 
 inline constexpr std::string_view kCalendarPrefix = "calendar/";
 
-// 1 to 60 letters, digits, dots, dashes or underscores.
+// 1 to 60 lower-case letters, digits, dots, dashes or underscores.
 bool ValidBookingId(std::string_view id);
 
 // Reads a booking; returns what is malformed, or nothing. A declaration has no
