--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -90,6 +90,8 @@
         sim_.tuning.idle_return_leases = std::stod(word);
       } else if (name == "rollouts_at_once") {
         sim_.tuning.rollouts_at_once = std::stod(word);
+      } else if (name == "clock_off_ms") {
+        sim_.settings.clock_off_ms = std::stod(word);
       } else if (name == "give_up_ratio") {
         sim_.tuning.give_up_ratio = std::stod(word);
       } else if (name == "silent_share") {
@@ -179,6 +181,11 @@
         w.notice = seconds;
       } else
         FAIL() << "unknown fault";
+    } else if (verb == "book") {
+      sim_.Book(ReadBooking(words));
+    } else if (verb == "unbook") {
+      words >> name;
+      sim_.CancelBooking(name);
     } else if (verb == "rollout") {
       sim_.Declare(ReadRollout(words));
     } else if (verb == "wish") {
@@ -236,8 +243,8 @@
       c.gone = word == "gone";
     } else if (word == "refused" || word == "open") {
       c.refused = word == "refused";
-    } else if (word == "no-state") {
-      c.no_state = true;
+    } else if (word == "no-state" || word == "state") {
+      c.no_state = word == "no-state";
     } else if (word == "dies-on-offer") {
       c.dies_on_offer = true;
     } else if (word == "zone") {
@@ -245,11 +252,32 @@
     } else if (word == "unheard") {
       std::string host;
       while (words >> host) c.unheard.insert(host);
+    } else if (word == "wall-off") {
+      words >> c.wall_off;
     } else {
       FAIL() << "unknown state of a controller";
     }
   }
 
+  // book ID window|peak class=C from=S to=S [overrun=WORD] [room=R], from now
+  // on
+  Booking ReadBooking(std::istringstream& words) const {
+    Booking b;
+    std::string kind;
+    words >> b.id >> kind;
+    const Options o = ReadOptions(words);
+    b.kind = kind == "peak" ? BookingKind::kPeak : BookingKind::kWindow;
+    b.work.classes = {o.at("class")};
+    b.room_share = Number(o, "room", 1);
+    const std::string overrun = o.contains("overrun") ? o.at("overrun") : "";
+    b.overrun = overrun == "run_on"          ? Overrun::kRunOn
+                : overrun == "save_and_stop" ? Overrun::kSaveAndStop
+                                             : Overrun::kHoldBack;
+    b.times = {{sim_.true_wall() + Number(o, "from", 0),
+                sim_.true_wall() + Number(o, "to", 0)}};
+    return b;
+  }
+
   static RolloutSpec ReadRollout(std::istringstream& words) {
     RolloutSpec spec;
     words >> spec.id;
