--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -119,6 +119,7 @@
   Machine& m = MachineOf(report, now);
   // Even one that is no news: its worker takes the answer as a renewal.
   m.session.Change(SessionEvent::kAnswered, 0, now);
+<<<<<<< HEAD
   const bool news = IsNews(m, report, now);
   Absorb(m, report, /*by_report=*/true, now);
   if (news) m.last_report = now;
@@ -128,6 +129,15 @@
   }
   if (now < m.direct_broken_until && !m.batch && m.confirmed() &&
       !m.queue.empty()) {
+=======
+  m.last_report = now;
+  answering_ = &m;
+  Absorb(m, report, /*by_report=*/true, now);
+  answering_ = nullptr;
+  DropLateStarts(m, now);
+  if ((now < m.direct_broken_until || HasCalendarStart(m)) && !m.batch &&
+      m.confirmed() && !m.queue.empty()) {
+>>>>>>> calendar
     Batch batch{next_batch_++, {}, /*in_response=*/true};
     batch.orders.assign(m.queue.begin(), m.queue.end());
     m.queue.clear();
@@ -680,12 +690,31 @@
       m.state() == MachineState::kBooting) {
     return;
   }
+<<<<<<< HEAD
   // While a question is open its token must not go this way.
   if (m.queue.empty() && (m.confirmed() || m.delivery.asks())) return;
+=======
+  if (m.queue.empty() && m.confirmed()) return;
+  // Its report's answer takes everything: what went by itself now would be
+  // under way, and no start could go with the answer.
+  const bool in_answer = HasCalendarStart(m);
+  if (in_answer && answering_ == &m) return;
+  if (in_answer && m.confirmed() &&
+      std::all_of(m.queue.begin(), m.queue.end(),
+                  [&](const Order& o) { return GoesInAnswer(o); })) {
+    return;
+  }
+  std::deque<Order> stay;
+  constexpr size_t kMostOrders = 300;  // about 24 KiB
+>>>>>>> calendar
   Batch batch{next_batch_++, {}, false};
   while (!m.queue.empty() && batch.orders.size() < kMostOrders) {
     Order order = std::move(m.queue.front());
     m.queue.pop_front();
+    if (in_answer && GoesInAnswer(order)) {
+      stay.push_back(std::move(order));
+      continue;
+    }
     if (order.kind == OrderKind::kStart) {
       const auto it =
           m.residents.find({order.job_id, order.task, order.attempt});
@@ -694,7 +723,12 @@
     }
     batch.orders.push_back(std::move(order));
   }
+<<<<<<< HEAD
   m.delivery.OrdersSent(m.token);
+=======
+  m.queue.insert(m.queue.begin(), std::make_move_iterator(stay.begin()),
+                 std::make_move_iterator(stay.end()));
+>>>>>>> calendar
   actions_.push_back(SendOrders{m.host(), m.endpoint, batch.id, m.token,
                                 m.session.number(), batch.orders});
   m.batch = std::move(batch);
