--- a/app/main.cc
+++ b/app/main.cc
@@ -200,7 +200,6 @@
   add("pause", "hold one where it is", "id", true);
   add("resume", "let a paused one go on", "id", true);
   add("abort", "take one back", "id", true);
-<<<<<<< HEAD
   TiersCommand tiers_command;
   CLI::App* tiers = cli.add_subcommand("tiers", "priority tiers of jobs");
   tiers->require_subcommand(1);
@@ -232,7 +231,10 @@
   add_tiers("set", "record a file's tiers");
   add_tiers("withdraw", "go back to the built-in order");
   add_tiers("history", "the versions that are kept");
+  CalendarCommand calendar;
+  CLI::App* calendars = AddCalendar(cli, &calendar);
   CLI11_PARSE(cli, argc, argv);
+  if (calendars->parsed()) return RunCalendar(calendar);
   if (tiers->parsed()) {
     Settings settings;
     if (!config.empty()) {
@@ -242,12 +244,6 @@
     }
     return RunTiers(tiers_command, settings);
   }
-=======
-  CalendarCommand calendar;
-  CLI::App* calendars = AddCalendar(cli, &calendar);
-  CLI11_PARSE(cli, argc, argv);
-  if (calendars->parsed()) return RunCalendar(calendar);
->>>>>>> calendar
   if (rollouts->parsed()) return RunRollout(rollout);
   if (!SetUpLog()) return kBadSettings;
   Settings settings;
--- a/app/node.cc
+++ b/app/node.cc
@@ -5,217 +5,213 @@
 #include <random>
 #include <utility>
 
-<<<<<<< HEAD
-#include "wire/tiers_json.h"
-    =======
 #include "app/calendar_desk.h"
 #include "wire/calendar_json.h"
-    >>>>>>> calendar
+#include "wire/tiers_json.h"
 
-    namespace oxbow::app {
-  namespace {
+namespace oxbow::app {
+namespace {
 
-  using clients::PeerAnswer;
-  using clients::PeerKind;
-  using clients::PeerMessage;
+using clients::PeerAnswer;
+using clients::PeerKind;
+using clients::PeerMessage;
 
-  net::Address AddressOf(const std::string& text) {
-    net::Address out;
-    net::ParseAddress(text, &out);  // checked with the settings
-    return out;
-  }
+net::Address AddressOf(const std::string& text) {
+  net::Address out;
+  net::ParseAddress(text, &out);  // checked with the settings
+  return out;
+}
 
-  FitnessDesk::Peers PeersOf(net::Loop& loop, const Settings& settings) {
-    FitnessDesk::Peers peers;
-    for (const PeerSettings& peer : settings.peers) {
-      peers.push_back(std::make_unique<clients::PeerClient>(
-          loop, peer.name, AddressOf(peer.address)));
-    }
-    return peers;
+FitnessDesk::Peers PeersOf(net::Loop& loop, const Settings& settings) {
+  FitnessDesk::Peers peers;
+  for (const PeerSettings& peer : settings.peers) {
+    peers.push_back(std::make_unique<clients::PeerClient>(
+        loop, peer.name, AddressOf(peer.address)));
   }
+  return peers;
+}
 
-  std::string NewIncarnation() {
-    std::random_device device;
-    return std::to_string((static_cast<uint64_t>(device()) << 32) | device());
-  }
+std::string NewIncarnation() {
+  std::random_device device;
+  return std::to_string((static_cast<uint64_t>(device()) << 32) | device());
+}
 
-  // The kinds of operators' records, one place for each subsystem to bring its
-  // own.
-  std::vector<RecordKind> RecordKinds(const Settings& settings,
-                                      const Tuning& tuning,
-                                      const Catalog& catalog,
-                                      const Follower& follower) {
-    std::vector<RecordKind> kinds;
-    if (tuning.tiers > 0) {
-      const TierBounds bounds = TierBounds::From(settings);
-      kinds.push_back({std::string(wire::kTiersRecord), "tiers",
-                       [bounds](const std::string&, const std::string& text) {
-                         std::vector<Tier> tiers;
-                         return wire::ReadTiers(text, bounds, &tiers);
-                       }});
-    }
-    if (tuning.calendar_on > 0) {
-      kinds.push_back({std::string(wire::kCalendarPrefix), "booking",
-                       [&settings, &catalog, &follower](
-                           const std::string& name, const std::string& text) {
-                         return CheckBooking(settings, catalog, follower, name,
-                                             text);
-                       }});
-    }
-    return kinds;
+// The kinds of operators' records, one place for each subsystem to bring its
+// own.
+std::vector<RecordKind> RecordKinds(const Settings& settings,
+                                    const Tuning& tuning,
+                                    const Catalog& catalog,
+                                    const Follower& follower) {
+  std::vector<RecordKind> kinds;
+  if (tuning.tiers > 0) {
+    const TierBounds bounds = TierBounds::From(settings);
+    kinds.push_back({std::string(wire::kTiersRecord), "tiers",
+                     [bounds](const std::string&, const std::string& text) {
+                       std::vector<Tier> tiers;
+                       return wire::ReadTiers(text, bounds, &tiers);
+                     }});
   }
-
-  net::HttpServer::Limits ServerLimits(const Settings& settings) {
-    net::HttpServer::Limits limits;
-    // A part of the sockets stays for what this controller opens itself.
-    constexpr double kServed = 0.75;
-    limits.connections =
-        static_cast<size_t>(kServed * settings.limits.max_connections);
-    return limits;
+  if (tuning.calendar_on > 0) {
+    kinds.push_back({std::string(wire::kCalendarPrefix), "booking",
+                     [&settings, &catalog, &follower](const std::string& name,
+                                                      const std::string& text) {
+                       return CheckBooking(settings, catalog, follower, name,
+                                           text);
+                     }});
   }
+  return kinds;
+}
 
-  }  // namespace
+net::HttpServer::Limits ServerLimits(const Settings& settings) {
+  net::HttpServer::Limits limits;
+  // A part of the sockets stays for what this controller opens itself.
+  constexpr double kServed = 0.75;
+  limits.connections =
+      static_cast<size_t>(kServed * settings.limits.max_connections);
+  return limits;
+}
 
-  Node::Node(net::Loop & loop, const Settings& settings, const Tuning& tuning)
-      : settings_(settings),
-        state_(loop, AddressOf(settings.state_address), settings),
-        cloud_(loop, AddressOf(settings.cloud_address), settings),
-        life_(NewIncarnation()),
-        peers_(PeersOf(loop, settings)),
-        follower_(loop, settings, state_, cloud_, catalog_,
-                  {[this](const std::string& key) {
-                     if (key == keys::kEpoch) recovery_.EpochSeen();
-                     dealings_.RecordTaken(key);
-                   },
-                   [this] { dealings_.Perform(); },
-                   [this](const std::vector<MachineType>& types) {
-                     dealings_.TypesKnown(types);
-                   },
-                   [this] { recovery_.Sign(LossSign::kEpochMissing); }}),
-        fitness_desk_(loop, settings, tuning, catalog_, peers_,
-                      {[this](uint64_t revision, const auto& event) {
-                         dealings_.Tell(revision, event);
-                       },
-                       [this] { return election_.MayLead(); },
-                       [this](const std::string& why) {
-                         election_.StepDown(why);
-                         fitness_desk_.Yielded();
-                       }}),
-        zone_desk_(loop, settings, tuning, state_, peers_, life_,
-                   {[this] { return election_.LeaderPeer(); },
-                    [this] {
-                      return election_.ByLease() ? dealings_.Leading()
-                                                 : nullptr;
-                    },
-                    [this](uint64_t revision, const auto& event) {
-                      dealings_.Tell(revision, event);
-                    }}),
-        recovery_(loop, settings, tuning, catalog_, state_, follower_, peers_,
-                  {[this] { election_.StateLost(); },
-                   [this] { election_.OtherEpoch(); },
-                   [this] { return dealings_.Leading() != nullptr; },
-                   [this](uint64_t stamp) { election_.Orphaned(stamp); },
-                   [this](uint64_t revision, const auto& event) {
-                     dealings_.Tell(revision, event);
-                   }}),
-        election_(loop, settings, tuning, state_, catalog_, follower_,
-                  fitness_desk_, peers_, recovery_, life_,
-                  {[this] { return dealings_.in_office(); },
-                   [this](uint64_t revision, const auto& keepers) {
-                     dealings_.TakeOffice(revision, keepers);
-                   },
-                   [this] { dealings_.LeaveOffice(); }}),
-        dealings_(loop, settings, tuning, catalog_, state_, cloud_, follower_,
-                  election_, fitness_desk_, zone_desk_, recovery_),
-        users_(loop, settings, catalog_, state_, follower_, election_,
-               dealings_, peers_, zone_desk_, recovery_),
-        rollout_desk_(
-            settings, tuning, catalog_, state_,
-            {[this](const std::string& key, const Record& record,
-                    uint64_t stamp) { follower_.Apply(key, record, stamp); },
-             [this] { return follower_.ever_synced(); },
-             [this](std::vector<Condition>* conditions) {
-               recovery_.AddGuard(conditions);
-             },
-             [this] { return dealings_.Leading(); },
-             [&loop] { return loop.Now(); }}),
-        rollout_routes_(rollout_desk_),
-        record_desk_(
-            settings, catalog_, state_,
-            RecordKinds(settings, tuning, catalog_, follower_),
-            {[this](const std::string& key, const Record& record,
-                    uint64_t stamp) { follower_.Apply(key, record, stamp); },
-             [this] { return follower_.ever_synced(); },
-             [this](std::vector<Condition>* conditions) {
-               recovery_.AddGuard(conditions);
-             },
-             [this] { return recovery_.MayAccept(); }}),
-        record_routes_(record_desk_),
-        api_(users_, &rollout_routes_, &record_routes_),
-        peer_server_(
-            loop, AddressOf(settings.peer_listen),
-            [this](PeerMessage message) { return OnPeer(std::move(message)); }),
-        server_(loop, AddressOf(settings.listen), ServerLimits(settings),
-                [this](net::HttpRequest request) {
-                  return api_.Handle(std::move(request));
-                }) {}
+}  // namespace
 
-  void Node::Start() {
-    spdlog::info("{} in {} starts, users at {}", settings_.node, settings_.zone,
-                 settings_.listen);
-    net::Spawn(server_.Run());
-    net::Spawn(peer_server_.Run());
-    follower_.Start();
-    election_.Start();
-    recovery_.Start();
-    zone_desk_.Start();
-    dealings_.Start();
-  }
+Node::Node(net::Loop& loop, const Settings& settings, const Tuning& tuning)
+    : settings_(settings),
+      state_(loop, AddressOf(settings.state_address), settings),
+      cloud_(loop, AddressOf(settings.cloud_address), settings),
+      life_(NewIncarnation()),
+      peers_(PeersOf(loop, settings)),
+      follower_(loop, settings, state_, cloud_, catalog_,
+                {[this](const std::string& key) {
+                   if (key == keys::kEpoch) recovery_.EpochSeen();
+                   dealings_.RecordTaken(key);
+                 },
+                 [this] { dealings_.Perform(); },
+                 [this](const std::vector<MachineType>& types) {
+                   dealings_.TypesKnown(types);
+                 },
+                 [this] { recovery_.Sign(LossSign::kEpochMissing); }}),
+      fitness_desk_(loop, settings, tuning, catalog_, peers_,
+                    {[this](uint64_t revision, const auto& event) {
+                       dealings_.Tell(revision, event);
+                     },
+                     [this] { return election_.MayLead(); },
+                     [this](const std::string& why) {
+                       election_.StepDown(why);
+                       fitness_desk_.Yielded();
+                     }}),
+      zone_desk_(loop, settings, tuning, state_, peers_, life_,
+                 {[this] { return election_.LeaderPeer(); },
+                  [this] {
+                    return election_.ByLease() ? dealings_.Leading() : nullptr;
+                  },
+                  [this](uint64_t revision, const auto& event) {
+                    dealings_.Tell(revision, event);
+                  }}),
+      recovery_(loop, settings, tuning, catalog_, state_, follower_, peers_,
+                {[this] { election_.StateLost(); },
+                 [this] { election_.OtherEpoch(); },
+                 [this] { return dealings_.Leading() != nullptr; },
+                 [this](uint64_t stamp) { election_.Orphaned(stamp); },
+                 [this](uint64_t revision, const auto& event) {
+                   dealings_.Tell(revision, event);
+                 }}),
+      election_(loop, settings, tuning, state_, catalog_, follower_,
+                fitness_desk_, peers_, recovery_, life_,
+                {[this] { return dealings_.in_office(); },
+                 [this](uint64_t revision, const auto& keepers) {
+                   dealings_.TakeOffice(revision, keepers);
+                 },
+                 [this] { dealings_.LeaveOffice(); }}),
+      dealings_(loop, settings, tuning, catalog_, state_, cloud_, follower_,
+                election_, fitness_desk_, zone_desk_, recovery_),
+      users_(loop, settings, catalog_, state_, follower_, election_, dealings_,
+             peers_, zone_desk_, recovery_),
+      rollout_desk_(
+          settings, tuning, catalog_, state_,
+          {[this](const std::string& key, const Record& record,
+                  uint64_t stamp) { follower_.Apply(key, record, stamp); },
+           [this] { return follower_.ever_synced(); },
+           [this](std::vector<Condition>* conditions) {
+             recovery_.AddGuard(conditions);
+           },
+           [this] { return dealings_.Leading(); },
+           [&loop] { return loop.Now(); }}),
+      rollout_routes_(rollout_desk_),
+      record_desk_(
+          settings, catalog_, state_,
+          RecordKinds(settings, tuning, catalog_, follower_),
+          {[this](const std::string& key, const Record& record,
+                  uint64_t stamp) { follower_.Apply(key, record, stamp); },
+           [this] { return follower_.ever_synced(); },
+           [this](std::vector<Condition>* conditions) {
+             recovery_.AddGuard(conditions);
+           },
+           [this] { return recovery_.MayAccept(); }}),
+      record_routes_(record_desk_),
+      api_(users_, &rollout_routes_, &record_routes_),
+      peer_server_(
+          loop, AddressOf(settings.peer_listen),
+          [this](PeerMessage message) { return OnPeer(std::move(message)); }),
+      server_(loop, AddressOf(settings.listen), ServerLimits(settings),
+              [this](net::HttpRequest request) {
+                return api_.Handle(std::move(request));
+              }) {}
 
-  net::Task<PeerMessage> Node::OnPeer(PeerMessage message) {
-    PeerMessage reply;
-    reply.node = settings_.node;
-    reply.role = election_.Role();
-    if (Users::Takes(message.kind)) {
-      co_await users_.OnPeer(std::move(message), &reply);
-      co_return reply;
-    }
-    if (RecoveryDesk::Takes(message.kind)) {
-      co_await recovery_.OnPeer(std::move(message), &reply);
-      co_return reply;
-    }
-    if (ZoneDesk::Takes(message.kind)) {
-      zone_desk_.OnPeer(message, &reply);
-      co_return reply;
+void Node::Start() {
+  spdlog::info("{} in {} starts, users at {}", settings_.node, settings_.zone,
+               settings_.listen);
+  net::Spawn(server_.Run());
+  net::Spawn(peer_server_.Run());
+  follower_.Start();
+  election_.Start();
+  recovery_.Start();
+  zone_desk_.Start();
+  dealings_.Start();
+}
+
+net::Task<PeerMessage> Node::OnPeer(PeerMessage message) {
+  PeerMessage reply;
+  reply.node = settings_.node;
+  reply.role = election_.Role();
+  if (Users::Takes(message.kind)) {
+    co_await users_.OnPeer(std::move(message), &reply);
+    co_return reply;
+  }
+  if (RecoveryDesk::Takes(message.kind)) {
+    co_await recovery_.OnPeer(std::move(message), &reply);
+    co_return reply;
+  }
+  if (ZoneDesk::Takes(message.kind)) {
+    zone_desk_.OnPeer(message, &reply);
+    co_return reply;
+  }
+  switch (message.kind) {
+    case PeerKind::kPromise: {
+      const bool promised = co_await election_.Promise();
+      if (promised) reply.answer = PeerAnswer::kYes;
+      break;
     }
-    switch (message.kind) {
-      case PeerKind::kPromise: {
-        const bool promised = co_await election_.Promise();
-        if (promised) reply.answer = PeerAnswer::kYes;
-        break;
-      }
-      case PeerKind::kTend: {
-        const bool promised = co_await election_.PromiseToTender(message);
-        if (promised) reply.answer = PeerAnswer::kYes;
-        break;
-      }
-      case PeerKind::kTendOver:
-        election_.TendReleased(message);
-        break;
-      case PeerKind::kReach:
-      case PeerKind::kSilent:
-        co_await fitness_desk_.OnReach(std::move(message), &reply);
-        break;
-      case PeerKind::kOffer:
-        fitness_desk_.OnOffer(message, &reply);
-        break;
-      case PeerKind::kStandAside:
-        fitness_desk_.OnStandAside(message);
-        break;
-      default:
-        break;
+    case PeerKind::kTend: {
+      const bool promised = co_await election_.PromiseToTender(message);
+      if (promised) reply.answer = PeerAnswer::kYes;
+      break;
     }
-    co_return reply;
+    case PeerKind::kTendOver:
+      election_.TendReleased(message);
+      break;
+    case PeerKind::kReach:
+    case PeerKind::kSilent:
+      co_await fitness_desk_.OnReach(std::move(message), &reply);
+      break;
+    case PeerKind::kOffer:
+      fitness_desk_.OnOffer(message, &reply);
+      break;
+    case PeerKind::kStandAside:
+      fitness_desk_.OnStandAside(message);
+      break;
+    default:
+      break;
   }
+  co_return reply;
+}
 
 }  // namespace oxbow::app
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -119,25 +119,18 @@
   Machine& m = MachineOf(report, now);
   // Even one that is no news: its worker takes the answer as a renewal.
   m.session.Change(SessionEvent::kAnswered, 0, now);
-<<<<<<< HEAD
   const bool news = IsNews(m, report, now);
+  answering_ = &m;
   Absorb(m, report, /*by_report=*/true, now);
+  answering_ = nullptr;
+  DropLateStarts(m, now);
   if (news) m.last_report = now;
   if (m.delivery.WantsQuestion(now)) {
     RaiseToken(m);
     m.delivery.Asked(m.token);
   }
-  if (now < m.direct_broken_until && !m.batch && m.confirmed() &&
-      !m.queue.empty()) {
-=======
-  m.last_report = now;
-  answering_ = &m;
-  Absorb(m, report, /*by_report=*/true, now);
-  answering_ = nullptr;
-  DropLateStarts(m, now);
   if ((now < m.direct_broken_until || HasCalendarStart(m)) && !m.batch &&
       m.confirmed() && !m.queue.empty()) {
->>>>>>> calendar
     Batch batch{next_batch_++, {}, /*in_response=*/true};
     batch.orders.assign(m.queue.begin(), m.queue.end());
     m.queue.clear();
@@ -690,11 +683,8 @@
       m.state() == MachineState::kBooting) {
     return;
   }
-<<<<<<< HEAD
   // While a question is open its token must not go this way.
   if (m.queue.empty() && (m.confirmed() || m.delivery.asks())) return;
-=======
-  if (m.queue.empty() && m.confirmed()) return;
   // Its report's answer takes everything: what went by itself now would be
   // under way, and no start could go with the answer.
   const bool in_answer = HasCalendarStart(m);
@@ -705,8 +695,6 @@
     return;
   }
   std::deque<Order> stay;
-  constexpr size_t kMostOrders = 300;  // about 24 KiB
->>>>>>> calendar
   Batch batch{next_batch_++, {}, false};
   while (!m.queue.empty() && batch.orders.size() < kMostOrders) {
     Order order = std::move(m.queue.front());
@@ -723,12 +711,9 @@
     }
     batch.orders.push_back(std::move(order));
   }
-<<<<<<< HEAD
   m.delivery.OrdersSent(m.token);
-=======
   m.queue.insert(m.queue.begin(), std::make_move_iterator(stay.begin()),
                  std::make_move_iterator(stay.end()));
->>>>>>> calendar
   actions_.push_back(SendOrders{m.host(), m.endpoint, batch.id, m.token,
                                 m.session.number(), batch.orders});
   m.batch = std::move(batch);
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -282,15 +282,10 @@
     }
     for (uint32_t n = 0; n < here; ++n) {
       task = job.PeekPending();
-<<<<<<< HEAD
-      if (task < 0 || !TeamAllows(job, 1) || !Allowed(job.spec(), *m, where) ||
-          !TierAllows(job, *m) ||
+      if (task < 0 || !TeamAllows(job, 1) || !WindowAllows(job, 1) ||
+          !Allowed(job.spec(), *m, where) || !TierAllows(job, *m) ||
           (n > 0 && (!tiers_.MayStart(job, job.tier) ||
                      !tiers_.WithinShare(job, job.tier, job.spec().need)))) {
-=======
-      if (task < 0 || !TeamAllows(job, 1) || !WindowAllows(job, 1) ||
-          !Allowed(job.spec(), *m, where)) {
->>>>>>> calendar
         break;
       }
       const uint64_t attempt = NextNumber();
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -125,13 +125,11 @@
     w.seen_session = 0;
     w.risen = w.unproven = false;
   }
-  leader_ = std::make_unique<Controller>(settings, tuning, catalog_, revision_,
-                                         now_, 1e6, 7, RecordedKeepers());
-  FollowTiers();
-  leader_->UseTiers(tiers_in_force_[leading_].set());
   leader_ =
       std::make_unique<Controller>(settings, tuning, catalog_, revision_, now_,
                                    kEpochOffset, 7, RecordedKeepers());
+  FollowTiers();
+  leader_->UseTiers(tiers_in_force_[leading_].set());
   bookings_told_.clear();
   ReadBookings();
   TellBookings();
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -316,8 +316,6 @@
   uint64_t tiers_version_ = 0;
   std::map<std::string, TiersInForce> tiers_in_force_;
   std::map<std::string, uint64_t> tiers_seen_;
-  std::vector<Time> handed_over_;  // within a lease
-=======
   std::map<std::string, SimBooking> bookings_;
   std::map<std::string, BookingView> booking_views_;  // by controller
   Time rebuilt_at_ = 0;
