Packing: small tasks fill machines in pieces, whole machines stay whole

Small replicas with accelerators went wherever their fetch was shortest, one to a machine, and whole-machine gangs and large replicas waited for machines that were never empty.

core/packing measures the accelerators that are free and of no use to the mix of shapes asked for lately (cores, memory, type, zone and spot looked at), after the fragmentation gradient of Weng et al. Kept per machine, worked out again only when what it carries, the mix or the question has changed. Placer takes what a placement adds, times `placement { piece_weight }`; images that would share a link beyond the class's aim, more than a quarter of a service on one machine, and what is pushed out of the cache count too. FindReplicaPlace keeps replicas off machines that they would break while short work can make way in pieces. Stopping one task of a gang is counted as stopping all. The rental plan counts small tasks into pieces first. A line a minute tells the measure.

Off by default (weight 0), then nothing changes. Ruled out: a filter alone (no room left means any machine), counting tasks instead of accelerators asked for (small jobs are many and would make their pieces useful).

--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -1,11 +1,16 @@
 #include "core/controller/controller.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace oxbow {
 namespace {
 
+// For how long what was asked for shapes the measure of pieces, in worker
+// leases: some waves of work, not the whole day.
+constexpr double kMixLeases = 15;
+
 using enum RentalState;
 
 constexpr std::array kRentalChanges = {
@@ -32,11 +37,13 @@
       wall_minus_steady_(wall_minus_steady),
       patience_(Patience::From(settings.workers, tuning)),
       numbers_(term_),
+      pieces_(kMixLeases * settings.workers.lease_s, settings.workers.report_s),
       placer_(tuning, seed),
       queue_order_(settings, tuning),
       writes_(settings, Mandate(catalog, revision), *this, actions_),
       ears_(settings, tuning, patience_, machines_, now, seed, actions_),
       zones_(settings, now, keepers) {
+  if (tuning.piece_weight > 0) placer_.SetPieces(&pieces_);
   for (const TeamSettings& team : settings.teams)
     teams_.push_back({team, {}, {}, {}});
   for (const auto& [host, record] : catalog.machines()) {
@@ -110,6 +117,7 @@
   if (!added.live()) RetireIfClear(added);
   quiet_since_ = now;
   queue_order_.Seen(added.spec());
+  pieces_.Note(added.spec(), added.submitted());
   Resources& shape = accelerator_shape_;
   const Resources& need = added.spec().need;
   if (need.gpus > 0) {
@@ -248,6 +256,21 @@
   actions_.push_back(Note{std::move(text), false});
 }
 
+void Controller::LogPieces(Time now) {
+  if (tuning_.piece_weight <= 0 || now < next_pieces_) return;
+  constexpr double kEvery = 60;  // s: for people, whatever the lease
+  next_pieces_ = now + kEvery;
+  const PieceCount n = CountPieces();
+  if (n.accelerators <= 0) return;
+  const auto whole = [](double x) {
+    return std::to_string(static_cast<int64_t>(std::llround(x)));
+  };
+  Log("pieces: of " + whole(n.accelerators) + " accelerators " + whole(n.free) +
+      " free, " + whole(n.useless) + " of these of no use to what is asked " +
+      "for; " + std::to_string(n.whole) + " machines whole, " +
+      std::to_string(n.in_pieces) + " in pieces");
+}
+
 void Controller::Tick(Time now, bool by_lease) {
   ears_.Count(now);
   in_doubt_ = false;
@@ -270,6 +293,7 @@
     PlanSupply(now);
     next_supply_ = now + settings_.workers.report_s;
     for (auto& [id, job] : jobs_) RetireIfClear(*job);
+    LogPieces(now);
     // Backed-off jobs, expired reservations, machines no longer suspect.
     dirty_ = true;
   }
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -28,6 +28,7 @@
 #include "core/model/patience.h"
 #include "core/model/report.h"
 #include "core/model/settings.h"
+#include "core/packing/pieces.h"
 #include "core/placement/placement.h"
 #include "core/provision/provision.h"
 #include "core/rollout/rollout.h"
@@ -127,6 +128,8 @@
   const std::vector<std::unique_ptr<Machine>>& machines() const {
     return machines_;
   }
+  // Accelerators left over in pieces, over all machines.
+  PieceCount CountPieces() const { return pieces_.Count(machines_); }
 
  private:
   struct Team {
@@ -225,6 +228,8 @@
   // After every event: places and writes what it has made possible.
   void Settle(Time now);
   void Log(std::string text);
+  // Once a minute, where the operators have the packing turned on.
+  void LogPieces(Time now);
   // Built only when somebody reads it: there is one for every task.
   template <typename Text>
   void LogDetail(const Text& text) {
@@ -327,6 +332,7 @@
   const double wall_minus_steady_;
   const Patience patience_;
   NumberSource numbers_;
+  PieceBoard pieces_;
   Placer placer_;
   QueueOrder queue_order_;
   bool resigned_ = false;
@@ -354,6 +360,7 @@
   size_t first_checked_ = 0;
   Time next_rollouts_ = 0;
   Time next_supply_ = 0;
+  Time next_pieces_ = 0;
   Time next_consolidation_ = 0;
   Time quiet_since_ = 1e18;  // no job has come or waited since
   uint64_t next_batch_ = 1;
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -84,6 +84,7 @@
     team.orphans = orphans;
   }
   part_is_held_ = false;
+  pieces_.Settle(now);
   std::vector<Job*> order;
   for (auto& [id, job] : jobs_) {
     if (Placeable(*job, now, accounted)) order.push_back(job.get());
@@ -142,7 +143,7 @@
   }
   return placer_.Choose(
       job, fitting, where, [&](const Machine& m) { return CountOn(job, m); },
-      bandwidth);
+      bandwidth, WaitAim(spec));
 }
 
 void Controller::Start(Job& job, uint32_t task, Machine& m, uint64_t attempt,
@@ -195,7 +196,9 @@
   for (Machine* m : usable) {
     // In a calm replicas gather where they spoil nothing any more. Two beside
     // every gang's room had kept sixty machines rented after the last gang.
-    if (calm ? Gathers(*m) : !Spoils(spec, *m, accelerator_shape_)) {
+    // Nor does it break a whole machine while there is room in pieces.
+    if ((calm ? Gathers(*m) : !Spoils(spec, *m, accelerator_shape_)) &&
+        !placer_.Breaks(spec, *m, WaitAim(spec))) {
       sparing.push_back(m);
     }
   }
@@ -371,7 +374,10 @@
       spec.checkpoint_s > 0 ? std::min(ran, spec.save_s * 2) : ran;
   constexpr double kDisturbance = 5.0;  // s: fetch and start again
   const double rank = 1 + (3 - static_cast<int>(spec.priority));
-  return (lost + kDisturbance) * spec.need.cpus * rank;
+  // One task of a gang takes all of them along.
+  const bool whole = tuning_.piece_weight > 0 && spec.kind == JobKind::kGang;
+  return (lost + kDisturbance) * spec.need.cpus * rank *
+         (whole ? spec.tasks : 1);
 }
 
 void Controller::Preempt(Machine& m, Resident& victim, const JobSpec& for_job,
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -48,8 +48,13 @@
   // Cheap kinds fill first, as placement does where it can choose.
   std::stable_sort(input.rooms.begin(), input.rooms.end(),
                    [&](const SupplyRoom& a, const SupplyRoom& b) {
-                     return types_.at(a.kind.type).total.gpus <
-                            types_.at(b.kind.type).total.gpus;
+                     const double gpus = types_.at(a.kind.type).total.gpus;
+                     const double other = types_.at(b.kind.type).total.gpus;
+                     if (gpus != other) return gpus < other;
+                     // Pieces first: a small task counted into a whole machine
+                     // would have another one rented for the next large one.
+                     return tuning_.piece_weight > 0 &&
+                            a.free.gpus < b.free.gpus;
                    });
   std::vector<const Job*> waiting;
   for (const auto& [id, job] : jobs_) {
--- a/core/model/machine.cc
+++ b/core/model/machine.cc
@@ -58,6 +58,14 @@
   return sum;
 }
 
+double Machine::image_gb_queued() const {
+  double sum = 0;
+  for (const auto& [name, image] : images_) {
+    if (!image.cached) sum += image.gb;
+  }
+  return sum;
+}
+
 void Machine::QueueImage(const std::string& image, double gb, Time now) {
   auto [it, added] = images_.try_emplace(image);
   if (added) it->second = {gb, false, now, now};
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -148,6 +148,7 @@
   void DropQueuedImage(const std::string& image);
   bool HasImage(const std::string& image) const;
   double image_gb_cached() const;
+  double image_gb_queued() const;
 
   // Recorded facts.
   std::string type_name;
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -93,6 +93,9 @@
   // Of a class's work that is placed while some waits: for the largest and
   // those that have waited longest.
   double floor_share = 0.5;
+  // Weight of what a task adds to the accelerators left over in pieces, as a
+  // share of a machine's; 0: pieces are not looked at.
+  double piece_weight = 0;
   // Leadership lease, as a share of the workers' lease.
   double leader_lease_ratio = 0.25;
   // How long the others promise one who keeps workers alive in an outage of
--- a/core/placement/placement.cc
+++ b/core/placement/placement.cc
@@ -88,9 +88,64 @@
   return !need.FitsIn(machine.total() - machine.staying - more);
 }
 
+double SecondsToImage(const Machine& machine, const JobSpec& spec) {
+  const double own = machine.BytesToFetch(spec.image, spec.image_gb);
+  // A fetch may be slower than the nominal rate by a third. Measured slower
+  // still, it shared the rate with others, which are counted here themselves.
+  constexpr double kSlowest = 2.0 / 3;
+  const double rate =
+      std::max(machine.bandwidth, kSlowest * machine.type->fetch_gb_per_s);
+  if (own <= 0) return machine.HasImage(spec.image) ? 0 : spec.image_gb / rate;
+  return (own + machine.image_gb_queued()) / rate;
+}
+
+namespace {
+
+// An image should be there after this share of the time that the class may
+// wait; the rest is for the order, the queue and an estimate too low.
+constexpr double kInTime = 0.6;
+constexpr double kNothing = 1e-6;
+
+}  // namespace
+
+bool Placer::Breaks(const JobSpec& spec, const Machine& m, double aim_s) const {
+  if (!Counts(spec, m)) return false;
+  if (pieces_->Added(m, spec.need) > kNothing) return true;
+  // Work that stays long is there: it takes no room that short work could make.
+  return spec.need.gpus > 0 && (!spec.need.FitsIn(LastingRoom(m)) ||
+                                SecondsToImage(m, spec) > kInTime * aim_s);
+}
+
+double Placer::PieceCost(const JobSpec& spec, const Machine& m, int here,
+                         double aim_s) const {
+  const Resources& total = m.type->total;
+  double cost = pieces_->Added(m, spec.need) / total.gpus;
+  if (spec.need.gpus <= 0) return cost;
+  // Of machines in pieces the fullest, so that the others empty.
+  constexpr double kFill = 0.1;
+  cost -= kFill * m.lasting.gpus / total.gpus;
+  // Images share the rate: four small replicas begun together on one machine
+  // would each wait for all four.
+  constexpr double kLate = 2;  // dearer than a whole machine
+  if (SecondsToImage(m, spec) > kInTime * aim_s) cost += kLate;
+  if (spec.kind == JobKind::kService && here >= GatherLimit(spec.tasks)) {
+    constexpr double kCrowded = 0.5;
+    cost += kCrowded;
+  }
+  // What the start would push out of the cache has to be fetched again by
+  // whoever needs it next.
+  const double out = m.image_gb_cached() - m.type->cache_gb +
+                     m.BytesToFetch(spec.image, spec.image_gb);
+  if (out > 0 && m.type->cache_gb > 0) {
+    constexpr double kPushedOut = 0.1;
+    cost += kPushedOut * std::min(1.0, out / m.type->cache_gb);
+  }
+  return cost;
+}
+
 Machine* Placer::Choose(const Job& job, std::span<Machine* const> fitting,
                         const Footprint& where, const CountOn& on_machine,
-                        double mean_bandwidth) {
+                        double mean_bandwidth, double aim_s) {
   if (fitting.empty()) return nullptr;
   const JobSpec& spec = job.spec();
   std::vector<double> fetch_s;
@@ -121,6 +176,11 @@
     if (total.gpus > 0 && spec.need.gpus <= 0) {
       score[i] -= tuning_.accelerator_weight;
     }
+    if (Counts(spec, m)) {
+      // Exception to the design, "pieces": see docs/packing.md.
+      score[i] -=
+          tuning_.piece_weight * PieceCost(spec, m, on_machine(m), aim_s);
+    }
     if (dearest > 0 && total.cpus > 0) {
       const double price = m.spot ? m.type->spot_price : m.type->price;
       score[i] -= tuning_.price_weight * price / total.cpus / dearest;
--- a/core/placement/placement.h
+++ b/core/placement/placement.h
@@ -9,6 +9,7 @@
 
 #include "core/model/job.h"
 #include "core/model/machine.h"
+#include "core/packing/pieces.h"
 
 namespace oxbow {
 
@@ -51,21 +52,49 @@
 bool Spoilt(const Machine& machine, const Resources& shape,
             const Resources& more = {});
 
+// Seconds until the image would be there behind what the machine fetches
+// already: several images share the rate. By the type's nominal rate where
+// nothing, or only shared fetches, were measured.
+double SecondsToImage(const Machine& machine, const JobSpec& spec);
+
+// The most tasks of a service with accelerators that are gathered on one
+// machine for the sake of packing: its loss must not take the service.
+inline int GatherLimit(uint32_t tasks) {
+  return static_cast<int>(tasks + 3) / 4;
+}
+
 class Placer {
  public:
   Placer(const Tuning& tuning, uint64_t seed)
       : tuning_(tuning), random_(seed) {}
 
+  // Looks at pieces too, where the operators' weight is above 0.
+  void SetPieces(const PieceBoard* pieces) { pieces_ = pieces; }
+  // Whether a task of this job would leave accelerators in pieces, or could
+  // not be ready there in time. `aim_s`: how soon its class is to start.
+  bool Breaks(const JobSpec& spec, const Machine& m, double aim_s) const;
+
   // Tasks of the job on a machine, for the spread term.
   using CountOn = std::function<int(const Machine&)>;
 
   // The machine with the highest total score among those given; null for none.
   Machine* Choose(const Job& job, std::span<Machine* const> fitting,
                   const Footprint& where, const CountOn& on_machine,
-                  double mean_bandwidth);
+                  double mean_bandwidth, double aim_s = 1e18);
 
  private:
+  // Whether pieces are looked at for this job on such a machine.
+  bool Counts(const JobSpec& spec, const Machine& m) const {
+    return pieces_ != nullptr && tuning_.piece_weight > 0 &&
+           m.total().gpus > 0 &&
+           (spec.need.gpus > 0 || spec.kind == JobKind::kService);
+  }
+  // What the placement costs in pieces, as a share of the machine.
+  double PieceCost(const JobSpec& spec, const Machine& m, int here,
+                   double aim_s) const;
+
   const Tuning& tuning_;
+  const PieceBoard* pieces_ = nullptr;
   std::mt19937_64 random_;
 };
 
--- /dev/null
+++ b/tests/packing_test.cc
@@ -0,0 +1,227 @@
+// Accelerators left over in pieces: the measure, and where tasks go by it.
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+#include "core/packing/pieces.h"
+#include "core/placement/placement.h"
+
+namespace oxbow {
+namespace {
+
+constexpr double kMemory_s = 300;
+constexpr double kSettle_s = 1;
+
+class Packing : public testing::Test {
+ protected:
+  Packing() : board_(kMemory_s, kSettle_s), placer_(tuning_, 1) {
+    tuning_.piece_weight = 2;
+    type_.name = "big";
+    type_.total = {64, 8, 384};
+    type_.cache_gb = 50;
+    type_.fetch_gb_per_s = 0.25;
+    type_.price = 10;
+    type_.zones = {"a", "b"};
+    placer_.SetPieces(&board_);
+  }
+
+  static JobSpec Spec(JobKind kind, double gpus, uint32_t tasks) {
+    JobSpec spec;
+    spec.id = "job-000001";
+    spec.kind = kind;
+    spec.tasks = tasks;
+    spec.need = {gpus * 4, gpus, gpus * 28};
+    spec.image = "img";
+    spec.image_gb = 14;
+    return spec;
+  }
+  void Ask(const JobSpec& spec, Time now = 0) {
+    board_.Note(spec, now);
+    board_.Settle(now + 2 * kSettle_s * ++asked_);
+  }
+  Machine* Add(double gpus_used, const std::string& zone = "a") {
+    const auto n = static_cast<int32_t>(machines_.size());
+    machines_.push_back(std::make_unique<Machine>(
+        fmt::format("n-{}", n), MachineRecord{"big", zone, false, "x", 0, 0}, n,
+        1));
+    Machine* m = machines_.back().get();
+    m->type = &type_;
+    m->used = m->lasting = m->staying =
+        Resources{gpus_used * 4, gpus_used, gpus_used * 28};
+    all_.push_back(m);
+    return m;
+  }
+  Machine* Choose(const JobSpec& spec, double aim_s = 1e18) {
+    JobRecord record;
+    record.spec = std::make_shared<JobSpec>(spec);
+    const Job job(record, -1, 0);
+    std::vector<Machine*> fitting;
+    for (Machine* m : all_) {
+      if (spec.need.FitsIn(m->free())) fitting.push_back(m);
+    }
+    return placer_.Choose(
+        job, fitting, {}, [](const Machine&) { return 0; }, 0.25, aim_s);
+  }
+
+  Tuning tuning_;
+  MachineType type_;
+  PieceBoard board_;
+  Placer placer_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  std::vector<Machine*> all_;
+  int asked_ = 0;
+};
+
+TEST_F(Packing, UselessIsWhatNoFurtherTaskOfTheMixCouldUse) {
+  Machine* m = Add(2);
+  EXPECT_EQ(board_.Useless(*m), 0);  // nothing was asked for
+  Ask(Spec(JobKind::kGang, 8, 3));   // 24 accelerators
+  EXPECT_DOUBLE_EQ(board_.Useless(*m), 6);
+  Ask(Spec(JobKind::kService, 4, 2));  // 8: a quarter; 2 of 6 are left over
+  EXPECT_NEAR(board_.Useless(*m), 0.75 * 6 + 0.25 * 2, 0.1);
+  // Cores count beside them: without, not one more of the small ones either.
+  m->lasting.cpus = m->used.cpus = 64 - 15;
+  EXPECT_NEAR(board_.Useless(*m), 6, 1e-9);
+  // Short work runs off.
+  Machine* busy = Add(0);
+  busy->used = {64, 0, 100};
+  EXPECT_EQ(board_.Useless(*busy), 0);
+  const PieceCount count = board_.Count(machines_);
+  EXPECT_EQ(count.whole, 1);
+  EXPECT_EQ(count.in_pieces, 1);
+  EXPECT_EQ(count.free, 14);
+}
+
+TEST_F(Packing, ZonesTypesAndSpotMatter) {
+  JobSpec spec = Spec(JobKind::kGang, 8, 1);
+  spec.zone = "b";
+  Ask(spec);
+  Machine* here = Add(0, "b");
+  Machine* elsewhere = Add(0, "a");
+  Machine* spot = Add(0, "b");
+  spot->spot = true;
+  EXPECT_EQ(board_.Useless(*here), 0);
+  EXPECT_EQ(board_.Useless(*elsewhere), 8);
+  EXPECT_EQ(board_.Useless(*spot), 8);
+  // So a small one goes where nobody else could.
+  EXPECT_LT(board_.Added(*elsewhere, {8, 2, 56}), 0);
+  EXPECT_GT(board_.Added(*here, {8, 2, 56}), 0);
+}
+
+TEST_F(Packing, TheMixForgets) {
+  Ask(Spec(JobKind::kGang, 8, 10), 0);
+  Ask(Spec(JobKind::kService, 2, 10), 5 * kMemory_s);
+  ASSERT_EQ(board_.shapes().size(), 2U);
+  EXPECT_LT(board_.shapes()[0].share, 0.05);
+  // However many sorts are asked for, few are looked at.
+  for (int i = 1; i <= 40; ++i) {
+    JobSpec spec = Spec(JobKind::kArray, 1, 1);
+    spec.need.cpus = i * i;
+    Ask(spec, 5 * kMemory_s);
+  }
+  EXPECT_LE(board_.shapes().size(), 12U);
+}
+
+TEST_F(Packing, SmallOnesFillTheFullestPieceAndLeaveWholeMachinesWhole) {
+  Ask(Spec(JobKind::kGang, 8, 10));
+  Ask(Spec(JobKind::kService, 2, 4));
+  for (int i = 0; i < 20; ++i) Add(0);
+  Machine* little = Add(2);
+  Machine* much = Add(6);
+  const JobSpec small = Spec(JobKind::kService, 2, 2);
+  EXPECT_TRUE(placer_.Breaks(small, *all_[0], 1e18));
+  EXPECT_FALSE(placer_.Breaks(small, *little, 1e18));
+  EXPECT_EQ(Choose(small), much);
+  // The weights on a whole machine are no reason to break it.
+  all_[0]->ImageCached("img", 14, 1);
+  EXPECT_EQ(Choose(small), much);
+  // Without the weight, it is one.
+  tuning_.piece_weight = 0;
+  EXPECT_EQ(Choose(small), all_[0]);
+}
+
+TEST_F(Packing, FetchesBegunTogetherAreNotGatheredOnOneLink) {
+  Ask(Spec(JobKind::kGang, 8, 10));
+  Machine* whole = Add(0);
+  Machine* piece = Add(2);
+  piece->QueueImage("other", 14, 1);
+  piece->QueueImage("third", 14, 1);
+  const JobSpec small = Spec(JobKind::kService, 2, 2);
+  EXPECT_EQ(Choose(small, 1000), piece);
+  EXPECT_EQ(Choose(small, 200), whole);  // 42 GB would take 252 s and more
+  // Nor would emptying it of short work help.
+  EXPECT_TRUE(placer_.Breaks(small, *piece, 200));
+}
+
+TEST_F(Packing, AServiceIsNotGatheredOnOneMachine) {
+  EXPECT_EQ(GatherLimit(1), 1);
+  EXPECT_EQ(GatherLimit(4), 1);
+  EXPECT_EQ(GatherLimit(8), 2);
+  Ask(Spec(JobKind::kGang, 8, 10));
+  Machine* fuller = Add(4);
+  Machine* other = Add(2);
+  JobRecord record;
+  record.spec = std::make_shared<JobSpec>(Spec(JobKind::kService, 2, 2));
+  const Job job(record, -1, 0);
+  EXPECT_EQ(placer_.Choose(
+                job, all_, {},
+                [&](const Machine& m) { return &m == fuller ? 1 : 0; }, 0.25),
+            other);
+}
+
+TEST_F(Packing, KeptInStepWithTheMachines) {
+  // What is remembered for a machine against a fresh board, over many changes.
+  std::mt19937_64 random(7);
+  for (int i = 0; i < 6; ++i) Add(i);
+  for (int step = 0; step < 500; ++step) {
+    Machine* m = all_[random() % all_.size()];
+    const double gpus = static_cast<double>(random() % 9);
+    m->lasting = {gpus * 6, gpus, gpus * 20};
+    JobSpec spec = Spec(JobKind::kArray, 1 + static_cast<double>(step % 8), 1);
+    if (step % 10 == 0) Ask(spec, step);
+    PieceBoard fresh = board_;
+    Machine copy = *m;
+    copy.lasting.cpus -= 1e-3;  // whatever was known is of no use
+    (void)fresh.Added(copy, {1e-3, 0, 0});
+    ASSERT_DOUBLE_EQ(board_.Added(*m, spec.need), fresh.Added(*m, spec.need));
+    ASSERT_DOUBLE_EQ(board_.Useless(*m), fresh.Useless(*m));
+  }
+}
+
+// Figures: printed. Bound: a decision is no dearer than its machines.
+TEST_F(Packing, CostOfADecision) {
+  Ask(Spec(JobKind::kGang, 8, 10));
+  Ask(Spec(JobKind::kGang, 4, 10));
+  Ask(Spec(JobKind::kService, 2, 10));
+  Ask(Spec(JobKind::kService, 1, 10));
+  std::mt19937_64 random(3);
+  for (const size_t size : {100U, 1000U, 4000U}) {
+    while (all_.size() < size) Add(static_cast<double>(random() % 7));
+    const JobSpec small = Spec(JobKind::kService, 2, 8);
+    JobRecord record;
+    record.spec = std::make_shared<JobSpec>(small);
+    const Job job(record, -1, 0);
+    for (const double weight : {0.0, 2.0}) {
+      tuning_.piece_weight = weight;
+      constexpr int kTimes = 20;
+      const auto begin = std::chrono::steady_clock::now();
+      for (int i = 0; i < kTimes; ++i) {
+        Machine* m = placer_.Choose(
+            job, all_, {}, [](const Machine&) { return 0; }, 0.25);
+        m->lasting += small.need;  // the next one finds it changed
+      }
+      const double us = std::chrono::duration<double, std::micro>(
+                            std::chrono::steady_clock::now() - begin)
+                            .count() /
+                        kTimes;
+      fmt::print("{} machines, weight {}: {:.0f} us for a decision\n", size,
+                 weight, us);
+      EXPECT_LT(us, 100 * static_cast<double>(size));  // under ASan as well
+    }
+  }
+}
+
+}  // namespace
+}  // namespace oxbow
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -92,6 +92,8 @@
         sim_.tuning.rollouts_at_once = std::stod(word);
       } else if (name == "give_up_ratio") {
         sim_.tuning.give_up_ratio = std::stod(word);
+      } else if (name == "piece_weight") {
+        sim_.tuning.piece_weight = std::stod(word);
       } else if (name == "silent_share") {
         sim_.tuning.silent_share = std::stod(word);
       } else {
