--- /dev/null
+++ b/core/moves/plan.cc
@@ -0,0 +1,164 @@
+#include "core/moves/plan.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace oxbow {
+namespace {
+
+constexpr double kNothing = 1e-6;
+
+// One machine's way to be whole.
+struct Vacating {
+  Machine* from = nullptr;
+  std::vector<PlannedMove> moves;
+  double cost = 0;  // s of accelerators lost to their users
+};
+
+struct Taken {
+  std::map<const Machine*, Resources> room;
+  std::set<const Machine*> targets;
+  std::set<const Machine*> emptied;
+};
+
+// The best target for one leg beyond what is spoken for; false for none.
+bool FindTarget(const MovePlanInput& in, const Resident& r, const Machine& from,
+                const Taken& taken, PlannedMove* out) {
+  const JobSpec& spec = r.job->spec();
+  Footprint where = in.where(*r.job);
+  where.Add(from.zone, -1);
+  Machine* best = nullptr;
+  double best_fetch = 0;
+  for (Machine* m : in.targets) {
+    if (m == &from || taken.targets.contains(m) || taken.emptied.contains(m) ||
+        !Allowed(spec, *m, where) ||
+        !spec.need.FitsIn(m->RoomFor(r.job, spec.priority)) ||
+        !spec.need.FitsIn(LastingRoom(*m)) ||
+        in.pieces->Added(*m, spec.need) > kNothing || !in.may_go(r, *m)) {
+      continue;
+    }
+    const double fetch = SecondsToImage(*m, spec);
+    // The weights first, then the fullest.
+    if (best == nullptr || fetch < best_fetch - kNothing ||
+        (fetch < best_fetch + kNothing &&
+         m->lasting.gpus > best->lasting.gpus)) {
+      best = m;
+      best_fetch = fetch;
+    }
+  }
+  if (best == nullptr) return false;
+  *out = {KeyOf(r), const_cast<Machine*>(&from), best, best_fetch};
+  return true;
+}
+
+bool PlanVacating(const MovePlanInput& in, Machine& m, Taken taken, size_t most,
+                  Vacating* out) {
+  const Resources& need = in.waiting->need;
+  Resources room = LastingRoom(m);
+  std::vector<const Resident*> legs;
+  Resources could = room;
+  for (const auto& [key, r] : m.residents) {
+    if (r.phase != TaskPhase::kRunning || r.stopping || r.job == nullptr ||
+        !r.holds || r.job->spec().kind != JobKind::kService ||
+        r.job->spec().priority == Priority::kProduction ||
+        r.job->spec().need.gpus <= 0 ||
+        in.now - r.running_since < in.settled_s) {
+      continue;
+    }
+    legs.push_back(&r);
+    could += r.need;
+  }
+  if (!need.FitsIn(could)) return false;
+  std::sort(legs.begin(), legs.end(), [](const Resident* a, const Resident* b) {
+    if (a->need.gpus != b->need.gpus) return a->need.gpus < b->need.gpus;
+    return KeyOf(*a) < KeyOf(*b);
+  });
+  taken.emptied.insert(&m);
+  out->from = &m;
+  for (const Resident* r : legs) {
+    if (need.FitsIn(room)) break;
+    PlannedMove move;
+    if (out->moves.size() >= most || !in.may_leave(*r) ||
+        !FindTarget(in, *r, m, taken, &move)) {
+      return false;
+    }
+    taken.targets.insert(move.to);
+    room += r->need;
+    out->cost += r->need.gpus * (in.disturbance_s + move.fetch_s);
+    out->moves.push_back(move);
+  }
+  const double gain = need.gpus * in.horizon_s;
+  return need.FitsIn(room) && !out->moves.empty() && out->cost < gain;
+}
+
+}  // namespace
+
+std::vector<PlannedMove> PlanMoves(const MovePlanInput& input) {
+  MovePlanInput in = input;
+  const JobSpec& waiting = *in.waiting;
+  // Most machines are full or whole, and no target.
+  std::vector<Machine*> in_pieces;
+  for (Machine* m : in.usable) {
+    if (m->total().gpus > 0 && LastingRoom(*m).gpus > kNothing &&
+        in.pieces->Useless(*m) > kNothing) {
+      in_pieces.push_back(m);
+    }
+  }
+  in.targets = in_pieces;
+  std::map<std::string, std::vector<Vacating>> zones;
+  std::map<std::string, uint32_t> fitting;  // there already
+  for (Machine* m : in.usable) {
+    if (!Allowed(waiting, *m, {}) || !waiting.need.FitsIn(m->total())) continue;
+    const std::string zone = waiting.one_zone ? m->zone : "";
+    const uint32_t here = waiting.need.TimesIn(LastingRoom(*m), in.missing);
+    fitting[zone] += here;
+    if (here > 0) continue;
+    Vacating vacating;
+    if (PlanVacating(in, *m, {}, in.most, &vacating)) {
+      zones[zone].push_back(std::move(vacating));
+    }
+  }
+  for (const auto& [zone, count] : fitting) {
+    if (count >= in.missing) return {};  // it will go there
+  }
+  std::vector<PlannedMove> best;
+  double best_cost = 0;
+  for (auto& [zone, options] : zones) {
+    uint32_t left = in.missing - fitting[zone];
+    // A zone that can't become whole would be emptied for nothing.
+    if (waiting.kind == JobKind::kGang && options.size() < left) continue;
+    std::sort(options.begin(), options.end(),
+              [](const Vacating& a, const Vacating& b) {
+                if (a.cost != b.cost) return a.cost < b.cost;
+                return a.from->index() < b.from->index();
+              });
+    std::vector<PlannedMove> moves;
+    double cost = 0;
+    Taken taken;
+    for (const Vacating& option : options) {
+      if (left == 0 || moves.size() >= in.most) break;
+      if (taken.targets.contains(option.from)) continue;
+      // Again, beside what the ones before it have taken.
+      Vacating now;
+      if (!PlanVacating(in, *option.from, taken, in.most - moves.size(),
+                        &now)) {
+        continue;
+      }
+      for (const PlannedMove& move : now.moves) {
+        taken.targets.insert(move.to);
+        moves.push_back(move);
+      }
+      taken.emptied.insert(now.from);
+      cost += now.cost;
+      --left;
+    }
+    if (!moves.empty() && (best.empty() || cost < best_cost)) {
+      best = std::move(moves);
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace oxbow
