Hooks: moves of replicas in the leader, their claims recorded, scenarios

The plan of core/moves is carried out by the leader: the work with accelerators that a pass left without a place, a plan once a report, all moves of a machine or none, the claim recorded as move/ID before anything is stopped, the target's room held by a reservation in each pass, the floor, roll-outs and the loss limiter asked at the last moment. What is stopped is placed as any other replica, first on the claimed target; what is being emptied gets no new replicas while there is other room.

--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "wire/moves_json.h"
+
 namespace oxbow::app {
 namespace {
 
@@ -93,6 +95,7 @@
   controller_ =
       std::make_unique<Controller>(settings_, tuning_, catalog_, revision, now,
                                    net::WallNow() - now, revision, keepers);
+  controller_->UseMoves(wire::kMoveCodec, now);
   controller_->log_detail = spdlog::should_log(spdlog::level::debug);
   if (!follower_.types().empty()) {
     std::vector<MachineType> types;
--- a/app/options.cc
+++ b/app/options.cc
@@ -53,6 +53,12 @@
     Entry{"recovery", "pages_per_lease", &Tuning::recovery_pages, 0, 100},
     Entry{"rollouts", "at_once", &Tuning::rollouts_at_once, 0, 64},
     Entry{"rollouts", "check_share", &Tuning::rollout_check_share, 0.001, 0.5},
+    Entry{"moves", "at_once", &Tuning::moves_at_once, 0, 100},
+    Entry{"moves", "budget", &Tuning::moves_budget, 1, 1000},
+    Entry{"moves", "cool_leases", &Tuning::moves_cool_leases, 1, 100},
+    Entry{"moves", "zone_share", &Tuning::moves_zone_share, 0, 1},
+    Entry{"moves", "team_share", &Tuning::moves_team_share, 0, 1},
+    Entry{"moves", "service_share", &Tuning::moves_service_share, 0, 0.5},
     Entry{"rollouts", "cpu_share", &Tuning::rollout_cpu_share, 0.01, 0.5},
 };
 
@@ -71,7 +77,7 @@
 std::string LoadTuning(const std::string& path, Tuning* out) {
   constexpr std::array kBlocks = {"placement", "queue",  "leadership",
                                   "machines",  "limits", "rollouts",
-                                  "recovery"};
+                                  "recovery",  "moves"};
   constexpr size_t kMostInBlock = 16;
   std::array<std::array<cfg_opt_t, kMostInBlock>, kBlocks.size()> blocks;
   for (size_t b = 0; b < kBlocks.size(); ++b) {
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -140,7 +140,8 @@
   }
 }
 
-void Controller::OnOperatorRecord(const std::string& /*name*/, Time now) {
+void Controller::OnOperatorRecord(const std::string& name, Time now) {
+  OnMoveRecord(name, now);
   dirty_ = true;
   ScheduleIfNeeded(now);
 }
@@ -268,7 +269,10 @@
   Log("pieces: of " + whole(n.accelerators) + " accelerators " + whole(n.free) +
       " free, " + whole(n.useless) + " of these of no use to what is asked " +
       "for; " + std::to_string(n.whole) + " machines whole, " +
-      std::to_string(n.in_pieces) + " in pieces");
+      std::to_string(n.in_pieces) + " in pieces" +
+      (mover_ ? "; moves settled " + std::to_string(mover_->settled()) +
+                    ", given up " + std::to_string(mover_->given_up())
+              : ""));
 }
 
 void Controller::Tick(Time now, bool by_lease) {
@@ -286,6 +290,7 @@
     }
   }
   TickRollouts(now);
+  TickMoves(now);
   TickRestore(now);
   std::erase_if(refused_until_,
                 [now](const auto& e) { return e.second <= now; });
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -28,6 +28,7 @@
 #include "core/model/patience.h"
 #include "core/model/report.h"
 #include "core/model/settings.h"
+#include "core/moves/moves.h"
 #include "core/packing/pieces.h"
 #include "core/placement/placement.h"
 #include "core/provision/provision.h"
@@ -107,6 +108,10 @@
 
   std::vector<Action> TakeActions();
 
+  // Lets replicas be moved, as far as the operators' settings do. Takes up the
+  // claims that a former leader has recorded; before the first Tick.
+  void UseMoves(const MoveCodec& codec, Time now);
+
   // Whether details are logged.
   bool log_detail = false;
 
@@ -129,6 +134,8 @@
     return machines_;
   }
   // Accelerators left over in pieces, over all machines.
+  // Moves of replicas, where the operators have them turned on; null if not.
+  const Mover* mover() const { return mover_ ? &*mover_ : nullptr; }
   PieceCount CountPieces() const { return pieces_.Count(machines_); }
 
  private:
@@ -257,6 +264,23 @@
   // not be known here yet.
   bool MayBeRestricted(const Job& job) const;
 
+  // moves.cc
+  void TickMoves(Time now);
+  MoveSight SightOf(const Mover::Move& move, Time now);
+  void StepMoves(Time now);
+  void PlanMovesFor(const Job& waiting, Time now);
+  // The task's record under its name has changed, or was not to be changed.
+  void OnMoveRecord(const std::string& name, Time now);
+  // Holds the room on the targets; in each pass.
+  void HoldClaims(Time now);
+  // The machine that a move holds for the service's next replica; null: none.
+  Machine* HeldByMove(const Job& job, const Footprint& where, Time now);
+  bool EmptiedByMove(const Machine& m) const {
+    return mover_ && mover_->Empties(m.host());
+  }
+  // Replicas that run, on machines that are heard and obey this leader alone.
+  uint32_t RunSurely(const Job& job, Time now) const;
+
   // schedule.cc
   void ComputeGuarantees();
   bool Placeable(const Job& job, Time now, bool accounted) const;
@@ -361,6 +385,12 @@
   Time next_rollouts_ = 0;
   Time next_supply_ = 0;
   Time next_pieces_ = 0;
+  std::optional<Mover> mover_;
+  MoveCodec move_codec_;
+  Time next_moves_ = 0;
+  Time next_move_plan_ = 0;
+  // Work with accelerators that the last pass left without a place, in turn.
+  std::vector<std::string> large_waiting_;
   Time next_consolidation_ = 0;
   Time quiet_since_ = 1e18;  // no job has come or waited since
   uint64_t next_batch_ = 1;
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -118,6 +118,7 @@
     alive.push_back(m.get());
     if (Usable(*m, now)) usable.push_back(m.get());
   }
+  HoldClaims(now);
   const double bandwidth = MeanBandwidth(alive);
   for (const Entry& entry : entries) {
     Job* job = entry.job;
@@ -127,6 +128,17 @@
       PlaceJob(*job, entry.place, usable, bandwidth, now);
     }
   }
+  large_waiting_.clear();
+  constexpr size_t kMostLarge = 4;
+  for (const Entry& entry : entries) {
+    if (!mover_ || large_waiting_.size() >= kMostLarge) break;
+    const Job& job = *entry.job;
+    const uint32_t wanted = Wanted(job);
+    if (job.spec().need.gpus > 0 && wanted > 0 &&
+        TeamAllows(job, job.spec().kind == JobKind::kGang ? wanted : 1)) {
+      large_waiting_.push_back(job.id());
+    }
+  }
   for (Machine* m : usable) Pump(*m, now);
 }
 
@@ -188,6 +200,7 @@
     Job& job, const std::vector<Machine*>& usable, const Footprint& where,
     double bandwidth, Time now) {
   const JobSpec& spec = job.spec();
+  if (Machine* held = HeldByMove(job, where, now)) return held;
   // Exception to the design, "accelerator headroom": a replica stays for
   // long, and one too many on a machine keeps accelerator work off it all
   // that time. Rather than spoil one, it takes the room of short work.
@@ -198,7 +211,7 @@
     // every gang's room had kept sixty machines rented after the last gang.
     // Nor does it break a whole machine while there is room in pieces.
     if ((calm ? Gathers(*m) : !Spoils(spec, *m, accelerator_shape_)) &&
-        !placer_.Breaks(spec, *m, WaitAim(spec))) {
+        !placer_.Breaks(spec, *m, WaitAim(spec)) && !EmptiedByMove(*m)) {
       sparing.push_back(m);
     }
   }
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -96,6 +96,18 @@
   // Weight of what a task adds to the accelerators left over in pieces, as a
   // share of a machine's; 0: pieces are not looked at.
   double piece_weight = 0;
+  // Moves of replicas with accelerators under way, so that large work finds
+  // whole machines; 0: none. Needs piece_weight.
+  double moves_at_once = 0;
+  // Moves begun until their services have cooled off, and for how many worker
+  // leases these do.
+  double moves_budget = 24;
+  double moves_cool_leases = 6;
+  // Of the moves under way, with targets in one zone; of one team; of a
+  // service's replicas.
+  double moves_zone_share = 0.7;
+  double moves_team_share = 0.7;
+  double moves_service_share = 0.125;
   // Leadership lease, as a share of the workers' lease.
   double leader_lease_ratio = 0.25;
   // How long the others promise one who keeps workers alive in an outage of
--- a/core/moves/moves.cc
+++ b/core/moves/moves.cc
@@ -43,6 +43,7 @@
 void Mover::Change(Move& move, MoveState next, Time now, std::string_view why) {
   CheckedChange(move.state, next, kChanges, "move");
   move.since = now;
+  if (next == kStopping) move.stopped = now;
   move.why = why;
   settled_ += next == kSettled;
   given_up_ += next == kGivenUp;
@@ -76,13 +77,13 @@
   if (now >= move.cool) return;
   move.state = now < move.until ? kStopping : kGivenUp;
   if (move.state == kGivenUp) move.why = "of a former leader";
-  move.since = now;
+  move.since = move.stopped = now;
   moves_[claim.id] = std::move(move);
 }
 
 bool Mover::MayBegin(const std::string& job, uint32_t tasks,
                      const std::string& team, const std::string& to,
-                     const std::string& zone, Time now) const {
+                     const std::string& zone, bool fetches, Time now) const {
   const int most_down = MostDown(tasks, limits_.service_share);
   if (most_down == 0 || under_way() >= limits_.at_once ||
       static_cast<int>(moves_.size()) >= limits_.budget) {
@@ -98,7 +99,7 @@
     if (same && Ended(m.state) && now < m.cool) return false;
     if (m.claim.from == to && now < m.cool) return false;
     if (Ended(m.state)) continue;
-    if (m.claim.to == to) return false;  // one fetch on a link
+    if (m.claim.to == to && fetches) return false;
     of_service += same;
     of_zone += m.zone == zone;
     of_team += m.team == team;
@@ -210,6 +211,12 @@
   return MoveAct::kNone;
 }
 
+bool Mover::Empties(const std::string& host) const {
+  return std::any_of(moves_.begin(), moves_.end(), [&](const auto& e) {
+    return e.second.claim.from == host && !Ended(e.second.state);
+  });
+}
+
 const std::string* Mover::TargetFor(const std::string& job) const {
   for (const auto& [id, m] : moves_) {
     if (m.claim.job == job && m.state == kStopping) return &m.claim.to;
--- a/core/moves/moves.h
+++ b/core/moves/moves.h
@@ -58,6 +58,12 @@
   bool wanted = false;   // the large one still waits
 };
 
+// How a claim is written down and read; JSON is not the core's business.
+struct MoveCodec {
+  std::string (*write)(const MoveClaim& claim) = nullptr;
+  bool (*read)(const std::string& text, MoveClaim* out) = nullptr;
+};
+
 enum class MoveAct : uint8_t { kNone, kStop };
 
 struct MoveLimits {
@@ -80,8 +86,9 @@
     std::string_view why;  // it was given up
     std::string zone;      // of the target
     std::string team;
-    Time since = 0;  // of the state
-    Time until = 0;  // it ends by then, whatever happens
+    Time since = 0;    // of the state
+    Time stopped = 0;  // when the leg was told to stop
+    Time until = 0;    // it ends by then, whatever happens
     Time cool = 0;
   };
 
@@ -93,9 +100,11 @@
   // alone until it has cooled off. `fetch_s` as in Begin.
   void Restore(const MoveClaim& claim, double wall_minus_steady, Time now);
 
-  // Whether a move of this service's leg to that machine may begin.
+  // Whether a move of this service's leg to that machine may begin. `fetches`:
+  // the target does not hold the weights; of those, one on a link.
   bool MayBegin(const std::string& job, uint32_t tasks, const std::string& team,
-                const std::string& to, const std::string& zone, Time now) const;
+                const std::string& to, const std::string& zone, bool fetches,
+                Time now) const;
   // Plans it; the claim comes back with its name and times, to be recorded.
   // Nothing if there is no room for it. `fetch_s`: what the target still has
   // to fetch, s.
@@ -108,6 +117,8 @@
   void Refused(const std::string& id, Time now);
   // What to do now. A stop that is answered here counts as ordered.
   MoveAct Step(const std::string& id, const MoveSight& sight, Time now);
+  // Whether a move takes a leg off that machine: nothing new belongs there.
+  bool Empties(const std::string& host) const;
   // The host held for the service's next replica; null for none.
   const std::string* TargetFor(const std::string& job) const;
   // Forgets ended ones that have cooled off.
--- a/core/moves/plan.cc
+++ b/core/moves/plan.cc
@@ -17,9 +17,18 @@
 };
 
 struct Taken {
-  std::map<const Machine*, Resources> room;
-  std::set<const Machine*> targets;
+  std::map<const Machine*, Resources> room;  // of targets
+  std::set<const Machine*> fetching;
   std::set<const Machine*> emptied;
+
+  Resources On(const Machine* m) const {
+    const auto it = room.find(m);
+    return it == room.end() ? Resources{} : it->second;
+  }
+  void Take(const PlannedMove& move, const Resources& need) {
+    room[move.to] += need;
+    if (move.fetch_s > 0) fetching.insert(move.to);
+  }
 };
 
 // The best target for one leg beyond what is spoken for; false for none.
@@ -31,14 +40,17 @@
   Machine* best = nullptr;
   double best_fetch = 0;
   for (Machine* m : in.targets) {
-    if (m == &from || taken.targets.contains(m) || taken.emptied.contains(m) ||
-        !Allowed(spec, *m, where) ||
-        !spec.need.FitsIn(m->RoomFor(r.job, spec.priority)) ||
-        !spec.need.FitsIn(LastingRoom(*m)) ||
-        in.pieces->Added(*m, spec.need) > kNothing || !in.may_go(r, *m)) {
+    if (m == &from || taken.emptied.contains(m)) continue;
+    const Resources more = taken.On(m) + spec.need;
+    if (!Allowed(spec, *m, where) ||
+        !more.FitsIn(m->RoomFor(r.job, spec.priority)) ||
+        !more.FitsIn(LastingRoom(*m)) ||
+        in.pieces->Added(*m, spec.need) > kNothing) {
       continue;
     }
     const double fetch = SecondsToImage(*m, spec);
+    if (fetch > 0 && taken.fetching.contains(m)) continue;
+    if (!in.may_go(r, *m, fetch > 0)) continue;
     // The weights first, then the fullest.
     if (best == nullptr || fetch < best_fetch - kNothing ||
         (fetch < best_fetch + kNothing &&
@@ -83,7 +95,7 @@
         !FindTarget(in, *r, m, taken, &move)) {
       return false;
     }
-    taken.targets.insert(move.to);
+    taken.Take(move, r->need);
     room += r->need;
     out->cost += r->need.gpus * (in.disturbance_s + move.fetch_s);
     out->moves.push_back(move);
@@ -138,7 +150,7 @@
     Taken taken;
     for (const Vacating& option : options) {
       if (left == 0 || moves.size() >= in.most) break;
-      if (taken.targets.contains(option.from)) continue;
+      if (taken.room.contains(option.from)) continue;
       // Again, beside what the ones before it have taken.
       Vacating now;
       if (!PlanVacating(in, *option.from, taken, in.most - moves.size(),
@@ -146,7 +158,7 @@
         continue;
       }
       for (const PlannedMove& move : now.moves) {
-        taken.targets.insert(move.to);
+        taken.Take(move, move.from->residents.at(move.leg).need);
         moves.push_back(move);
       }
       taken.emptied.insert(now.from);
--- a/core/moves/plan.h
+++ b/core/moves/plan.h
@@ -36,7 +36,7 @@
   Time now = 0;
   // Whether this leg may be moved at all, and whether to that machine.
   std::function<bool(const Resident&)> may_leave;
-  std::function<bool(const Resident&, const Machine& to)> may_go;
+  std::function<bool(const Resident&, const Machine& to, bool fetches)> may_go;
   std::function<Footprint(const Job&)> where;
 };
 
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -94,6 +94,8 @@
         sim_.tuning.give_up_ratio = std::stod(word);
       } else if (name == "piece_weight") {
         sim_.tuning.piece_weight = std::stod(word);
+      } else if (name == "moves_at_once") {
+        sim_.tuning.moves_at_once = std::stod(word);
       } else if (name == "silent_share") {
         sim_.tuning.silent_share = std::stod(word);
       } else {
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "wire/moves_json.h"
+
 namespace oxbow::test {
 namespace {
 
@@ -120,6 +122,7 @@
   catalog_.Followed(revision_);
   leader_ = std::make_unique<Controller>(settings, tuning, catalog_, revision_,
                                          now_, 1e6, 7, RecordedKeepers());
+  leader_->UseMoves(wire::kMoveCodec, now_);
   std::vector<MachineType> all;
   for (const auto& [name, type] : types) all.push_back(type);
   leader_->OnTypes(all);
@@ -180,6 +183,8 @@
       leader_->OnJobRecord(key.substr(keys::kJob.size()), now_);
     } else if (key.starts_with(keys::kRollout)) {
       leader_->OnRolloutRecord(key.substr(keys::kRollout.size()), now_);
+    } else if (key.starts_with(keys::kOperator)) {
+      leader_->OnOperatorRecord(key.substr(keys::kOperator.size()), now_);
     }
     Perform();
   }
