--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -155,7 +155,7 @@
   }
   return placer_.Choose(
       job, fitting, where, [&](const Machine& m) { return CountOn(job, m); },
-      bandwidth, WaitAim(spec));
+      bandwidth, queue_order_.WaitAim(spec));
 }
 
 void Controller::Start(Job& job, uint32_t task, Machine& m, uint64_t attempt,
@@ -211,7 +211,8 @@
     // every gang's room had kept sixty machines rented after the last gang.
     // Nor does it break a whole machine while there is room in pieces.
     if ((calm ? Gathers(*m) : !Spoils(spec, *m, accelerator_shape_)) &&
-        !placer_.Breaks(spec, *m, WaitAim(spec)) && !EmptiedByMove(*m)) {
+        !placer_.Breaks(spec, *m, queue_order_.WaitAim(spec)) &&
+        !EmptiedByMove(*m)) {
       sparing.push_back(m);
     }
   }
--- a/tests/moves_storm_test.cc
+++ b/tests/moves_storm_test.cc
@@ -183,7 +183,9 @@
   fmt::print("{} seeds: {} legs stopped by moves, {} settled\n", seeds, stopped,
              settled);
   // A storm in which nothing is moved would show nothing.
-  if (only == nullptr) EXPECT_GT(settled, seeds / 4);
+  if (only == nullptr) {
+    EXPECT_GT(settled, seeds / 4);
+  }
 }
 
 }  // namespace
