--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "app/calendar_desk.h"
+#include "wire/moves_json.h"
 #include "wire/tiers_json.h"
 
 namespace oxbow::app {
@@ -133,6 +134,7 @@
     TellBookings(catalog_, *controller_, now);
     LookAtClocks();
   }
+  controller_->UseMoves(wire::kMoveCodec, now);
   controller_->log_detail = spdlog::should_log(spdlog::level::debug);
   if (!follower_.types().empty()) {
     std::vector<MachineType> types;
--- a/app/options.cc
+++ b/app/options.cc
@@ -28,6 +28,7 @@
     Entry{"placement", "price_weight", &Tuning::price_weight, 0, 100},
     Entry{"queue", "begin_within_s", &Tuning::begin_within_s, 0, 1e6},
     Entry{"queue", "floor_share", &Tuning::floor_share, 0, 1},
+    Entry{"placement", "piece_weight", &Tuning::piece_weight, 0, 100},
     Entry{"leadership", "lease_ratio", &Tuning::leader_lease_ratio, 0.05, 0.8},
     Entry{"machines", "suspect_ratio", &Tuning::suspect_ratio, 0.1, 1},
     Entry{"machines", "give_up_ratio", &Tuning::give_up_ratio, 0.2, 1},
@@ -53,6 +54,12 @@
     Entry{"calendar", "enabled", &Tuning::calendar_on, 0, 1},
     Entry{"rollouts", "at_once", &Tuning::rollouts_at_once, 0, 64},
     Entry{"rollouts", "check_share", &Tuning::rollout_check_share, 0.001, 0.5},
+    Entry{"moves", "at_once", &Tuning::moves_at_once, 0, 100},
+    Entry{"moves", "budget", &Tuning::moves_budget, 1, 1000},
+    Entry{"moves", "cool_leases", &Tuning::moves_cool_leases, 1, 100},
+    Entry{"moves", "zone_share", &Tuning::moves_zone_share, 0, 1},
+    Entry{"moves", "team_share", &Tuning::moves_team_share, 0, 1},
+    Entry{"moves", "service_share", &Tuning::moves_service_share, 0, 0.5},
     Entry{"rollouts", "cpu_share", &Tuning::rollout_cpu_share, 0.01, 0.5},
     Entry{"tiers", "follow", &Tuning::tiers, 0, 1},
 };
@@ -70,9 +77,9 @@
 }  // namespace
 
 std::string LoadTuning(const std::string& path, Tuning* out) {
-  constexpr std::array kBlocks = {"placement", "queue",  "leadership",
-                                  "machines",  "limits", "rollouts",
-                                  "recovery",  "tiers",  "calendar"};
+  constexpr std::array kBlocks = {
+      "placement", "queue",    "leadership", "machines", "limits",
+      "rollouts",  "recovery", "tiers",      "calendar", "moves"};
   constexpr size_t kMostInBlock = 16;
   std::array<std::array<cfg_opt_t, kMostInBlock>, kBlocks.size()> blocks;
   for (size_t b = 0; b < kBlocks.size(); ++b) {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -29,6 +29,8 @@
 #include "core/model/patience.h"
 #include "core/model/report.h"
 #include "core/model/settings.h"
+#include "core/moves/moves.h"
+#include "core/packing/pieces.h"
 #include "core/placement/placement.h"
 #include "core/provision/provision.h"
 #include "core/rollout/rollout.h"
@@ -116,6 +118,10 @@
 
   std::vector<Action> TakeActions();
 
+  // Lets replicas be moved, as far as the operators' settings do. Takes up the
+  // claims that a former leader has recorded; before the first Tick.
+  void UseMoves(const MoveCodec& codec, Time now);
+
   // Whether details are logged.
   bool log_detail = false;
 
@@ -142,6 +148,10 @@
   const std::vector<std::unique_ptr<Machine>>& machines() const {
     return machines_;
   }
+  // Accelerators left over in pieces, over all machines.
+  // Moves of replicas, where the operators have them turned on; null if not.
+  const Mover* mover() const { return mover_ ? &*mover_ : nullptr; }
+  PieceCount CountPieces() const { return pieces_.Count(machines_); }
 
  private:
   struct Team {
@@ -251,6 +261,8 @@
   // After every event: places and writes what it has made possible.
   void Settle(Time now);
   void Log(std::string text);
+  // Once a minute, where the operators have the packing turned on.
+  void LogPieces(Time now);
   // Built only when somebody reads it: there is one for every task.
   template <typename Text>
   void LogDetail(const Text& text) {
@@ -304,6 +316,22 @@
   void TickCalendar(Time now);
   void TakeBack(Job& job, Time now);
   void NoteHeld(const Job& job, const Verdict& verdict, Time now);
+  // moves.cc
+  void TickMoves(Time now);
+  MoveSight SightOf(const Mover::Move& move, Time now);
+  void StepMoves(Time now);
+  void PlanMovesFor(const Job& waiting, Time now);
+  // The task's record under its name has changed, or was not to be changed.
+  void OnMoveRecord(const std::string& name, Time now);
+  // Holds the room on the targets; in each pass.
+  void HoldClaims(Time now);
+  // The machine that a move holds for the service's next replica; null: none.
+  Machine* HeldByMove(const Job& job, const Footprint& where, Time now);
+  bool EmptiedByMove(const Machine& m) const {
+    return mover_ && mover_->Empties(m.host());
+  }
+  // Replicas that run, on machines that are heard and obey this leader alone.
+  uint32_t RunSurely(const Job& job, Time now) const;
 
   // schedule.cc
   void ComputeGuarantees();
@@ -375,6 +403,7 @@
   const double wall_minus_steady_;
   const Patience patience_;
   NumberSource numbers_;
+  PieceBoard pieces_;
   Placer placer_;
   QueueOrder queue_order_;
   bool resigned_ = false;
@@ -402,6 +431,13 @@
   size_t first_checked_ = 0;
   Time next_rollouts_ = 0;
   Time next_supply_ = 0;
+  Time next_pieces_ = 0;
+  std::optional<Mover> mover_;
+  MoveCodec move_codec_;
+  Time next_moves_ = 0;
+  Time next_move_plan_ = 0;
+  // Work with accelerators that the last pass left without a place, in turn.
+  std::vector<std::string> large_waiting_;
   Time next_consolidation_ = 0;
   Time quiet_since_ = 1e18;  // no job has come or waited since
   uint64_t next_batch_ = 1;
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -86,6 +86,7 @@
     team.orphans = orphans;
   }
   part_is_held_ = false;
+  pieces_.Settle(now);
   std::vector<Job*> order;
   for (auto& [id, job] : jobs_) {
     if (Placeable(*job, now, accounted)) order.push_back(job.get());
@@ -123,6 +124,7 @@
     }
     return a.job->id() < b.job->id();
   });
+  HoldClaims(now);
   const double bandwidth = MeanBandwidth(alive);
   const auto place = [&](const Entry& entry) {
     Job* job = entry.job;
@@ -140,6 +142,17 @@
     if (over_share_.contains(entry.job)) place(entry);
   }
   over_share_.clear();
+  large_waiting_.clear();
+  constexpr size_t kMostLarge = 4;
+  for (const Entry& entry : entries) {
+    if (!mover_ || large_waiting_.size() >= kMostLarge) break;
+    const Job& job = *entry.job;
+    const uint32_t wanted = Wanted(job);
+    if (job.spec().need.gpus > 0 && wanted > 0 &&
+        TeamAllows(job, job.spec().kind == JobKind::kGang ? wanted : 1)) {
+      large_waiting_.push_back(job.id());
+    }
+  }
   for (Machine* m : usable) Pump(*m, now);
 }
 
@@ -156,7 +169,7 @@
   }
   return placer_.Choose(
       job, fitting, where, [&](const Machine& m) { return CountOn(job, m); },
-      bandwidth);
+      bandwidth, queue_order_.WaitAim(spec));
 }
 
 void Controller::Start(Job& job, uint32_t task, Machine& m, uint64_t attempt,
@@ -207,6 +220,7 @@
     Job& job, const std::vector<Machine*>& usable, const Footprint& where,
     double bandwidth, Time now) {
   const JobSpec& spec = job.spec();
+  if (Machine* held = HeldByMove(job, where, now)) return held;
   // Exception to the design, "accelerator headroom": a replica stays for
   // long, and one too many on a machine keeps accelerator work off it all
   // that time. Rather than spoil one, it takes the room of short work.
@@ -215,7 +229,10 @@
   for (Machine* m : usable) {
     // In a calm replicas gather where they spoil nothing any more. Two beside
     // every gang's room had kept sixty machines rented after the last gang.
-    if (calm ? Gathers(*m) : !Spoils(spec, *m, accelerator_shape_)) {
+    // Nor does it break a whole machine while there is room in pieces.
+    if ((calm ? Gathers(*m) : !Spoils(spec, *m, accelerator_shape_)) &&
+        !placer_.Breaks(spec, *m, queue_order_.WaitAim(spec)) &&
+        !EmptiedByMove(*m)) {
       sparing.push_back(m);
     }
   }
@@ -410,7 +427,10 @@
       spec.checkpoint_s > 0 ? std::min(ran, spec.save_s * 2) : ran;
   constexpr double kDisturbance = 5.0;  // s: fetch and start again
   const double rank = 1 + (3 - static_cast<int>(spec.priority));
-  return (lost + kDisturbance) * spec.need.cpus * rank;
+  // One task of a gang takes all of them along.
+  const bool whole = tuning_.piece_weight > 0 && spec.kind == JobKind::kGang;
+  return (lost + kDisturbance) * spec.need.cpus * rank *
+         (whole ? spec.tasks : 1);
 }
 
 void Controller::Preempt(Machine& m, Resident& victim, const JobSpec& for_job,
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "wire/moves_json.h"
 #include "wire/tiers_json.h"
 
 namespace oxbow::test {
@@ -134,6 +135,7 @@
   ReadBookings();
   TellBookings();
   LookAtClocks();
+  leader_->UseMoves(wire::kMoveCodec, now_);
   std::vector<MachineType> all;
   for (const auto& [name, type] : types) all.push_back(type);
   leader_->OnTypes(all);
@@ -286,6 +288,8 @@
       leader_->OnJobRecord(key.substr(keys::kJob.size()), now_);
     } else if (key.starts_with(keys::kRollout)) {
       leader_->OnRolloutRecord(key.substr(keys::kRollout.size()), now_);
+    } else if (key.starts_with(keys::kOperator)) {
+      leader_->OnOperatorRecord(key.substr(keys::kOperator.size()), now_);
     }
     Perform();
   }
