--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -459,7 +459,6 @@
   std::map<std::string, HeldBy> held_;          // by job: told in the log
   const Machine* answering_ = nullptr;  // whose report is being answered
 
-  bool part_is_held_ = false;  // in this pass, for a gang
   bool dirty_ = true;
   bool urgent_dirty_ = true;  // a live service is concerned
   Time next_schedule_ = 0;
