--- a/app/tiers_cli.cc
+++ b/app/tiers_cli.cc
@@ -37,8 +37,12 @@
 void AddList(std::string* out, const char* key, const List& list,
              const Name& name) {
   if (list.empty()) return;
-  *out += std::string(out->empty() ? "" : "; ") + key;
-  for (const auto& item : list) *out += " " + std::string(name(item));
+  if (!out->empty()) *out += "; ";
+  *out += key;
+  for (const auto& item : list) {
+    *out += ' ';
+    *out += name(item);
+  }
 }
 
 std::string MatchText(const TierMatch& match) {
