--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -59,7 +59,9 @@
     m = &AddMachine(report.host, {report.type, report.zone, report.spot, "",
                                   now + wall_minus_steady_, 0});
     m->rented = now;
-    m->stranger = !Careful();
+    // While the state service's memory is being written back, a machine that
+    // lives may be in no record.
+    m->stranger = catalog_.epoch().rebuilt;
   }
   if (m->state() == MachineState::kBooting) {
     m->Change(MachineState::kUp);
