--- a/wire/calendar_json.cc
+++ b/wire/calendar_json.cc
@@ -101,7 +101,8 @@
   constexpr size_t kMost = 60;
   return !id.empty() && id.size() <= kMost &&
          std::all_of(id.begin(), id.end(), [](unsigned char c) {
-           return std::islower(c) || std::isdigit(c) || c == '.' || c == '-' || c == '_';
+           return std::islower(c) || std::isdigit(c) || c == '.' || c == '-' ||
+                  c == '_';
          });
 }
 
