--- a/core/controller/calendar.cc
+++ b/core/controller/calendar.cc
@@ -51,8 +51,11 @@
   dirty_ = true;
 }
 
-// The tiers in force are not known here yet.
-std::string Controller::TierOf(const Job&) { return {}; }
+// Empty where no tiers are in force.
+std::string Controller::TierOf(const Job& job) const {
+  if (!tiers_.active() || job.tier >= tiers_.set().size()) return {};
+  return tiers_.set().at(job.tier).name;
+}
 
 Verdict Controller::VerdictOf(const Job& job, Time now) const {
   const JobSpec& spec = job.spec();
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -302,7 +302,7 @@
   // Room that is kept is not there for those who wait.
   void SetKeptAside(SupplyInput& input) const;
   // calendar.cc
-  static std::string TierOf(const Job& job);
+  std::string TierOf(const Job& job) const;
   Verdict VerdictOf(const Job& job, Time now) const;
   // What the windows hold at the beginning of a pass.
   void CountWindows();
