--- a/tests/keeper_world.h
+++ b/tests/keeper_world.h
@@ -204,6 +204,17 @@
     int leaders = 0;
     for (Node& n : nodes_) leaders += n.right && n.right->Valid(now_);
     if (leaders > 1) Wrong("two leaders");
+    // Who keeps may be unknown to a leader by promises alone, and that one
+    // takes nothing for over.
+    bool by_lease = false;
+    bool keeps = false;
+    for (Node& n : nodes_) {
+      if (!n.right) continue;
+      by_lease = by_lease || (n.right->Valid(now_) &&
+                              n.right->state() == LeaderState::kLeading);
+      keeps = keeps || n.right->Keeps(now_);
+    }
+    if (by_lease && keeps) Wrong("kept while somebody leads by its lease");
     for (int w = 0; w < kWorkers; ++w) Work(w);
   }
 
