--- a/tests/tiers_test.cc
+++ b/tests/tiers_test.cc
@@ -342,6 +342,7 @@
   EXPECT_FALSE(policy_.MayStart(longer, 2));
   policy_.Begin(view_, 12);
   EXPECT_FALSE(policy_.MayStart(nightly_, 2));
+  EXPECT_FALSE(policy_.MayStart(longer, 2));
   policy_.Begin(view_, 13.5);
   EXPECT_TRUE(policy_.MayStart(longer, 2));
 }
