Rename: patience is called timeouts

SilenceTimeouts in core/model/timeouts.h; the other uses of the word by what they are: wait shares of the queue, lifetime of an answer and of a report, asking with retries. The settings key machines.boot_patience stays. No change in behaviour.

--- a/app/main.cc
+++ b/app/main.cc
@@ -14,7 +14,7 @@
 #include "app/rollout_cli.h"
 #include "app/settings.h"
 #include "app/tiers_cli.h"
-#include "core/model/patience.h"
+#include "core/model/timeouts.h"
 #include "net/http_client.h"
 #include "net/loop.h"
 #include "wire/json.h"
@@ -50,7 +50,8 @@
     error = LoadTuning(tuning_path, tuning);
   }
   if (error.empty()) {
-    error = Patience::From(settings->workers, *tuning).Check(settings->workers);
+    error = SilenceTimeouts::From(settings->workers, *tuning)
+                .Check(settings->workers);
   }
   if (error.empty()) return 0;
   std::fprintf(stderr, "%s\n", error.c_str());
--- a/app/options.cc
+++ b/app/options.cc
@@ -34,7 +34,7 @@
     Entry{"machines", "give_up_ratio", &Tuning::give_up_ratio, 0.2, 1},
     Entry{"machines", "idle_return_leases", &Tuning::idle_return_leases, 1,
           1e6},
-    Entry{"machines", "boot_patience", &Tuning::boot_patience, 1, 100},
+    Entry{"machines", "boot_patience", &Tuning::boot_timeout_ratio, 1, 100},
     Entry{"leadership", "keeper_ratio", &Tuning::keeper_ratio, 0, 0.3},
     Entry{"leadership", "keep_zones", &Tuning::keep_zones, 0, 1},
     Entry{"leadership", "doubt_share", &Tuning::doubt_share, 0.01, 1},
@@ -107,8 +107,9 @@
   const int result = cfg_parse(cfg.get(), path.c_str());
   g_error = nullptr;
   if (result == CFG_FILE_ERROR) return "cannot read " + path;
-  if (result != CFG_SUCCESS)
+  if (result != CFG_SUCCESS) {
     return error.empty() ? path + ": bad syntax" : error;
+  }
   for (const Entry& e : kEntries) {
     const double value = cfg_getfloat(cfg_getsec(cfg.get(), e.block), e.name);
     if (!(value >= e.least && value <= e.most)) {
--- a/app/record_client.cc
+++ b/app/record_client.cc
@@ -16,9 +16,9 @@
 constexpr int kTries = 30;
 constexpr size_t kLimit = 16 * 1024 * 1024;
 
-net::Task<void> AskPatiently(net::Loop& loop, net::HttpClient& http,
-                             std::string method, std::string path,
-                             std::string body, net::ClientResult* out) {
+net::Task<void> AskWithRetries(net::Loop& loop, net::HttpClient& http,
+                               std::string method, std::string path,
+                               std::string body, net::ClientResult* out) {
   for (int i = 0; i < kTries; ++i) {
     *out = co_await http.Request(method, path, body, kTimeout);
     const bool later = out->outcome != net::Outcome::kAnswered ||
@@ -82,7 +82,7 @@
   net::Loop loop;
   net::HttpClient http(loop, address, kLimit);
   net::ClientResult result;
-  net::Spawn(AskPatiently(loop, http, method, path, body, &result));
+  net::Spawn(AskWithRetries(loop, http, method, path, body, &result));
   loop.Run();
   if (result.outcome != net::Outcome::kAnswered) return 0;
   *answer = std::move(result.body);
--- a/app/recovery_desk.cc
+++ b/app/recovery_desk.cc
@@ -479,7 +479,7 @@
   // Asking lengthens a lease that is there, so each controller asks once, when
   // the lease of one that is gone must have ended.
   const double ttl = tuning_.leader_lease_ratio * settings_.workers.lease_s;
-  constexpr double kPatience = 1.2;
+  constexpr double kLeaseMargin = 1.2;
   constexpr double kAgain = 10;  // worker leases
   const uint64_t lease = leader.lease;
   const net::Time now = loop_.Now();
@@ -489,7 +489,9 @@
     leader_since_ = now;
     leader_probed_ = false;
   }
-  if (leader_probed_ || now < leader_since_ + kPatience * ttl) co_return false;
+  if (leader_probed_ || now < leader_since_ + kLeaseMargin * ttl) {
+    co_return false;
+  }
   leader_probed_ = true;
   const StateResult there = co_await state_.Renew(lease, ttl / 3);
   if (there.status == StateStatus::kNotFound) {
--- a/app/rollout_cli.cc
+++ b/app/rollout_cli.cc
@@ -89,8 +89,9 @@
   }
 
   // Repeats what could not be taken, as a user of the protocol does.
-  net::Task<net::ClientResult> Patiently(std::string method, std::string path,
-                                         std::string body) {
+  net::Task<net::ClientResult> AskWithRetries(std::string method,
+                                              std::string path,
+                                              std::string body) {
     net::ClientResult answer;
     for (int i = 0; i < kTries; ++i) {
       answer = co_await http_.Request(method, path, body, kTimeout);
@@ -103,7 +104,8 @@
   }
 
   net::Task<int> Ask(std::string method, std::string path, std::string body) {
-    const net::ClientResult answer = co_await Patiently(method, path, body);
+    const net::ClientResult answer =
+        co_await AskWithRetries(method, path, body);
     if (answer.outcome != net::Outcome::kAnswered) {
       std::fprintf(stderr, "%s: no answer\n", command_.address.c_str());
       co_return kRolloutRefused;
@@ -124,7 +126,7 @@
         std::string(api::RolloutRoutes::kPath) + "/" + command_.subject;
     std::string last;
     for (;;) {
-      const net::ClientResult answer = co_await Patiently("GET", path, "");
+      const net::ClientResult answer = co_await AskWithRetries("GET", path, "");
       if (!answer.ok()) {
         std::fprintf(stderr, "%s: no answer\n", command_.address.c_str());
         co_return kRolloutRefused;
--- a/core/calendar/calendar.cc
+++ b/core/calendar/calendar.cc
@@ -211,7 +211,7 @@
   }
   // Whatever delays the answer that carries the start, the worker drops it
   // past this.
-  const double carried_out = t.latest + kAnswerPatience * (1 + kDrift);
+  const double carried_out = t.latest + kAnswerLifetime_s * (1 + kDrift);
   const auto next =
       std::upper_bound(plan.chances.begin(), plan.chances.end(), t.earliest,
                        [](double at, const Chance& c) { return at < c.from; });
@@ -259,8 +259,9 @@
   if (next == plan.chances.begin()) return OverrunStep::kNone;
   const Chance& last = *std::prev(next);
   // The edge may have passed, by the later bound: what goes, goes in time.
-  if (t.latest + lead_s < last.to || last.closes == nullptr)
+  if (t.latest + lead_s < last.to || last.closes == nullptr) {
     return OverrunStep::kNone;
+  }
   switch (last.closes->overrun) {
     case Overrun::kRunOn:
       return OverrunStep::kNone;
--- a/core/calendar/calendar.h
+++ b/core/calendar/calendar.h
@@ -39,7 +39,7 @@
 inline constexpr double kNoticeLeases = 8;
 // A worker drops the answer to a report that is older, s (protocol): a start in
 // such an answer is carried out no later than this after the report was sent.
-inline constexpr double kAnswerPatience = 4;
+inline constexpr double kAnswerLifetime_s = 4;
 
 inline constexpr size_t kMostBookings = 64;
 inline constexpr size_t kMostTimes = 300;  // of one booking
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -26,9 +26,9 @@
 #include "core/limits/loss_limiter.h"
 #include "core/model/job.h"
 #include "core/model/machine.h"
-#include "core/model/patience.h"
 #include "core/model/report.h"
 #include "core/model/settings.h"
+#include "core/model/timeouts.h"
 #include "core/moves/moves.h"
 #include "core/packing/pieces.h"
 #include "core/placement/placement.h"
@@ -406,7 +406,7 @@
   const uint64_t term_;      // the upper part of its tokens
   const Time started_;
   const double wall_minus_steady_;
-  const Patience patience_;
+  const SilenceTimeouts timeouts_;
   NumberSource numbers_;
   PieceBoard pieces_;
   Placer placer_;
--- a/core/controller/ears.cc
+++ b/core/controller/ears.cc
@@ -10,7 +10,7 @@
 namespace {
 
 Fitness::Limits FitnessLimits(const Settings& settings, const Tuning& tuning,
-                              const Patience& patience) {
+                              const SilenceTimeouts& timeouts) {
   // Of a lease. Most of it must be left: each worker tries a controller that
   // doesn't answer for 4 s, and waits 1 s, until it comes to the next leader.
   constexpr double kBlindAfter = 0.2;
@@ -24,7 +24,7 @@
   // A new leader's first seconds take all of its processor, and its own probes
   // late then say nothing.
   limits.settle_s =
-      std::max(patience.overdue, tuning.leader_lease_ratio * lease);
+      std::max(timeouts.overdue, tuning.leader_lease_ratio * lease);
   return limits;
 }
 
@@ -61,14 +61,14 @@
 }  // namespace
 
 Ears::Ears(const Settings& settings, const Tuning& tuning,
-           const Patience& patience, const Machines& machines, Time started,
-           uint64_t seed, std::vector<Action>& actions)
+           const SilenceTimeouts& timeouts, const Machines& machines,
+           Time started, uint64_t seed, std::vector<Action>& actions)
     : settings_(settings),
-      patience_(patience),
+      timeouts_(timeouts),
       machines_(machines),
       started_(started),
       actions_(actions),
-      fitness_(FitnessLimits(settings, tuning, patience), started),
+      fitness_(FitnessLimits(settings, tuning, timeouts), started),
       limiter_(LossLimits(settings, tuning)),
       sampling_(seed) {}
 
@@ -81,7 +81,7 @@
   // says nothing about a leader that has just taken office.
   const Time from =
       std::max(m.last_report, started_ + kReportTimeout_s + kRetryPause_s);
-  return now - from > patience_.overdue;
+  return now - from > timeouts_.overdue;
 }
 
 void Ears::Count(Time now) {
@@ -89,7 +89,7 @@
   for (const auto& m : machines_) {
     if (!Counts(*m)) continue;
     ++heard.recorded;
-    const bool silent = now - QuietSince(*m, started_) > patience_.overdue;
+    const bool silent = now - QuietSince(*m, started_) > timeouts_.overdue;
     heard.silent += silent;
     heard.troubled += silent || now < m->direct_broken_until ||
                       m->delivery.deaf() || ReportOverdue(*m, now);
@@ -121,9 +121,9 @@
 
 // Machines that go deaf together are seen to be so over the time between two
 // reports and that of a worker's waits; all must count before one is given up.
-bool Ears::TriesPatience(const Machine& m, Time now) const {
+bool Ears::SilentTooLong(const Machine& m, Time now) const {
   const double spread = m.delivery.deaf() ? kReportTimeout_s / 2 : 0;
-  return now - QuietSince(m, started_) > patience_.give_up + spread;
+  return now - QuietSince(m, started_) > timeouts_.give_up + spread;
 }
 
 // A single silent machine is given up, if nobody else reaches it either.
@@ -135,12 +135,12 @@
   }
   const Time quiet_since = QuietSince(m, started_);
   if (m.reached_by_other > quiet_since &&
-      now - m.reached_by_other < patience_.give_up) {
+      now - m.reached_by_other < timeouts_.give_up) {
     return false;
   }
   // An answer from before many were silent says nothing about now: nobody has
   // been asked since.
-  return m.reached_by_none > std::max(quiet_since, now - patience_.give_up);
+  return m.reached_by_none > std::max(quiet_since, now - timeouts_.give_up);
 }
 
 bool Ears::LossAllowed(const Machine& m, LossCause cause, Time now) {
@@ -223,7 +223,7 @@
   for (auto& m : machines_) {
     if (!m->recorded_up || m->state() == MachineState::kGone ||
         m->state() == MachineState::kDeleting || m->endpoint.empty() ||
-        now - QuietSince(*m, started_) <= patience_.asked ||
+        now - QuietSince(*m, started_) <= timeouts_.asked ||
         now - m->asked_about < settings_.workers.report_s) {
       continue;
     }
--- a/core/controller/ears.h
+++ b/core/controller/ears.h
@@ -14,8 +14,8 @@
 #include "core/fitness/fitness.h"
 #include "core/limits/loss_limiter.h"
 #include "core/model/machine.h"
-#include "core/model/patience.h"
 #include "core/model/settings.h"
+#include "core/model/timeouts.h"
 
 namespace oxbow {
 
@@ -23,9 +23,9 @@
  public:
   using Machines = std::vector<std::unique_ptr<Machine>>;
 
-  Ears(const Settings& settings, const Tuning& tuning, const Patience& patience,
-       const Machines& machines, Time started, uint64_t seed,
-       std::vector<Action>& actions);
+  Ears(const Settings& settings, const Tuning& tuning,
+       const SilenceTimeouts& timeouts, const Machines& machines, Time started,
+       uint64_t seed, std::vector<Action>& actions);
 
   // Once in each tick, before anything is decided on it.
   void Count(Time now);
@@ -39,7 +39,7 @@
   void OnOfferRefused(const std::string& why, Time now);
 
   // Whether a machine has been silent, or deaf, for long enough.
-  bool TriesPatience(const Machine& m, Time now) const;
+  bool SilentTooLong(const Machine& m, Time now) const;
   // Whether such a machine may be given up.
   bool MayGiveUp(const Machine& m, Time now) const;
   // Whether it may be taken away for this cause; counts it if so.
@@ -60,7 +60,7 @@
   void Say(std::string text);
 
   const Settings& settings_;
-  const Patience& patience_;
+  const SilenceTimeouts& timeouts_;
   const Machines& machines_;
   const Time started_;
   std::vector<Action>& actions_;
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -430,8 +430,9 @@
   r.stopping = stopping;
   if (stopping && r.job != nullptr && !in_rollout_.empty()) {
     const auto it = in_rollout_.find(r.job_id);
-    if (it != in_rollout_.end())
+    if (it != in_rollout_.end()) {
       rollouts_.at(it->second).NoteStopping(KeyOf(r));
+    }
   }
   if (!r.holds) return;
   if (stopping) {
@@ -829,7 +830,7 @@
 }
 
 bool Controller::Suspect(const Machine& m, Time now) const {
-  return now - m.last_heard > patience_.suspect;
+  return now - m.last_heard > timeouts_.suspect;
 }
 
 bool Controller::Usable(const Machine& m, Time now) const {
@@ -854,8 +855,9 @@
     const auto it = m.residents.find(key);
     if (it == m.residents.end()) continue;
     Resident& r = it->second;
-    if (r.job == nullptr || r.phase == TaskPhase::kExited || r.stopping)
+    if (r.job == nullptr || r.phase == TaskPhase::kExited || r.stopping) {
       continue;
+    }
     const JobSpec& spec = r.job->spec();
     const double left = m.notice_until ? *m.notice_until - now : 0;
     if (spec.kind == JobKind::kArray && spec.checkpoint_s <= 0) continue;
@@ -917,7 +919,7 @@
       !m.residents.empty() || m.batch || (m.recorded_up && !m.reported);
   if (by_lease && may_hold && m.session.state() != SessionState::kOver) {
     in_doubt_ =
-        in_doubt_ || now - std::max(m.last_heard, started_) > patience_.suspect;
+        in_doubt_ || now - std::max(m.last_heard, started_) > timeouts_.suspect;
     if (SessionOver(m, now)) {
       Expire(m, now);
     } else if (Lapsed(m, now)) {
@@ -932,7 +934,7 @@
   }
   if (m.state() == MachineState::kBooting) {
     const double boot = m.type ? m.type->boot_s : 3 * lease;
-    if (now - m.rented > tuning_.boot_patience * boot) {
+    if (now - m.rented > tuning_.boot_timeout_ratio * boot) {
       TakeAway(m, LossCause::kNeverUp, now);
     }
     return;
@@ -954,7 +956,7 @@
   const bool matters =
       m.reported ? !m.residents.empty() && now - started_ > lease
                  : !m.residents.empty() || now < m.session.MayLiveUntil(lease);
-  if (m.recorded_up && matters && ears_.TriesPatience(m, now) &&
+  if (m.recorded_up && matters && ears_.SilentTooLong(m, now) &&
       ears_.MayGiveUp(m, now) && TakeAway(m, LossCause::kSilent, now)) {
     return;
   }
--- a/core/controller/queue_order.cc
+++ b/core/controller/queue_order.cc
@@ -14,9 +14,9 @@
 
 // Of the time within which every job is to begin: so long an array waits for
 // its turn before it is begun out of turn.
-constexpr double kArrayPatience = 0.5;
+constexpr double kArrayWaitShare = 0.5;
 // The largest gangs are given as much of it to find their room.
-constexpr double kGangPatience = 0.25;
+constexpr double kGangWaitShare = 0.25;
 
 }  // namespace
 
@@ -88,7 +88,7 @@
   const double waited = now - job.submitted();
   if (spec.kind == JobKind::kArray && begin_within_s_ > 0 &&
       job.placed() == 0 && job.done() == 0 &&
-      waited > kArrayPatience * begin_within_s_) {
+      waited > kArrayWaitShare * begin_within_s_) {
     out->group = kFloorGroup;
     out->key = job.submitted();
     out->by_floor = true;
@@ -149,7 +149,7 @@
   const bool near =
       last > first && waited <= last && last - waited < kNear * last;
   const bool largest = begin_within_s_ > 0 &&
-                       waited > kGangPatience * begin_within_s_ &&
+                       waited > kGangWaitShare * begin_within_s_ &&
                        sizes_.IsLargest(spec.job_class, spec.tasks);
   if (!near && !largest) return;
   const bool floors = begin_within_s_ > 0;
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -28,7 +28,7 @@
     if (m->type == nullptr) continue;
     const bool coming =
         m->state() == MachineState::kBooting &&
-        now - m->rented < tuning_.boot_patience * m->type->boot_s;
+        now - m->rented < tuning_.boot_timeout_ratio * m->type->boot_s;
     const bool up = m->state() == MachineState::kUp && !Suspect(*m, now);
     if (!coming && !up) continue;
     // Room that is being emptied for a job is as good as there for it.
@@ -69,8 +69,9 @@
       return a->spec().priority < b->spec().priority;
     }
     if (a->tier != b->tier) return a->tier < b->tier;
-    if (a->submitted() != b->submitted())
+    if (a->submitted() != b->submitted()) {
       return a->submitted() < b->submitted();
+    }
     return a->id() < b->id();
   });
   SetKeptAside(input);
@@ -266,8 +267,9 @@
         refused_until_[kind] = now + refusal;
       }
       for (const std::string& host : hosts) {
-        if (FindMachine(host) != nullptr || gone_hosts_.contains(host))
+        if (FindMachine(host) != nullptr || gone_hosts_.contains(host)) {
           continue;
+        }
         Machine& m = AddMachine(host, {kind.type, kind.zone, kind.spot, "",
                                        rental.asked + wall_minus_steady_, 0});
         m.rented = rental.asked;
--- a/core/lease/cut_signs.cc
+++ b/core/lease/cut_signs.cc
@@ -1,6 +1,6 @@
 #include "core/lease/cut_signs.h"
 
-#include "core/model/patience.h"
+#include "core/model/timeouts.h"
 
 namespace oxbow {
 namespace {
@@ -17,7 +17,7 @@
 }  // namespace
 
 CutSigns::CutSigns(const WorkerSettings& workers)
-    : next_s_(Patience::kLatest * workers.report_s + kRetryPause_s),
+    : next_s_(SilenceTimeouts::kLatest * workers.report_s + kRetryPause_s),
       holds_s_(kHolds * workers.lease_s),
       round_s_(kRound * workers.lease_s) {}
 
--- a/core/limits/loss_limiter.h
+++ b/core/limits/loss_limiter.h
@@ -1,5 +1,5 @@
 // How much the leader may destroy of its own accord. Every act that can't be
-// taken back and rests on a belief (silence, a list, patience, a plan) asks
+// taken back and rests on a belief (silence, a list, a timeout, a plan) asks
 // here first.
 #pragma once
 
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -125,7 +125,7 @@
   double idle_return_leases = 4.0;
   // A machine still booting after this many times its nominal boot time is
   // replaced.
-  double boot_patience = 2.5;
+  double boot_timeout_ratio = 2.5;
   // Who is fit to lead. A leader that hears so little of the recorded machines
   // asks the other controllers what they reach.
   double doubt_share = 0.125;
--- a/core/model/patience.h
+++ b/core/model/timeouts.h
@@ -12,7 +12,7 @@
 
 // Seconds since the last message. Reports come every `report_s`, give or take
 // a quarter (protocol, "Workers -> controller nodes").
-struct Patience {
+struct SilenceTimeouts {
   double overdue = 0;  // a report should have been there: counts as silent
   double asked = 0;    // the other controllers are asked whether they hear it
   double suspect = 0;  // gets nothing new
@@ -29,10 +29,11 @@
   // the first is given up all of them must count as overdue already, or what
   // is really the network looks like one dead machine, and then another one:
   // 459 living machines were deleted so within 17 s.
-  static Patience From(const WorkerSettings& workers, const Tuning& tuning) {
+  static SilenceTimeouts From(const WorkerSettings& workers,
+                              const Tuning& tuning) {
     const double report = workers.report_s;
     const double lease = workers.lease_s;
-    Patience p;
+    SilenceTimeouts p;
     p.overdue = kOverdue * report;
     p.asked = kAsked * report;
     p.suspect = std::max(kSuspect * report, tuning.suspect_ratio * lease);
@@ -48,7 +49,7 @@
       return "workers.lease_s is less than two of the longest report intervals";
     }
     if (!(overdue < asked && asked < suspect && suspect < give_up)) {
-      return "the patience with a silent machine is out of order";
+      return "the timeouts for a silent machine are out of order";
     }
     if (give_up - kLatest * workers.report_s < overdue) {
       return "a machine would be given up before others count as silent";
--- a/tests/fitness_test.cc
+++ b/tests/fitness_test.cc
@@ -1,4 +1,4 @@
-// Who is fit to lead, what may be destroyed, and the order of patience, each by
+// Who is fit to lead, what may be destroyed, and the order of timeouts, each by
 // itself.
 
 #include "core/fitness/fitness.h"
@@ -6,7 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "core/limits/loss_limiter.h"
-#include "core/model/patience.h"
+#include "core/model/timeouts.h"
 
 namespace oxbow {
 namespace {
@@ -179,7 +179,7 @@
 }
 
 // The two thresholds that lay the wrong way round at a report of 0.18 lease.
-TEST(Patience, IsInOrderForEveryRatioOfReportToLease) {
+TEST(SilenceTimeouts, IsInOrderForEveryRatioOfReportToLease) {
   for (double ratio = 0.05; ratio <= 1.0 / 3; ratio += 0.005) {
     for (const double suspect : {0.1, 0.3, 0.6, 1.0}) {
       for (const double give_up : {0.2, 0.45, 1.0}) {
@@ -189,15 +189,15 @@
         Tuning tuning;
         tuning.suspect_ratio = suspect;
         tuning.give_up_ratio = give_up;
-        const Patience patience = Patience::From(workers, tuning);
-        EXPECT_EQ(patience.Check(workers), "") << ratio;
+        const SilenceTimeouts timeouts = SilenceTimeouts::From(workers, tuning);
+        EXPECT_EQ(timeouts.Check(workers), "") << ratio;
       }
     }
   }
   WorkerSettings workers;
   workers.report_s = 8;
   workers.lease_s = 10;
-  EXPECT_NE(Patience::From(workers, {}).Check(workers), "");
+  EXPECT_NE(SilenceTimeouts::From(workers, {}).Check(workers), "");
 }
 
 }  // namespace
--- a/tests/known_watch.h
+++ b/tests/known_watch.h
@@ -104,7 +104,7 @@
   // balancer of connections leaves it there, whatever it is answered.
   net::Task<void> Ask(std::string id) {
     std::uniform_real_distribution<double> pause(0.5 * poll_s_, 1.5 * poll_s_);
-    constexpr double kPatience_s = 2;
+    constexpr double kTimeout_s = 2;
     std::unique_ptr<net::HttpClient> client;
     while (!over_) {
       if (client == nullptr) {
@@ -113,7 +113,7 @@
       }
       const double asked = loop_.Now();
       const net::ClientResult answer =
-          co_await client->Request("GET", "/v2/runs/" + id, "", kPatience_s);
+          co_await client->Request("GET", "/v2/runs/" + id, "", kTimeout_s);
       if (over_) break;
       if (answer.outcome != net::Outcome::kAnswered) {
         client.reset();
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -222,7 +222,7 @@
     co_return r.outcome == net::Outcome::kAnswered ? r.status : 0;
   }
   // Repeats what is answered with 503, as users do.
-  Task<int> Patiently(std::string method, std::string path) {
+  Task<int> AskWithRetries(std::string method, std::string path) {
     int status = 0;
     for (int i = 0; i < 200; ++i) {
       status = co_await Status(method, path, "");
@@ -262,11 +262,13 @@
               200);
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000001", ""), 200);
     EXPECT_NE(t->last_body_.find("pending"), std::string::npos);
-    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000001/cancel"), 200);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs + "/job-000001/cancel"),
+              200);
     EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000001", ""), 200);
     EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
-    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000009/cancel"), 404);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs + "/job-000009/cancel"),
+              404);
   }(this));
 }
 
@@ -275,7 +277,7 @@
     co_await t->UntilReady();
     const std::string jobs = "/v2/runs";
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 201);
-    co_await t->Patiently("POST", jobs + "/job-000001/cancel");
+    co_await t->AskWithRetries("POST", jobs + "/job-000001/cancel");
     t->state_.down = true;
     const double asked = t->loop_.Now();
     // Not recorded, not accepted; said at once, with the time to come back.
@@ -301,7 +303,7 @@
     t->state_.HoldNext("ob/live/j/job-000001");
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 503);
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 201);
-    EXPECT_EQ(co_await t->Patiently("POST", one + "/cancel"), 200);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", one + "/cancel"), 200);
     for (int i = 0; i < 100; ++i) {
       if (!t->state_.Value("ob/final/job-000001").empty()) break;
       co_await t->loop_.Sleep(0.05);
@@ -398,7 +400,7 @@
     t->state_.HoldNext("ob/live/o/ro-1");
     co_await t->Status("POST", one + "/pause", "");
     EXPECT_EQ(t->state_.HeldOnes(), 2U);
-    co_await t->Patiently("POST", one + "/abort");
+    co_await t->AskWithRetries("POST", one + "/abort");
     for (int i = 0; i < 200; ++i) {
       if (!t->state_.Value("ob/ended/o/ro-1").empty()) break;
       co_await t->loop_.Sleep(0.05);
@@ -453,7 +455,8 @@
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 200);
     // Denied only because the other one has read it afresh.
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000002", ""), 404);
-    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000001/cancel"), 200);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs + "/job-000001/cancel"),
+              200);
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000001", ""), 200);
     EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
     // An outage that both share is said at once.
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -605,14 +605,14 @@
 
 // One report in flight; an answer is good for 4 s after its report was sent.
 void Sim::ReportInStorm(SimWorker& w) {
-  constexpr double kPatience = 4.0;
+  constexpr double kReportLifetime_s = 4.0;
   if (now_ < w.waits_until) {
     w.next_report = w.waits_until;
     return;
   }
   const uint64_t number = ++w.reports;
   const WorkerReport report = ReportOf(w);
-  w.waits_until = now_ + kPatience;
+  w.waits_until = now_ + kReportLifetime_s;
   const std::optional<double> there = storm->Travel();
   std::optional<double> back = storm->Travel();
   if (w.answers_cut) back.reset();
@@ -639,7 +639,9 @@
       After(*back, [this, report, number, reply, sent] {
         OnWorker(report.host, [this, report, number, reply,
                                sent](SimWorker& worker) {
-          if (worker.reports != number || now_ > sent + kPatience) return;
+          if (worker.reports != number || now_ > sent + kReportLifetime_s) {
+            return;
+          }
           worker.waits_until = 0;
           if (reply.withheld) {
             NoteWithheld(worker);
@@ -709,8 +711,9 @@
         if (it == w.tasks.end()) StartTask(w, o);
         break;
       case OrderKind::kStop: {
-        if (it == w.tasks.end() || it->second.phase == TaskPhase::kExited)
+        if (it == w.tasks.end() || it->second.phase == TaskPhase::kExited) {
           break;
+        }
         SimTask& t = it->second;
         const JobSpec& spec = jobs_.at(t.job).spec;
         if (t.phase == TaskPhase::kRunning && spec.checkpoint_s > 0 &&
@@ -742,8 +745,9 @@
   const MachineType& type = types.at(w.type);
   Resources used = spec.need;
   for (const auto& [name, other] : w.tasks) {
-    if (other.phase != TaskPhase::kExited)
+    if (other.phase != TaskPhase::kExited) {
       used += jobs_.at(other.job).spec.need;
+    }
   }
   if (!used.FitsIn(type.total)) {
     t.phase = TaskPhase::kExited;
