Rename: ears and hearing are the liveness monitor and reports heard

LivenessMonitor in core/controller/liveness_monitor.h, ReportsHeard for its count; log lines and alarms say "few reports heard" and "enough reports heard again". No change in behaviour.

--- a/app/users.cc
+++ b/app/users.cc
@@ -502,8 +502,8 @@
   const Controller* leading = dealings_.Leading();
   if (leading == nullptr) return view;
   view.here = true;
-  view.machines = leading->hearing().recorded;
-  view.silent = leading->hearing().silent;
+  view.machines = leading->reports_heard().recorded;
+  view.silent = leading->reports_heard().silent;
   view.alarms = leading->Alarms();
   return view;
 }
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -41,7 +41,7 @@
       placer_(tuning, seed),
       queue_order_(settings, tuning),
       writes_(settings, Mandate(catalog, revision), *this, actions_),
-      ears_(settings, tuning, timeouts_, machines_, now, seed, actions_),
+      liveness_(settings, tuning, timeouts_, machines_, now, seed, actions_),
       zones_(settings, now, keepers),
       tiers_(settings, tuning.tiers > 0),
       calendar_(settings.workers.lease_s, settings.clock_off_ms / 1000) {
@@ -239,12 +239,12 @@
 }
 
 void Controller::OnReach(uint64_t round, std::vector<Reach> answers, Time now) {
-  if (!ears_.OnReach(round, std::move(answers), now)) resigned_ = true;
+  if (!liveness_.OnReach(round, std::move(answers), now)) resigned_ = true;
 }
 
 void Controller::OnOfferAgreed() {
   resigned_ = true;
-  ears_.OnOfferAgreed();
+  liveness_.OnOfferAgreed();
 }
 
 uint64_t Controller::NextNumber() {
@@ -281,14 +281,14 @@
 }
 
 void Controller::Tick(Time now, bool by_lease) {
-  ears_.Count(now);
+  liveness_.Count(now);
   in_doubt_ = false;
   for (auto& m : machines_) TickMachine(*m, now, by_lease);
   if (in_doubt_ && now >= next_keepers_) {
     next_keepers_ = now + StandBackFor(settings_.workers);
     actions_.push_back(ReadZoneKeepers{});
   }
-  ears_.Ask(now);
+  liveness_.Ask(now);
   for (auto& [name, rental] : rentals_) {
     if (rental.state == kRequesting && now >= rental.next_try) {
       Request(name, now);
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -18,7 +18,7 @@
 #include "core/calendar/calendar.h"
 #include "core/controller/actions.h"
 #include "core/controller/catalog.h"
-#include "core/controller/ears.h"
+#include "core/controller/liveness_monitor.h"
 #include "core/controller/queue_order.h"
 #include "core/controller/write_queue.h"
 #include "core/lease/token.h"
@@ -84,7 +84,7 @@
   void OnOfferAgreed();
   // It did not, or too many hand-overs were lately.
   void OnOfferRefused(const std::string& why, Time now) {
-    ears_.OnOfferRefused(why, now);
+    liveness_.OnOfferRefused(why, now);
   }
   // A controller asks for the right to keep the workers of its zone, should it
   // be cut off. `life`, `age`: of its process, s.
@@ -137,8 +137,10 @@
   // job is not known.
   std::optional<Verdict> CalendarVerdict(const std::string& id, Time now) const;
   const Calendar& calendar() const { return calendar_; }
-  FitnessState fitness() const { return ears_.fitness(); }
-  const Hearing& hearing() const { return ears_.hearing(); }
+  FitnessState fitness() const { return liveness_.fitness(); }
+  const ReportsHeard& reports_heard() const {
+    return liveness_.reports_heard();
+  }
   // What the leader keeps from doing at this moment, for whoever asks; a line
   // each.
   std::vector<std::string> Alarms() const;
@@ -415,7 +417,7 @@
   std::vector<Action> actions_;
   WriteQueue writes_;
   std::vector<std::unique_ptr<Machine>> machines_;
-  Ears ears_;
+  LivenessMonitor liveness_;
 
   std::map<std::string, MachineType> types_;
   std::vector<Team> teams_;
--- a/core/controller/ears.cc
+++ b/core/controller/liveness_monitor.cc
@@ -1,7 +1,7 @@
 // What the leader hears of its machines, what it asks the others about them,
 // and what it may do about those it doesn't hear.
 
-#include "core/controller/ears.h"
+#include "core/controller/liveness_monitor.h"
 
 #include <algorithm>
 #include <utility>
@@ -49,7 +49,7 @@
   return std::max(heard, started);
 }
 
-// Whether the machine says something about this controller's hearing. One that
+// Whether the machine says something about what this controller hears. One that
 // has been given up for its silence goes on counting until the cloud has
 // confirmed: else each deletion would make the rest look healthier. One deleted
 // for another reason falls silent by that.
@@ -60,9 +60,10 @@
 
 }  // namespace
 
-Ears::Ears(const Settings& settings, const Tuning& tuning,
-           const SilenceTimeouts& timeouts, const Machines& machines,
-           Time started, uint64_t seed, std::vector<Action>& actions)
+LivenessMonitor::LivenessMonitor(const Settings& settings, const Tuning& tuning,
+                                 const SilenceTimeouts& timeouts,
+                                 const Machines& machines, Time started,
+                                 uint64_t seed, std::vector<Action>& actions)
     : settings_(settings),
       timeouts_(timeouts),
       machines_(machines),
@@ -72,11 +73,11 @@
       limiter_(LossLimits(settings, tuning)),
       sampling_(seed) {}
 
-void Ears::Say(std::string text) {
+void LivenessMonitor::Say(std::string text) {
   actions_.push_back(Note{std::move(text), false});
 }
 
-bool Ears::ReportOverdue(const Machine& m, Time now) const {
+bool LivenessMonitor::ReportOverdue(const Machine& m, Time now) const {
   // Until a worker has waited in vain and tried another controller, its silence
   // says nothing about a leader that has just taken office.
   const Time from =
@@ -84,8 +85,8 @@
   return now - from > timeouts_.overdue;
 }
 
-void Ears::Count(Time now) {
-  Hearing heard;
+void LivenessMonitor::Count(Time now) {
+  ReportsHeard heard;
   for (const auto& m : machines_) {
     if (!Counts(*m)) continue;
     ++heard.recorded;
@@ -94,7 +95,7 @@
     heard.troubled += silent || now < m->direct_broken_until ||
                       m->delivery.deaf() || ReportOverdue(*m, now);
   }
-  hearing_ = heard;
+  reports_heard_ = heard;
   // An alarm ends when nothing has been refused for a window: there may never
   // be another act of its kind to be allowed.
   for (size_t i = 0; i < kLossCauses; ++i) {
@@ -105,29 +106,30 @@
   const FitnessState before = fitness_.state();
   fitness_.Observe(heard, now);
   if (fitness_.state() == before) return;
-  Say("hearing " + std::string(fitness_.fit() ? "well again" : "little") +
+  Say(std::string(fitness_.fit() ? "enough reports heard again"
+                                 : "few reports heard") +
       ": " + std::to_string(heard.silent) + " silent and " +
       std::to_string(heard.troubled) + " troubled of " +
       std::to_string(heard.recorded) + " machines");
 }
 
-bool Ears::FewSilent() const {
+bool LivenessMonitor::FewSilent() const {
   // One in six may be dead machines; more at once is the network, and they
   // will be back. The last one that is heard tells the leader that it hears.
   constexpr int kShare = 6;
-  return hearing_.silent < hearing_.recorded &&
-         hearing_.silent <= std::max(1, hearing_.recorded / kShare);
+  return reports_heard_.silent < reports_heard_.recorded &&
+         reports_heard_.silent <= std::max(1, reports_heard_.recorded / kShare);
 }
 
 // Machines that go deaf together are seen to be so over the time between two
 // reports and that of a worker's waits; all must count before one is given up.
-bool Ears::SilentTooLong(const Machine& m, Time now) const {
+bool LivenessMonitor::SilentTooLong(const Machine& m, Time now) const {
   const double spread = m.delivery.deaf() ? kReportTimeout_s / 2 : 0;
   return now - QuietSince(m, started_) > timeouts_.give_up + spread;
 }
 
 // A single silent machine is given up, if nobody else reaches it either.
-bool Ears::MayGiveUp(const Machine& m, Time now) const {
+bool LivenessMonitor::MayGiveUp(const Machine& m, Time now) const {
   if (!FewSilent()) return false;
   if (settings_.peers.empty()) {
     // A deaf one whose address may be reached is left to its leases.
@@ -143,9 +145,9 @@
   return m.reached_by_none > std::max(quiet_since, now - timeouts_.give_up);
 }
 
-bool Ears::LossAllowed(const Machine& m, LossCause cause, Time now) {
+bool LivenessMonitor::LossAllowed(const Machine& m, LossCause cause, Time now) {
   const auto index = static_cast<size_t>(cause);
-  // Whoever doubts its own ears takes nothing away for other reasons either:
+  // Whoever doubts its own reach takes nothing away for other reasons either:
   // idle, listed and booted are read off what it hears.
   if (cause != LossCause::kSilent && !fitness_.fit()) return false;
   int fleet = 0;
@@ -182,13 +184,13 @@
   return verdict == LossVerdict::kAllowed;
 }
 
-std::vector<std::string> Ears::Alarms() const {
+std::vector<std::string> LivenessMonitor::Alarms() const {
   std::vector<std::string> alarms;
   if (!fitness_.fit()) {
-    alarms.push_back("hears little: " + std::to_string(hearing_.silent) +
-                     " silent and " + std::to_string(hearing_.troubled) +
-                     " troubled of " + std::to_string(hearing_.recorded) +
-                     " machines");
+    alarms.push_back("few reports heard: " +
+                     std::to_string(reports_heard_.silent) + " silent and " +
+                     std::to_string(reports_heard_.troubled) + " troubled of " +
+                     std::to_string(reports_heard_.recorded) + " machines");
   }
   for (size_t i = 0; i < kLossCauses; ++i) {
     if (refusals_[i] == LossVerdict::kAllowed) continue;
@@ -199,7 +201,8 @@
   return alarms;
 }
 
-uint64_t Ears::Ask(const std::vector<Machine*>& about, bool sample, Time now) {
+uint64_t LivenessMonitor::Ask(const std::vector<Machine*>& about, bool sample,
+                              Time now) {
   AskReach ask;
   ask.sample = sample;
   ask.round = next_round_++;
@@ -215,7 +218,7 @@
 
 // Before a machine is given up, everybody is asked about it, early enough for
 // the answer to be there in time.
-void Ears::AskAboutSilent(Time now) {
+void LivenessMonitor::AskAboutSilent(Time now) {
   // Each question costs every controller a connection for a moment.
   constexpr size_t kMostAsked = 64;
   if (settings_.peers.empty() || silent_round_ != 0 || !FewSilent()) return;
@@ -234,14 +237,14 @@
   if (!about.empty()) silent_round_ = Ask(about, /*sample=*/false, now);
 }
 
-void Ears::Ask(Time now) {
+void LivenessMonitor::Ask(Time now) {
   AskAboutSilent(now);
   AskWhoReaches(now);
 }
 
 // A sample of all machines, heard or not: one that reached only what this
 // controller does not would be no better place to lead from.
-void Ears::AskWhoReaches(Time now) {
+void LivenessMonitor::AskWhoReaches(Time now) {
   if (settings_.peers.empty() || !fitness_.WantsRound(now)) return;
   std::vector<Machine*> all;
   for (const auto& m : machines_) {
@@ -255,7 +258,8 @@
   fitness_round_ = Ask(sample, /*sample=*/true, now);
 }
 
-bool Ears::OnReach(uint64_t round, std::vector<Reach> answers, Time now) {
+bool LivenessMonitor::OnReach(uint64_t round, std::vector<Reach> answers,
+                              Time now) {
   const auto it = asked_.find(round);
   if (it == asked_.end() || answers.empty()) return true;
   const auto [about, asked] = std::move(it->second);
@@ -296,7 +300,7 @@
   return true;
 }
 
-void Ears::OnOfferRefused(const std::string& why, Time now) {
+void LivenessMonitor::OnOfferRefused(const std::string& why, Time now) {
   Say("goes on leading: " + why);
   fitness_.OfferRefused(now);
 }
--- a/core/controller/ears.h
+++ b/core/controller/liveness_monitor.h
@@ -19,13 +19,13 @@
 
 namespace oxbow {
 
-class Ears {
+class LivenessMonitor {
  public:
   using Machines = std::vector<std::unique_ptr<Machine>>;
 
-  Ears(const Settings& settings, const Tuning& tuning,
-       const SilenceTimeouts& timeouts, const Machines& machines, Time started,
-       uint64_t seed, std::vector<Action>& actions);
+  LivenessMonitor(const Settings& settings, const Tuning& tuning,
+                  const SilenceTimeouts& timeouts, const Machines& machines,
+                  Time started, uint64_t seed, std::vector<Action>& actions);
 
   // Once in each tick, before anything is decided on it.
   void Count(Time now);
@@ -46,7 +46,7 @@
   bool LossAllowed(const Machine& m, LossCause cause, Time now);
 
   FitnessState fitness() const { return fitness_.state(); }
-  const Hearing& hearing() const { return hearing_; }
+  const ReportsHeard& reports_heard() const { return reports_heard_; }
   // What is held back at this moment; a line each.
   std::vector<std::string> Alarms() const;
 
@@ -66,7 +66,7 @@
   std::vector<Action>& actions_;
   Fitness fitness_;
   LossLimiter limiter_;
-  Hearing hearing_;
+  ReportsHeard reports_heard_;
   uint64_t next_round_ = 1;
   uint64_t fitness_round_ = 0;  // under way; 0: none
   uint64_t silent_round_ = 0;
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -879,7 +879,7 @@
 }
 
 bool Controller::TakeAway(Machine& m, LossCause cause, Time now) {
-  if (!ears_.LossAllowed(m, cause, now)) return false;
+  if (!liveness_.LossAllowed(m, cause, now)) return false;
   static constexpr std::array<const char*, kLossCauses> kWhy = {
       "silent",
       "neither listed nor heard",
@@ -956,8 +956,8 @@
   const bool matters =
       m.reported ? !m.residents.empty() && now - started_ > lease
                  : !m.residents.empty() || now < m.session.MayLiveUntil(lease);
-  if (m.recorded_up && matters && ears_.SilentTooLong(m, now) &&
-      ears_.MayGiveUp(m, now) && TakeAway(m, LossCause::kSilent, now)) {
+  if (m.recorded_up && matters && liveness_.SilentTooLong(m, now) &&
+      liveness_.MayGiveUp(m, now) && TakeAway(m, LossCause::kSilent, now)) {
     return;
   }
   // Looking through all that is there has no hurry: once a report.
--- a/core/controller/moves.cc
+++ b/core/controller/moves.cc
@@ -125,7 +125,7 @@
   sight.allowed = sight.wanted && sight.runs && sight.target_good &&
                   sight.source_good && sight.whole &&
                   RolloutOf(job) == nullptr && FloorAllows(key, job, now) &&
-                  ears_.LossAllowed(*from, LossCause::kMoved, now);
+                  liveness_.LossAllowed(*from, LossCause::kMoved, now);
   return sight;
 }
 
@@ -160,7 +160,7 @@
   StepMoves(now);
   if (now < next_move_plan_ || !AllAccounted() ||
       mover_->under_way() >= static_cast<int>(tuning_.moves_at_once) ||
-      ears_.fitness() != FitnessState::kFit) {
+      liveness_.fitness() != FitnessState::kFit) {
     return;
   }
   next_move_plan_ = now + settings_.workers.report_s;
--- a/core/controller/restore.cc
+++ b/core/controller/restore.cc
@@ -74,7 +74,7 @@
 }
 
 std::vector<std::string> Controller::Alarms() const {
-  std::vector<std::string> alarms = ears_.Alarms();
+  std::vector<std::string> alarms = liveness_.Alarms();
   int orphans = 0;
   for (const auto& m : machines_) orphans += m->orphans;
   if (orphans > 0) {
--- a/core/fitness/fitness.cc
+++ b/core/fitness/fitness.cc
@@ -22,10 +22,10 @@
 void Fitness::Change(FitnessEvent event) {
   FitnessState next = state_;
   switch (event) {
-    case FitnessEvent::kHearsLittle:
+    case FitnessEvent::kFewReports:
       if (state_ == kFit) next = kDoubt;
       break;
-    case FitnessEvent::kHearsWell:
+    case FitnessEvent::kEnoughReports:
       // A round under way is let end: its answer says the same.
       if (state_ == kDoubt) next = kFit;
       break;
@@ -48,17 +48,18 @@
 }
 
 bool Fitness::Deaf() const {
-  return hearing_.recorded > 0 && hearing_.recorded - hearing_.silent <
-                                      limits_.deaf_share * hearing_.recorded;
+  return reports_heard_.recorded > 0 &&
+         reports_heard_.recorded - reports_heard_.silent <
+             limits_.deaf_share * reports_heard_.recorded;
 }
 
-void Fitness::Observe(const Hearing& hearing, Time now) {
+void Fitness::Observe(const ReportsHeard& heard, Time now) {
   // After a stall everything looks overdue until what has arrived meanwhile is
   // read; and deafness that was not watched is not known to have lasted.
   const Time before = observed_;
   const bool stalled = now - before > limits_.pause_s / 2;
   observed_ = now;
-  hearing_ = hearing;
+  reports_heard_ = heard;
   if (stalled) {
     deaf_since_ = 1e18;
     next_round_ = std::max(next_round_, now + limits_.pause_s / 2);
@@ -76,14 +77,13 @@
   if (before < blind_at && now >= blind_at) {
     next_round_ = std::min(next_round_, now);
   }
-  const bool little =
-      hearing.troubled > 0 &&
-      hearing.troubled >= limits_.doubt_share * hearing.recorded;
+  const bool little = heard.troubled > 0 &&
+                      heard.troubled >= limits_.doubt_share * heard.recorded;
   if (state_ == kFit && little) {
     pause_s_ = limits_.pause_s;
-    Change(FitnessEvent::kHearsLittle);
+    Change(FitnessEvent::kFewReports);
   } else if (!little) {
-    Change(FitnessEvent::kHearsWell);
+    Change(FitnessEvent::kEnoughReports);
   }
 }
 
@@ -132,10 +132,11 @@
       now - deaf_since_ >= limits_.blind_after_s) {
     Change(FitnessEvent::kBlind);
     verdict.kind = Verdict::Kind::kStepDown;
-    verdict.why = "hears " +
-                  std::to_string(hearing_.recorded - hearing_.silent) + " of " +
-                  std::to_string(hearing_.recorded) +
-                  " machines, and no controller to compare with";
+    verdict.why =
+        "hears " +
+        std::to_string(reports_heard_.recorded - reports_heard_.silent) +
+        " of " + std::to_string(reports_heard_.recorded) +
+        " machines, and no controller to compare with";
     return verdict;
   }
   Change(FitnessEvent::kNoneBetter);
--- a/core/fitness/fitness.h
+++ b/core/fitness/fitness.h
@@ -1,5 +1,5 @@
 // Whether the leader is the right one to lead. It hears little: is that the
-// machines, the network of all, or only its own ears? No I/O, no clock; safety
+// machines, the network of all, or only its own reach? No I/O, no clock; safety
 // never rests on what is decided here, only on the lease and the tokens.
 #pragma once
 
@@ -22,8 +22,8 @@
 };
 
 enum class FitnessEvent : uint8_t {
-  kHearsLittle,
-  kHearsWell,
+  kFewReports,
+  kEnoughReports,
   kAsked,
   kNoneBetter,  // or nothing could be compared
   kOneIsBetter,
@@ -33,7 +33,7 @@
 };
 
 // How much of the fleet is heard, counted in one pass over it.
-struct Hearing {
+struct ReportsHeard {
   int recorded = 0;  // machines that may hold tasks
   // Of them: no message, or no report, for longer than one may take, or
   // commands that don't get through.
@@ -66,7 +66,7 @@
 
   // With each count. A gap in the calls (the process stood still) is no time in
   // which anything could have been heard.
-  void Observe(const Hearing& hearing, Time now);
+  void Observe(const ReportsHeard& heard, Time now);
   // Whether a round should be asked now; the caller asks it.
   bool WantsRound(Time now) const;
   void RoundAsked(Time now);
@@ -83,7 +83,7 @@
   Limits limits_;
   Time started_;
   FitnessState state_ = FitnessState::kFit;
-  Hearing hearing_;
+  ReportsHeard reports_heard_;
   Time observed_ = -1e9;
   Time next_round_ = 0;
   Time deaf_since_ = 1e18;
