--- a/app/dealings.cc
+++ b/app/leader_service.cc
@@ -1,4 +1,4 @@
-#include "app/dealings.h"
+#include "app/leader_service.h"
 
 #include <spdlog/spdlog.h>
 
@@ -23,12 +23,12 @@
 
 }  // namespace
 
-Dealings::Dealings(net::Loop& loop, const Settings& settings,
-                   const Tuning& tuning, Catalog& catalog,
-                   clients::StateClient& state, clients::CloudClient& cloud,
-                   Follower& follower, Election& election,
-                   FitnessDesk& fitness_desk, ZoneDesk& zone_desk,
-                   RecoveryDesk& recovery)
+LeaderService::LeaderService(net::Loop& loop, const Settings& settings,
+                             const Tuning& tuning, Catalog& catalog,
+                             clients::StateClient& state,
+                             clients::CloudClient& cloud, Follower& follower,
+                             Election& election, FitnessDesk& fitness_desk,
+                             ZoneDesk& zone_desk, RecoveryDesk& recovery)
     : loop_(loop),
       settings_(settings),
       tuning_(tuning),
@@ -43,23 +43,23 @@
       workers_(loop, kOrderTimeoutRatio * settings.workers.lease_s),
       health_(loop) {}
 
-void Dealings::Start() {
+void LeaderService::Start() {
   net::Spawn(TickLoop());
   net::Spawn(ListLoop());
 }
 
-Controller* Dealings::Leading() {
+Controller* LeaderService::Leading() {
   return controller_ != nullptr && election_.Valid() ? controller_.get()
                                                      : nullptr;
 }
 
-void Dealings::LeaveOffice() {
+void LeaderService::LeaveOffice() {
   controller_.reset();
   workers_.Clear();
   health_.Clear();
 }
 
-void Dealings::FollowTiers() {
+void LeaderService::FollowTiers() {
   if (tuning_.tiers <= 0) return;
   const TierSource before = tiers_.source();
   const uint64_t version = tiers_.version();
@@ -81,7 +81,7 @@
   }
 }
 
-void Dealings::RecordTaken(const std::string& key) {
+void LeaderService::RecordTaken(const std::string& key) {
   if (key.starts_with(keys::kOperator) &&
       key.substr(keys::kOperator.size()) == wire::kTiersRecord) {
     FollowTiers();
@@ -108,11 +108,11 @@
   });
 }
 
-void Dealings::TypesKnown(const std::vector<MachineType>& types) {
+void LeaderService::TypesKnown(const std::vector<MachineType>& types) {
   if (controller_) controller_->OnTypes(types);
 }
 
-void Dealings::TellWaiters(const JobFinal& end) {
+void LeaderService::TellWaiters(const JobFinal& end) {
   const auto it = final_waiters_.find(end.id);
   if (it == final_waiters_.end()) return;
   for (const auto& waiter : it->second) {
@@ -122,8 +122,8 @@
   final_waiters_.erase(it);
 }
 
-void Dealings::TakeOffice(uint64_t revision,
-                          const std::optional<std::set<std::string>>& keepers) {
+void LeaderService::TakeOffice(
+    uint64_t revision, const std::optional<std::set<std::string>>& keepers) {
   const net::Time now = loop_.Refresh();
   controller_ =
       std::make_unique<Controller>(settings_, tuning_, catalog_, revision, now,
@@ -144,8 +144,8 @@
   Perform();
 }
 
-void Dealings::Tell(uint64_t revision,
-                    const std::function<void(Controller&)>& event) {
+void LeaderService::Tell(uint64_t revision,
+                         const std::function<void(Controller&)>& event) {
   if (!controller_ || controller_->revision() != revision) return;
   // The loop's time is that of its last wake-up, which a stall may have put
   // seconds ago; a message read since then may tell of a session that began
@@ -163,14 +163,14 @@
 }
 
 // Between two looks at the steady clock, so that a stall shows.
-void Dealings::LookAtClocks() {
+void LeaderService::LookAtClocks() {
   const net::Time before = loop_.Refresh();
   const double wall = net::WallNow();
   const net::Time after = loop_.Refresh();
   controller_->OnClocks({wall, before, after}, follower_.confirmed(), after);
 }
 
-net::Task<void> Dealings::TickLoop() {
+net::Task<void> LeaderService::TickLoop() {
   for (;;) {
     co_await loop_.Sleep(kTick * settings_.workers.report_s);
     if (Leading() == nullptr) continue;
@@ -179,7 +179,7 @@
   }
 }
 
-net::Task<void> Dealings::ListLoop() {
+net::Task<void> LeaderService::ListLoop() {
   for (;;) {
     co_await loop_.Sleep(0.5 * settings_.cloud.list_lag_s + 0.5);
     if (Leading() == nullptr) continue;
@@ -193,7 +193,7 @@
   }
 }
 
-void Dealings::Perform() {
+void LeaderService::Perform() {
   if (!controller_ || performing_) return;
   performing_ = true;
   const uint64_t revision = controller_->revision();
@@ -256,7 +256,7 @@
   if (unfit) fitness_desk_.Yielded();
 }
 
-net::Task<void> Dealings::DoSend(SendOrders orders, uint64_t revision) {
+net::Task<void> LeaderService::DoSend(SendOrders orders, uint64_t revision) {
   const std::string host = orders.host;
   const uint64_t batch = orders.batch;
   clients::WorkerClients::Answer answer;
@@ -268,7 +268,7 @@
   });
 }
 
-net::Task<void> Dealings::DoProbe(Probe probe, uint64_t revision) {
+net::Task<void> LeaderService::DoProbe(Probe probe, uint64_t revision) {
   const clients::WorkerClients::Answer answer =
       co_await workers_.Probe(probe.endpoint);
   if (!answer.has_report) co_return;
@@ -276,7 +276,7 @@
        [&](Controller& c) { c.OnProbeAnswer(answer.report, loop_.Now()); });
 }
 
-net::Task<void> Dealings::DoCheck(CheckInstance check, uint64_t revision) {
+net::Task<void> LeaderService::DoCheck(CheckInstance check, uint64_t revision) {
   const std::string rollout = check.rollout;
   const ResidentKey key = check.key;
   const CheckOutcome outcome = co_await health_.Check(std::move(check));
@@ -284,7 +284,8 @@
        [&](Controller& c) { c.OnHealth(rollout, key, outcome, loop_.Now()); });
 }
 
-net::Task<void> Dealings::DoWrite(WriteTransaction txn, uint64_t revision) {
+net::Task<void> LeaderService::DoWrite(WriteTransaction txn,
+                                       uint64_t revision) {
   const uint64_t id = txn.id;
   const StateResult result = co_await state_.Write(
       std::move(txn.conditions), std::move(txn.changes), Urgency::kLeader);
@@ -307,7 +308,7 @@
   });
 }
 
-net::Task<void> Dealings::DoRead(ReadKeys read, uint64_t revision) {
+net::Task<void> LeaderService::DoRead(ReadKeys read, uint64_t revision) {
   bool ok = true;
   for (const std::string& key : read.keys) {
     const StateResult result = co_await state_.Get(key, Urgency::kLeader);
@@ -339,16 +340,17 @@
        [&](Controller& c) { c.OnReadAnswer(read.id, ok, loop_.Now()); });
 }
 
-net::Task<void> Dealings::DoRent(RentMachines rent, uint64_t revision) {
+net::Task<void> LeaderService::DoRent(RentMachines rent, uint64_t revision) {
   clients::CloudClient::Rented answer;
-  if (Leading() != nullptr)
+  if (Leading() != nullptr) {
     answer = co_await cloud_.Rent(rent.name, rent.rental);
+  }
   Tell(revision, [&](Controller& c) {
     c.OnRentAnswer(rent.name, answer.outcome, answer.hosts, loop_.Now());
   });
 }
 
-net::Task<void> Dealings::DoReadKeepers(uint64_t revision) {
+net::Task<void> LeaderService::DoReadKeepers(uint64_t revision) {
   const net::Time sent = loop_.Refresh();
   const auto keepers = co_await election_.ReadKeepers();
   if (!keepers) co_return;
@@ -356,15 +358,15 @@
        [&](Controller& c) { c.OnKeepersRead(*keepers, sent, loop_.Now()); });
 }
 
-net::Task<void> Dealings::DoDelete(std::vector<std::string> hosts,
-                                   uint64_t revision) {
+net::Task<void> LeaderService::DoDelete(std::vector<std::string> hosts,
+                                        uint64_t revision) {
   bool ok = false;
   if (Leading() != nullptr) ok = co_await cloud_.Delete(hosts);
   Tell(revision,
        [&](Controller& c) { c.OnDeleteAnswer(hosts, ok, loop_.Now()); });
 }
 
-net::Task<FinalState> Dealings::Cancel(std::string id) {
+net::Task<FinalState> LeaderService::Cancel(std::string id) {
   auto waiter = std::make_shared<FinalWaiter>(loop_);
   final_waiters_[id].push_back(waiter);
   bool known = false;
--- a/app/dealings.h
+++ b/app/leader_service.h
@@ -1,6 +1,7 @@
-// The leader's dealings: owns the core while this controller leads, hands
-// events to it, and carries out the actions that come of them: orders, writes,
-// rentals, deletions, checks. Does nothing without a look at the right to lead.
+// Carries out what the leader decides: owns the core while this controller
+// leads, hands events to it, and carries out the actions that come of them:
+// orders, writes, rentals, deletions, checks. Does nothing without a look at
+// the right to lead.
 #pragma once
 
 #include <functional>
@@ -24,13 +25,13 @@
 
 namespace oxbow::app {
 
-class Dealings {
+class LeaderService {
  public:
-  Dealings(net::Loop& loop, const Settings& settings, const Tuning& tuning,
-           Catalog& catalog, clients::StateClient& state,
-           clients::CloudClient& cloud, Follower& follower, Election& election,
-           FitnessDesk& fitness_desk, ZoneDesk& zone_desk,
-           RecoveryDesk& recovery);
+  LeaderService(net::Loop& loop, const Settings& settings, const Tuning& tuning,
+                Catalog& catalog, clients::StateClient& state,
+                clients::CloudClient& cloud, Follower& follower,
+                Election& election, FitnessDesk& fitness_desk,
+                ZoneDesk& zone_desk, RecoveryDesk& recovery);
   void Start();
 
   bool in_office() const { return controller_ != nullptr; }
--- a/app/node.cc
+++ b/app/node.cc
@@ -82,16 +82,16 @@
       follower_(loop, settings, state_, cloud_, catalog_,
                 {[this](const std::string& key) {
                    if (key == keys::kEpoch) recovery_.EpochSeen();
-                   dealings_.RecordTaken(key);
+                   leader_service_.RecordTaken(key);
                  },
-                 [this] { dealings_.Perform(); },
+                 [this] { leader_service_.Perform(); },
                  [this](const std::vector<MachineType>& types) {
-                   dealings_.TypesKnown(types);
+                   leader_service_.TypesKnown(types);
                  },
                  [this] { recovery_.Sign(LossSign::kEpochMissing); }}),
       fitness_desk_(loop, settings, tuning, catalog_, peers_,
                     {[this](uint64_t revision, const auto& event) {
-                       dealings_.Tell(revision, event);
+                       leader_service_.Tell(revision, event);
                      },
                      [this] { return election_.MayLead(); },
                      [this](const std::string& why) {
@@ -101,30 +101,32 @@
       zone_desk_(loop, settings, tuning, state_, peers_, life_,
                  {[this] { return election_.LeaderPeer(); },
                   [this] {
-                    return election_.ByLease() ? dealings_.Leading() : nullptr;
+                    return election_.ByLease() ? leader_service_.Leading()
+                                               : nullptr;
                   },
                   [this](uint64_t revision, const auto& event) {
-                    dealings_.Tell(revision, event);
+                    leader_service_.Tell(revision, event);
                   }}),
       recovery_(loop, settings, tuning, catalog_, state_, follower_, peers_,
                 {[this] { election_.StateLost(); },
                  [this] { election_.OtherEpoch(); },
-                 [this] { return dealings_.Leading() != nullptr; },
+                 [this] { return leader_service_.Leading() != nullptr; },
                  [this](uint64_t stamp) { election_.Orphaned(stamp); },
                  [this](uint64_t revision, const auto& event) {
-                   dealings_.Tell(revision, event);
+                   leader_service_.Tell(revision, event);
                  }}),
       election_(loop, settings, tuning, state_, catalog_, follower_,
                 fitness_desk_, peers_, recovery_, life_,
-                {[this] { return dealings_.in_office(); },
+                {[this] { return leader_service_.in_office(); },
                  [this](uint64_t revision, const auto& keepers) {
-                   dealings_.TakeOffice(revision, keepers);
+                   leader_service_.TakeOffice(revision, keepers);
                  },
-                 [this] { dealings_.LeaveOffice(); }}),
-      dealings_(loop, settings, tuning, catalog_, state_, cloud_, follower_,
-                election_, fitness_desk_, zone_desk_, recovery_),
-      users_(loop, settings, catalog_, state_, follower_, election_, dealings_,
-             peers_, zone_desk_, recovery_),
+                 [this] { leader_service_.LeaveOffice(); }}),
+      leader_service_(loop, settings, tuning, catalog_, state_, cloud_,
+                      follower_, election_, fitness_desk_, zone_desk_,
+                      recovery_),
+      users_(loop, settings, catalog_, state_, follower_, election_,
+             leader_service_, peers_, zone_desk_, recovery_),
       rollout_desk_(
           settings, tuning, catalog_, state_,
           {[this](const std::string& key, const Record& record,
@@ -133,7 +135,7 @@
            [this](std::vector<Condition>* conditions) {
              recovery_.AddGuard(conditions);
            },
-           [this] { return dealings_.Leading(); },
+           [this] { return leader_service_.Leading(); },
            [&loop] { return loop.Now(); }}),
       rollout_routes_(rollout_desk_),
       record_desk_(
@@ -165,7 +167,7 @@
   election_.Start();
   recovery_.Start();
   zone_desk_.Start();
-  dealings_.Start();
+  leader_service_.Start();
 }
 
 net::Task<PeerMessage> Node::OnPeer(PeerMessage message) {
--- a/app/node.h
+++ b/app/node.h
@@ -1,6 +1,6 @@
 // One controller: the rooms of which it is made, and who may call whom.
 //
-//   Users -> Dealings -> Election -> Follower
+//   Users -> LeaderService -> Election -> Follower
 //   FitnessDesk, RecoveryDesk, RolloutDesk: reached by the others, reach back
 //   through seams that are wired here.
 #pragma once
@@ -8,10 +8,10 @@
 #include <memory>
 
 #include "api/api.h"
-#include "app/dealings.h"
 #include "app/election.h"
 #include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/leader_service.h"
 #include "app/record_desk.h"
 #include "app/recovery_desk.h"
 #include "app/rollout_desk.h"
@@ -47,7 +47,7 @@
   ZoneDesk zone_desk_;
   RecoveryDesk recovery_;
   Election election_;
-  Dealings dealings_;
+  LeaderService leader_service_;
   Users users_;
   RolloutDesk rollout_desk_;
   api::RolloutRoutes rollout_routes_;
--- a/app/users.cc
+++ b/app/users.cc
@@ -58,7 +58,7 @@
 
 Users::Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
              clients::StateClient& state, Follower& follower,
-             Election& election, Dealings& dealings,
+             Election& election, LeaderService& leader_service,
              const FitnessDesk::Peers& peers, ZoneDesk& zone_desk,
              RecoveryDesk& recovery)
     : loop_(loop),
@@ -67,7 +67,7 @@
       state_(state),
       follower_(follower),
       election_(election),
-      dealings_(dealings),
+      leader_service_(leader_service),
       zone_desk_(zone_desk),
       recovery_(recovery),
       relays_(loop, settings, election, peers) {}
@@ -115,14 +115,14 @@
 
 bool Users::UnseenHere(const std::string& id) {
   JobView view;
-  const Controller* leading = dealings_.Leading();
+  const Controller* leading = leader_service_.Leading();
   return leading != nullptr && leading->AllAccounted() &&
          !leading->View(id, &view);
 }
 
 bool Users::ViewHere(const std::string& id, api::Status* out) {
   JobView view;
-  const Controller* leading = dealings_.Leading();
+  const Controller* leading = leader_service_.Leading();
   if (leading == nullptr || !leading->View(id, &view)) return false;
   out->found = api::Status::Found::kYes;
   out->status = view.status;
@@ -139,7 +139,7 @@
   if (live.ok()) {
     follower_.Apply(live.items[0].key, live.items[0].record,
                     live.items[0].stamp);
-    dealings_.Perform();
+    leader_service_.Perform();
     const auto* job = std::get_if<JobRecord>(&live.items[0].record);
     if (job == nullptr) co_return status;
     // The end of this record, or one that beats it.
@@ -378,7 +378,7 @@
   switch (result.status) {
     case StateStatus::kOk: {
       follower_.Apply(key, record, result.revision);
-      dealings_.Perform();
+      leader_service_.Perform();
       if (clients::PeerClient* leader = election_.LeaderPeer()) {
         PeerMessage hint;
         hint.kind = PeerKind::kHint;
@@ -419,8 +419,8 @@
     }
   }
   api::Status unknown;
-  if (dealings_.Leading() != nullptr) {
-    const FinalState state = co_await dealings_.Cancel(id);
+  if (leader_service_.Leading() != nullptr) {
+    const FinalState state = co_await leader_service_.Cancel(id);
     if (state == FinalState::kNone) co_return unknown;
     status.found = api::Status::Found::kYes;
     status.status = wire::NameOf(wire::kFinals, state);
@@ -438,23 +438,23 @@
 }
 
 bool Users::TakeReport(const WorkerReport& report, ReportReply* reply) {
-  const Controller* leading = dealings_.Leading();
+  const Controller* leading = leader_service_.Leading();
   if (leading == nullptr) return false;
-  dealings_.Tell(leading->revision(), [&](Controller& c) {
+  leader_service_.Tell(leading->revision(), [&](Controller& c) {
     *reply = c.OnReport(report, loop_.Now());
   });
   // The report may have ended this leadership; and a copy is not answered.
-  return dealings_.in_office() && !reply->refused && !reply->withheld;
+  return leader_service_.in_office() && !reply->refused && !reply->withheld;
 }
 
 net::Task<api::Reported> Users::Report(WorkerReport report, std::string body) {
   using Result = api::Reported::Result;
   api::Reported out;
   recovery_.TermSeen(report.token >> kTokenBits);
-  if (const Controller* leading = dealings_.Leading()) {
+  if (const Controller* leading = leader_service_.Leading()) {
     out.leader = zone_desk_.BetterPlaceFor(report, leading->revision());
     if (!out.leader.empty()) {
-      dealings_.Tell(leading->revision(), [&](Controller& c) {
+      leader_service_.Tell(leading->revision(), [&](Controller& c) {
         c.OnProbeAnswer(report, loop_.Now());
       });
       out.result = Result::kElsewhere;
@@ -499,7 +499,7 @@
 api::LeaderView Users::Leader() {
   api::LeaderView view;
   view.leader = election_.LeaderName();
-  const Controller* leading = dealings_.Leading();
+  const Controller* leading = leader_service_.Leading();
   if (leading == nullptr) return view;
   view.here = true;
   view.machines = leading->reports_heard().recorded;
--- a/app/users.h
+++ b/app/users.h
@@ -7,10 +7,10 @@
 #include <string>
 
 #include "api/api.h"
-#include "app/dealings.h"
 #include "app/election.h"
 #include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/leader_service.h"
 #include "app/recovery_desk.h"
 #include "app/relays.h"
 #include "app/zone_desk.h"
@@ -24,7 +24,7 @@
  public:
   Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
         clients::StateClient& state, Follower& follower, Election& election,
-        Dealings& dealings, const FitnessDesk::Peers& peers,
+        LeaderService& leader_service, const FitnessDesk::Peers& peers,
         ZoneDesk& zone_desk, RecoveryDesk& recovery);
 
   // api::Service
@@ -90,7 +90,7 @@
   clients::StateClient& state_;
   Follower& follower_;
   Election& election_;
-  Dealings& dealings_;
+  LeaderService& leader_service_;
   ZoneDesk& zone_desk_;
   RecoveryDesk& recovery_;
   Relays relays_;
--- a/app/users_peer.cc
+++ b/app/users_peer.cc
@@ -75,15 +75,15 @@
       break;
     }
     case PeerKind::kCancel: {
-      if (dealings_.Leading() == nullptr) break;
+      if (leader_service_.Leading() == nullptr) break;
       if (!KnownHere(message.job_id)) {
         const api::Status known = co_await FreshRead(message.job_id);
         if (known.found != api::Status::Found::kYes ||
-            dealings_.Leading() == nullptr) {
+            leader_service_.Leading() == nullptr) {
           break;
         }
       }
-      const FinalState state = co_await dealings_.Cancel(message.job_id);
+      const FinalState state = co_await leader_service_.Cancel(message.job_id);
       if (state == FinalState::kNone) break;
       reply->answer = PeerAnswer::kYes;
       reply->text = wire::NameOf(wire::kFinals, state);
@@ -94,7 +94,7 @@
       if (!job) break;
       follower_.Apply(keys::Of(keys::kJob, message.job_id), *job,
                       message.stamp);
-      dealings_.Perform();
+      leader_service_.Perform();
       break;
     }
     case PeerKind::kReport: {
