--- a/app/calendar_desk.cc
+++ b/app/calendar_records.cc
@@ -1,4 +1,4 @@
-#include "app/calendar_desk.h"
+#include "app/calendar_records.h"
 
 #include <spdlog/spdlog.h>
 
--- a/app/election.cc
+++ b/app/election.cc
@@ -34,9 +34,10 @@
 Election::Election(net::Loop& loop, const Settings& settings,
                    const Tuning& tuning, clients::StateClient& state,
                    const Catalog& catalog, Follower& follower,
-                   const FitnessDesk& fitness_desk,
-                   const FitnessDesk::Peers& peers, RecoveryDesk& recovery,
-                   std::string incarnation, Seams seams)
+                   const LeaderHealthCoordinator& leader_health_coordinator,
+                   const LeaderHealthCoordinator::Peers& peers,
+                   RecoveryCoordinator& recovery, std::string incarnation,
+                   Seams seams)
     : loop_(loop),
       settings_(settings),
       incarnation_(std::move(incarnation)),
@@ -44,7 +45,7 @@
       state_(state),
       catalog_(catalog),
       follower_(follower),
-      fitness_desk_(fitness_desk),
+      leader_health_coordinator_(leader_health_coordinator),
       peers_(peers),
       recovery_(recovery),
       seams_(std::move(seams)),
@@ -226,7 +227,8 @@
       const bool first =
           proven || free_for >= kLeadersFirst * lease_s_ || (mine && met_once_);
       if ((first && mine) || (proven && orphan) ||
-          (first && leader.stamp == 0 && fitness_desk_.MaySeek(free_for))) {
+          (first && leader.stamp == 0 &&
+           leader_health_coordinator_.MaySeek(free_for))) {
         co_await Seek(proven || own);
         if (leadership_.state() == LeaderState::kFollower) {
           std::uniform_real_distribution<double> jitter(0.02, 0.1);
@@ -250,7 +252,7 @@
   }
   const std::string key(keys::kLeader);
   const LeaderRecord record{settings_.node, incarnation_, 0, !leads};
-  const RecoveryDesk::Opening founding = recovery_.Found();
+  const RecoveryCoordinator::Opening founding = recovery_.Found();
   std::vector<Condition> conditions = founding.conditions;
   if (conditions.empty()) recovery_.AddGuard(&conditions);
   conditions.push_back({key, leadership_.seen()});
@@ -339,7 +341,7 @@
 // transaction opens the epoch and takes its leader key, under the stamps that
 // were read before, so of several one opens it.
 net::Task<void> Election::Reopen() {
-  RecoveryDesk::Opening opening;
+  RecoveryCoordinator::Opening opening;
   const bool led = Valid();
   const bool prepared = co_await recovery_.Prepare(&opening, led);
   if (!prepared) co_return;
--- a/app/election.h
+++ b/app/election.h
@@ -8,9 +8,9 @@
 #include <set>
 #include <string>
 
-#include "app/fitness_desk.h"
 #include "app/follower.h"
-#include "app/recovery_desk.h"
+#include "app/leader_health_coordinator.h"
+#include "app/recovery_coordinator.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/catalog.h"
@@ -32,9 +32,10 @@
   };
   Election(net::Loop& loop, const Settings& settings, const Tuning& tuning,
            clients::StateClient& state, const Catalog& catalog,
-           Follower& follower, const FitnessDesk& fitness_desk,
-           const FitnessDesk::Peers& peers, RecoveryDesk& recovery,
-           std::string incarnation, Seams seams);
+           Follower& follower,
+           const LeaderHealthCoordinator& leader_health_coordinator,
+           const LeaderHealthCoordinator::Peers& peers,
+           RecoveryCoordinator& recovery, std::string incarnation, Seams seams);
   void Start();
 
   // Whether this controller may act as the leader at this moment.
@@ -103,9 +104,9 @@
   clients::StateClient& state_;
   const Catalog& catalog_;
   Follower& follower_;
-  const FitnessDesk& fitness_desk_;
-  const FitnessDesk::Peers& peers_;
-  RecoveryDesk& recovery_;
+  const LeaderHealthCoordinator& leader_health_coordinator_;
+  const LeaderHealthCoordinator::Peers& peers_;
+  RecoveryCoordinator& recovery_;
   Seams seams_;
   Leadership leadership_;
   net::Time met_from_;          // when the others began to be asked who leads
--- a/app/fitness_desk.cc
+++ b/app/leader_health_coordinator.cc
@@ -1,4 +1,4 @@
-#include "app/fitness_desk.h"
+#include "app/leader_health_coordinator.h"
 
 #include <spdlog/spdlog.h>
 
@@ -22,9 +22,9 @@
 
 }  // namespace
 
-FitnessDesk::FitnessDesk(net::Loop& loop, const Settings& settings,
-                         const Tuning& tuning, const Catalog& catalog,
-                         const Peers& peers, Seams seams)
+LeaderHealthCoordinator::LeaderHealthCoordinator(
+    net::Loop& loop, const Settings& settings, const Tuning& tuning,
+    const Catalog& catalog, const Peers& peers, Seams seams)
     : loop_(loop),
       settings_(settings),
       catalog_(catalog),
@@ -38,9 +38,9 @@
       probe_s_(kProbeRatio * settings.workers.lease_s),
       leader_lease_s_(tuning.leader_lease_ratio * settings.workers.lease_s) {}
 
-net::Task<void> FitnessDesk::AskSelf(std::shared_ptr<Round> round,
-                                     std::vector<std::string> endpoints,
-                                     uint64_t revision) {
+net::Task<void> LeaderHealthCoordinator::AskSelf(
+    std::shared_ptr<Round> round, std::vector<std::string> endpoints,
+    uint64_t revision) {
   clients::ReachClient::Found found =
       co_await reach_.Ask(std::move(endpoints), probe_s_);
   round->answers[0].answered = true;
@@ -53,9 +53,11 @@
   if (--round->left == 0) round->done.Set();
 }
 
-net::Task<void> FitnessDesk::AskPeer(std::shared_ptr<Round> round, size_t slot,
-                                     clients::PeerClient* peer, PeerMessage ask,
-                                     size_t count) {
+net::Task<void> LeaderHealthCoordinator::AskPeer(std::shared_ptr<Round> round,
+                                                 size_t slot,
+                                                 clients::PeerClient* peer,
+                                                 PeerMessage ask,
+                                                 size_t count) {
   const auto answer = co_await peer->Ask(std::move(ask), kWait * probe_s_);
   Reach& reach = round->answers[slot];
   if (answer.ok && IsReachText(answer.message.text, count)) {
@@ -66,7 +68,8 @@
   if (--round->left == 0) round->done.Set();
 }
 
-net::Task<void> FitnessDesk::DoReach(AskReach ask, uint64_t revision) {
+net::Task<void> LeaderHealthCoordinator::DoReach(AskReach ask,
+                                                 uint64_t revision) {
   auto round = std::make_shared<Round>(loop_);
   round->answers.resize(1 + peers_.size());
   round->left = 1 + peers_.size();
@@ -89,7 +92,8 @@
   });
 }
 
-net::Task<void> FitnessDesk::DoOffer(OfferLead offer, uint64_t revision) {
+net::Task<void> LeaderHealthCoordinator::DoOffer(OfferLead offer,
+                                                 uint64_t revision) {
   const auto refused = [&](const std::string& why) {
     seams_.tell(revision,
                 [&](Controller& c) { c.OnOfferRefused(why, loop_.Now()); });
@@ -131,7 +135,7 @@
   seams_.step_down("hands over, " + offer.why);
 }
 
-void FitnessDesk::Yielded() {
+void LeaderHealthCoordinator::Yielded() {
   const net::Time now = loop_.Now();
   unfit_until_ = now + settings_.workers.lease_s;
   // Long enough for another to win; not for ever, it may be the last one.
@@ -139,7 +143,8 @@
   others_first_until_ = now + kGrace * leader_lease_s_;
 }
 
-net::Task<void> FitnessDesk::OnReach(PeerMessage message, PeerMessage* reply) {
+net::Task<void> LeaderHealthCoordinator::OnReach(PeerMessage message,
+                                                 PeerMessage* reply) {
   std::vector<std::string> endpoints;
   std::istringstream hosts(message.text);
   std::string host;
@@ -167,7 +172,8 @@
   if (seams_.may_lead()) reply->answer = PeerAnswer::kYes;
 }
 
-void FitnessDesk::OnOffer(const PeerMessage& message, PeerMessage* reply) {
+void LeaderHealthCoordinator::OnOffer(const PeerMessage& message,
+                                      PeerMessage* reply) {
   const net::Time now = loop_.Now();
   if (!seams_.may_lead() || now < unfit_until_ || !hand_overs_.Allows(now)) {
     return;
@@ -178,14 +184,14 @@
   reply->answer = PeerAnswer::kYes;
 }
 
-void FitnessDesk::OnStandAside(const PeerMessage& message) {
+void LeaderHealthCoordinator::OnStandAside(const PeerMessage& message) {
   const net::Time now = loop_.Now();
   spdlog::info("{} hands over to {}", message.node, message.text);
   hand_overs_.Note(now);
   others_first_until_ = now + leader_lease_s_ / 2;
 }
 
-bool FitnessDesk::MaySeek(double free_for) const {
+bool LeaderHealthCoordinator::MaySeek(double free_for) const {
   const net::Time now = loop_.Now();
   if (now < others_first_until_) return false;
   return now >= unfit_until_ || free_for >= leader_lease_s_ / 2;
--- a/app/fitness_desk.h
+++ b/app/leader_health_coordinator.h
@@ -15,7 +15,7 @@
 
 namespace oxbow::app {
 
-class FitnessDesk {
+class LeaderHealthCoordinator {
  public:
   using Peers = std::vector<std::unique_ptr<clients::PeerClient>>;
   struct Seams {
@@ -28,8 +28,9 @@
     std::function<void(const std::string& why)> step_down;
   };
 
-  FitnessDesk(net::Loop& loop, const Settings& settings, const Tuning& tuning,
-              const Catalog& catalog, const Peers& peers, Seams seams);
+  LeaderHealthCoordinator(net::Loop& loop, const Settings& settings,
+                          const Tuning& tuning, const Catalog& catalog,
+                          const Peers& peers, Seams seams);
 
   // --- as the leader
   net::Task<void> DoReach(AskReach ask, uint64_t revision);
--- a/app/leader_service.cc
+++ b/app/leader_service.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "app/calendar_desk.h"
+#include "app/calendar_records.h"
 #include "wire/moves_json.h"
 #include "wire/tiers_json.h"
 
@@ -27,8 +27,10 @@
                              const Tuning& tuning, Catalog& catalog,
                              clients::StateClient& state,
                              clients::CloudClient& cloud, Follower& follower,
-                             Election& election, FitnessDesk& fitness_desk,
-                             ZoneDesk& zone_desk, RecoveryDesk& recovery)
+                             Election& election,
+                             LeaderHealthCoordinator& leader_health_coordinator,
+                             ZoneCoordinator& zone_coordinator,
+                             RecoveryCoordinator& recovery)
     : loop_(loop),
       settings_(settings),
       tuning_(tuning),
@@ -37,8 +39,8 @@
       cloud_(cloud),
       follower_(follower),
       election_(election),
-      fitness_desk_(fitness_desk),
-      zone_desk_(zone_desk),
+      leader_health_coordinator_(leader_health_coordinator),
+      zone_coordinator_(zone_coordinator),
       recovery_(recovery),
       workers_(loop, kOrderTimeoutRatio * settings.workers.lease_s),
       health_(loop) {}
@@ -217,11 +219,13 @@
       } else if (auto* check = std::get_if<CheckInstance>(&action)) {
         net::Spawn(DoCheck(std::move(*check), revision));
       } else if (auto* ask = std::get_if<AskReach>(&action)) {
-        net::Spawn(fitness_desk_.DoReach(std::move(*ask), revision));
+        net::Spawn(
+            leader_health_coordinator_.DoReach(std::move(*ask), revision));
       } else if (auto* offer = std::get_if<OfferLead>(&action)) {
-        net::Spawn(fitness_desk_.DoOffer(std::move(*offer), revision));
+        net::Spawn(
+            leader_health_coordinator_.DoOffer(std::move(*offer), revision));
       } else if (auto* back = std::get_if<AskStandBack>(&action)) {
-        zone_desk_.DoAsk(*back, revision);
+        zone_coordinator_.DoAsk(*back, revision);
       } else if (std::holds_alternative<ReadZoneKeepers>(action)) {
         net::Spawn(DoReadKeepers(revision));
       } else if (auto* job = std::get_if<AskJob>(&action)) {
@@ -253,7 +257,7 @@
   performing_ = false;
   if (resign.empty()) return;
   election_.StepDown(resign);
-  if (unfit) fitness_desk_.Yielded();
+  if (unfit) leader_health_coordinator_.Yielded();
 }
 
 net::Task<void> LeaderService::DoSend(SendOrders orders, uint64_t revision) {
--- a/app/leader_service.h
+++ b/app/leader_service.h
@@ -11,10 +11,10 @@
 #include <vector>
 
 #include "app/election.h"
-#include "app/fitness_desk.h"
 #include "app/follower.h"
-#include "app/recovery_desk.h"
-#include "app/zone_desk.h"
+#include "app/leader_health_coordinator.h"
+#include "app/recovery_coordinator.h"
+#include "app/zone_coordinator.h"
 #include "clients/cloud.h"
 #include "clients/health.h"
 #include "clients/state.h"
@@ -30,8 +30,10 @@
   LeaderService(net::Loop& loop, const Settings& settings, const Tuning& tuning,
                 Catalog& catalog, clients::StateClient& state,
                 clients::CloudClient& cloud, Follower& follower,
-                Election& election, FitnessDesk& fitness_desk,
-                ZoneDesk& zone_desk, RecoveryDesk& recovery);
+                Election& election,
+                LeaderHealthCoordinator& leader_health_coordinator,
+                ZoneCoordinator& zone_coordinator,
+                RecoveryCoordinator& recovery);
   void Start();
 
   bool in_office() const { return controller_ != nullptr; }
@@ -87,9 +89,9 @@
   clients::CloudClient& cloud_;
   Follower& follower_;
   Election& election_;
-  FitnessDesk& fitness_desk_;
-  ZoneDesk& zone_desk_;
-  RecoveryDesk& recovery_;
+  LeaderHealthCoordinator& leader_health_coordinator_;
+  ZoneCoordinator& zone_coordinator_;
+  RecoveryCoordinator& recovery_;
   clients::WorkerClients workers_;
   clients::HealthClient health_;
   TiersInForce tiers_;
--- a/app/node.cc
+++ b/app/node.cc
@@ -5,7 +5,7 @@
 #include <random>
 #include <utility>
 
-#include "app/calendar_desk.h"
+#include "app/calendar_records.h"
 #include "wire/calendar_json.h"
 #include "wire/tiers_json.h"
 
@@ -22,8 +22,9 @@
   return out;
 }
 
-FitnessDesk::Peers PeersOf(net::Loop& loop, const Settings& settings) {
-  FitnessDesk::Peers peers;
+LeaderHealthCoordinator::Peers PeersOf(net::Loop& loop,
+                                       const Settings& settings) {
+  LeaderHealthCoordinator::Peers peers;
   for (const PeerSettings& peer : settings.peers) {
     peers.push_back(std::make_unique<clients::PeerClient>(
         loop, peer.name, AddressOf(peer.address)));
@@ -89,24 +90,24 @@
                    leader_service_.TypesKnown(types);
                  },
                  [this] { recovery_.Sign(LossSign::kEpochMissing); }}),
-      fitness_desk_(loop, settings, tuning, catalog_, peers_,
-                    {[this](uint64_t revision, const auto& event) {
-                       leader_service_.Tell(revision, event);
-                     },
-                     [this] { return election_.MayLead(); },
-                     [this](const std::string& why) {
-                       election_.StepDown(why);
-                       fitness_desk_.Yielded();
-                     }}),
-      zone_desk_(loop, settings, tuning, state_, peers_, life_,
-                 {[this] { return election_.LeaderPeer(); },
-                  [this] {
-                    return election_.ByLease() ? leader_service_.Leading()
-                                               : nullptr;
-                  },
-                  [this](uint64_t revision, const auto& event) {
-                    leader_service_.Tell(revision, event);
-                  }}),
+      leader_health_coordinator_(loop, settings, tuning, catalog_, peers_,
+                                 {[this](uint64_t revision, const auto& event) {
+                                    leader_service_.Tell(revision, event);
+                                  },
+                                  [this] { return election_.MayLead(); },
+                                  [this](const std::string& why) {
+                                    election_.StepDown(why);
+                                    leader_health_coordinator_.Yielded();
+                                  }}),
+      zone_coordinator_(
+          loop, settings, tuning, state_, peers_, life_,
+          {[this] { return election_.LeaderPeer(); },
+           [this] {
+             return election_.ByLease() ? leader_service_.Leading() : nullptr;
+           },
+           [this](uint64_t revision, const auto& event) {
+             leader_service_.Tell(revision, event);
+           }}),
       recovery_(loop, settings, tuning, catalog_, state_, follower_, peers_,
                 {[this] { election_.StateLost(); },
                  [this] { election_.OtherEpoch(); },
@@ -116,18 +117,18 @@
                    leader_service_.Tell(revision, event);
                  }}),
       election_(loop, settings, tuning, state_, catalog_, follower_,
-                fitness_desk_, peers_, recovery_, life_,
+                leader_health_coordinator_, peers_, recovery_, life_,
                 {[this] { return leader_service_.in_office(); },
                  [this](uint64_t revision, const auto& keepers) {
                    leader_service_.TakeOffice(revision, keepers);
                  },
                  [this] { leader_service_.LeaveOffice(); }}),
       leader_service_(loop, settings, tuning, catalog_, state_, cloud_,
-                      follower_, election_, fitness_desk_, zone_desk_,
-                      recovery_),
+                      follower_, election_, leader_health_coordinator_,
+                      zone_coordinator_, recovery_),
       users_(loop, settings, catalog_, state_, follower_, election_,
-             leader_service_, peers_, zone_desk_, recovery_),
-      rollout_desk_(
+             leader_service_, peers_, zone_coordinator_, recovery_),
+      rollout_coordinator_(
           settings, tuning, catalog_, state_,
           {[this](const std::string& key, const Record& record,
                   uint64_t stamp) { follower_.Apply(key, record, stamp); },
@@ -137,8 +138,8 @@
            },
            [this] { return leader_service_.Leading(); },
            [&loop] { return loop.Now(); }}),
-      rollout_routes_(rollout_desk_),
-      record_desk_(
+      rollout_routes_(rollout_coordinator_),
+      record_coordinator_(
           settings, catalog_, state_,
           RecordKinds(settings, tuning, catalog_, follower_),
           {[this](const std::string& key, const Record& record,
@@ -148,7 +149,7 @@
              recovery_.AddGuard(conditions);
            },
            [this] { return recovery_.MayAccept(); }}),
-      record_routes_(record_desk_),
+      record_routes_(record_coordinator_),
       api_(users_, &rollout_routes_, &record_routes_),
       peer_server_(
           loop, AddressOf(settings.peer_listen),
@@ -166,7 +167,7 @@
   follower_.Start();
   election_.Start();
   recovery_.Start();
-  zone_desk_.Start();
+  zone_coordinator_.Start();
   leader_service_.Start();
 }
 
@@ -178,12 +179,12 @@
     co_await users_.OnPeer(std::move(message), &reply);
     co_return reply;
   }
-  if (RecoveryDesk::Takes(message.kind)) {
+  if (RecoveryCoordinator::Takes(message.kind)) {
     co_await recovery_.OnPeer(std::move(message), &reply);
     co_return reply;
   }
-  if (ZoneDesk::Takes(message.kind)) {
-    zone_desk_.OnPeer(message, &reply);
+  if (ZoneCoordinator::Takes(message.kind)) {
+    zone_coordinator_.OnPeer(message, &reply);
     co_return reply;
   }
   switch (message.kind) {
@@ -202,13 +203,13 @@
       break;
     case PeerKind::kReach:
     case PeerKind::kSilent:
-      co_await fitness_desk_.OnReach(std::move(message), &reply);
+      co_await leader_health_coordinator_.OnReach(std::move(message), &reply);
       break;
     case PeerKind::kOffer:
-      fitness_desk_.OnOffer(message, &reply);
+      leader_health_coordinator_.OnOffer(message, &reply);
       break;
     case PeerKind::kStandAside:
-      fitness_desk_.OnStandAside(message);
+      leader_health_coordinator_.OnStandAside(message);
       break;
     default:
       break;
--- a/app/node.h
+++ b/app/node.h
@@ -1,22 +1,22 @@
 // One controller: the rooms of which it is made, and who may call whom.
 //
 //   Users -> LeaderService -> Election -> Follower
-//   FitnessDesk, RecoveryDesk, RolloutDesk: reached by the others, reach back
-//   through seams that are wired here.
+//   LeaderHealthCoordinator, RecoveryCoordinator, RolloutCoordinator: reached
+//   by the others, reach back through seams that are wired here.
 #pragma once
 
 #include <memory>
 
 #include "api/api.h"
 #include "app/election.h"
-#include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/leader_health_coordinator.h"
 #include "app/leader_service.h"
-#include "app/record_desk.h"
-#include "app/recovery_desk.h"
-#include "app/rollout_desk.h"
+#include "app/record_coordinator.h"
+#include "app/recovery_coordinator.h"
+#include "app/rollout_coordinator.h"
 #include "app/users.h"
-#include "app/zone_desk.h"
+#include "app/zone_coordinator.h"
 #include "clients/cloud.h"
 #include "clients/peer.h"
 #include "clients/state.h"
@@ -41,17 +41,17 @@
   clients::StateClient state_;
   clients::CloudClient cloud_;
   const std::string life_;  // incarnation of this process
-  FitnessDesk::Peers peers_;
+  LeaderHealthCoordinator::Peers peers_;
   Follower follower_;
-  FitnessDesk fitness_desk_;
-  ZoneDesk zone_desk_;
-  RecoveryDesk recovery_;
+  LeaderHealthCoordinator leader_health_coordinator_;
+  ZoneCoordinator zone_coordinator_;
+  RecoveryCoordinator recovery_;
   Election election_;
   LeaderService leader_service_;
   Users users_;
-  RolloutDesk rollout_desk_;
+  RolloutCoordinator rollout_coordinator_;
   api::RolloutRoutes rollout_routes_;
-  RecordDesk record_desk_;
+  RecordCoordinator record_coordinator_;
   api::RecordRoutes record_routes_;
   api::Api api_;
   clients::PeerServer peer_server_;
--- a/app/record_desk.cc
+++ b/app/record_coordinator.cc
@@ -1,4 +1,4 @@
-#include "app/record_desk.h"
+#include "app/record_coordinator.h"
 
 #include <algorithm>
 #include <map>
@@ -38,16 +38,17 @@
 
 }  // namespace
 
-RecordDesk::RecordDesk(const Settings& settings, const Catalog& catalog,
-                       clients::StateClient& state,
-                       std::vector<RecordKind> kinds, Seams seams)
+RecordCoordinator::RecordCoordinator(const Settings& settings,
+                                     const Catalog& catalog,
+                                     clients::StateClient& state,
+                                     std::vector<RecordKind> kinds, Seams seams)
     : settings_(settings),
       catalog_(catalog),
       state_(state),
       kinds_(std::move(kinds)),
       seams_(std::move(seams)) {}
 
-const RecordKind* RecordDesk::KindOf(const std::string& name) const {
+const RecordKind* RecordCoordinator::KindOf(const std::string& name) const {
   for (const RecordKind& kind : kinds_) {
     if (kind.name.ends_with('/') ? name.starts_with(kind.name)
                                  : name == kind.name) {
@@ -57,7 +58,7 @@
   return nullptr;
 }
 
-net::Task<RecordAnswer> RecordDesk::Get(std::string name) {
+net::Task<RecordAnswer> RecordCoordinator::Get(std::string name) {
   const std::string key = keys::Of(keys::kOperator, name);
   const StateResult read = co_await state_.Get(key, Urgency::kUser);
   if (read.ok()) {
@@ -77,7 +78,8 @@
   co_return Say(Result::kTryLater, "state unknown");
 }
 
-std::optional<RecordDesk::Named> RecordDesk::List(const std::string& prefix) {
+std::optional<RecordCoordinator::Named> RecordCoordinator::List(
+    const std::string& prefix) {
   if (!seams_.synced()) return std::nullopt;
   Named out;
   for (const auto& [name, record] : catalog_.operators()) {
@@ -88,7 +90,8 @@
   return out;
 }
 
-net::Task<std::optional<RecordDesk::Named>> RecordDesk::Past(std::string name) {
+net::Task<std::optional<RecordCoordinator::Named>> RecordCoordinator::Past(
+    std::string name) {
   const std::string prefix = keys::Of(keys::kOperatorPast, name) + "/";
   const StateResult read = co_await state_.List(prefix, "");
   if (!read.ok()) co_return std::nullopt;
@@ -103,8 +106,8 @@
   co_return out;
 }
 
-RecordAnswer RecordDesk::Check(const std::string& name,
-                               const OperatorRecord& record) const {
+RecordAnswer RecordCoordinator::Check(const std::string& name,
+                                      const OperatorRecord& record) const {
   const RecordKind* kind = KindOf(name);
   if (kind == nullptr) return Say(Result::kNotFound);
   if (!record.withdrawn) {
@@ -122,9 +125,9 @@
   return Say(Result::kOk);
 }
 
-void RecordDesk::AddSweep(const std::string& but,
-                          std::vector<Condition>* conditions,
-                          std::vector<KeyChange>* changes) const {
+void RecordCoordinator::AddSweep(const std::string& but,
+                                 std::vector<Condition>* conditions,
+                                 std::vector<KeyChange>* changes) const {
   for (const auto& [name, record] : catalog_.operators()) {
     if (name == but || !record.withdrawn || record.stamp == 0 ||
         net::WallNow() - record.changed_wall < kTombstone_s) {
@@ -137,8 +140,8 @@
   }
 }
 
-net::Task<RecordAnswer> RecordDesk::Change(std::string name,
-                                           wire::OperatorChange change) {
+net::Task<RecordAnswer> RecordCoordinator::Change(std::string name,
+                                                  wire::OperatorChange change) {
   if (!seams_.synced() || !seams_.may_write()) {
     co_return Say(Result::kTryLater, "state unknown");
   }
--- a/app/record_desk.h
+++ b/app/record_coordinator.h
@@ -25,7 +25,7 @@
       check;
 };
 
-class RecordDesk : public api::RecordService {
+class RecordCoordinator : public api::RecordService {
  public:
   struct Seams {
     // Takes a record that was read or written into the picture.
@@ -39,9 +39,9 @@
     std::function<bool()> may_write;
   };
 
-  RecordDesk(const Settings& settings, const Catalog& catalog,
-             clients::StateClient& state, std::vector<RecordKind> kinds,
-             Seams seams);
+  RecordCoordinator(const Settings& settings, const Catalog& catalog,
+                    clients::StateClient& state, std::vector<RecordKind> kinds,
+                    Seams seams);
 
   net::Task<api::RecordAnswer> Get(std::string name) override;
   net::Task<api::RecordAnswer> Change(std::string name,
--- a/app/recovery_desk.cc
+++ b/app/recovery_coordinator.cc
@@ -1,4 +1,4 @@
-#include "app/recovery_desk.h"
+#include "app/recovery_coordinator.h"
 
 #include <fmt/format.h>
 #include <rapidjson/document.h>
@@ -45,10 +45,10 @@
 
 }  // namespace
 
-RecoveryDesk::RecoveryDesk(net::Loop& loop, const Settings& settings,
-                           const Tuning& tuning, Catalog& catalog,
-                           clients::StateClient& state, Follower& follower,
-                           const FitnessDesk::Peers& peers, Seams seams)
+RecoveryCoordinator::RecoveryCoordinator(
+    net::Loop& loop, const Settings& settings, const Tuning& tuning,
+    Catalog& catalog, clients::StateClient& state, Follower& follower,
+    const LeaderHealthCoordinator::Peers& peers, Seams seams)
     : loop_(loop),
       settings_(settings),
       tuning_(tuning),
@@ -58,7 +58,7 @@
       peers_(peers),
       seams_(std::move(seams)) {}
 
-void RecoveryDesk::Start() {
+void RecoveryCoordinator::Start() {
   if (!on()) return;
   state_.on_step_back = [this] { Sign(LossSign::kStepBack); };
   leader_heard_ = loop_.Now();
@@ -67,7 +67,7 @@
   if (tuning_.recovery_pages > 0) net::Spawn(AuditLoop());
 }
 
-bool RecoveryDesk::MayDeny() const {
+bool RecoveryCoordinator::MayDeny() const {
   if (!on()) return true;
   // A first epoch may have been founded in a service that has lost everything,
   // together with all controllers: the workers would tell within a lease.
@@ -78,20 +78,20 @@
            loop_.Now() > rebuilt_since_ + kToldRatio * lease));
 }
 
-bool RecoveryDesk::SomeoneMayTell() const {
+bool RecoveryCoordinator::SomeoneMayTell() const {
   return on() && !catalog_.epoch().whole &&
          !(rebuilt_epoch_ == catalog_.epoch().number &&
            loop_.Now() >
                rebuilt_since_ + kForgottenRatio * settings_.workers.lease_s);
 }
 
-void RecoveryDesk::AddGuard(std::vector<Condition>* conditions) const {
+void RecoveryCoordinator::AddGuard(std::vector<Condition>* conditions) const {
   if (!on()) return;
   auto [key, stamp] = catalog_.Guard();
   conditions->push_back({std::move(key), stamp});
 }
 
-bool RecoveryDesk::GuardFailed(const std::vector<std::string>& failed) {
+bool RecoveryCoordinator::GuardFailed(const std::vector<std::string>& failed) {
   if (!on()) return false;
   const auto [key, stamp] = catalog_.Guard();
   if (std::find(failed.begin(), failed.end(), key) == failed.end()) {
@@ -103,7 +103,7 @@
 
 // --- signs
 
-void RecoveryDesk::Sign(LossSign sign, const std::string& key) {
+void RecoveryCoordinator::Sign(LossSign sign, const std::string& key) {
   // Nothing was ever known that could be missing.
   if (!on() || catalog_.epoch().number == 0) return;
   if (!trust_.Note(sign)) return;
@@ -113,7 +113,7 @@
   net::Spawn(Settle());
 }
 
-void RecoveryDesk::TermSeen(uint64_t term) {
+void RecoveryCoordinator::TermSeen(uint64_t term) {
   if (!on() || term <= foreign_term_) return;
   foreign_term_ = term;
   if (catalog_.epoch().number > 0 && term > HighestTerm()) {
@@ -122,14 +122,14 @@
 }
 
 // Mostly a leader that has just won, of which this controller has not read.
-net::Task<void> RecoveryDesk::LookAtTerm() {
+net::Task<void> RecoveryCoordinator::LookAtTerm() {
   const CheckSays says = co_await Check();
   if (says == CheckSays::kStands && foreign_term_ > HighestTerm()) {
     Sign(LossSign::kTermAbove);
   }
 }
 
-net::Task<void> RecoveryDesk::AskAboutJob(std::string id) {
+net::Task<void> RecoveryCoordinator::AskAboutJob(std::string id) {
   const CheckSays says = co_await LookForJob(id);
   // Where jobs may have been lost it is no news.
   if (says == CheckSays::kGone && trust_.MayDeny() && catalog_.epoch().whole) {
@@ -137,7 +137,7 @@
   }
 }
 
-net::Task<CheckSays> RecoveryDesk::IsDeleted(std::string key) {
+net::Task<CheckSays> RecoveryCoordinator::IsDeleted(std::string key) {
   if (!key.starts_with(keys::kJob)) co_return CheckSays::kStands;
   if (catalog_.owed().contains(key)) {
     // It was never there; but it may have ended, which its write stumbles over.
@@ -150,11 +150,11 @@
   co_return says;
 }
 
-uint64_t RecoveryDesk::HighestTerm() const {
+uint64_t RecoveryCoordinator::HighestTerm() const {
   return TermOf(catalog_.epoch(), state_.highest());
 }
 
-void RecoveryDesk::EpochSeen() {
+void RecoveryCoordinator::EpochSeen() {
   const EpochRecord& epoch = catalog_.epoch();
   if (!on() || epoch.number == 0) return;
   const TrustState before = trust_.state();
@@ -196,7 +196,7 @@
 // recorded as a submission is, on the condition that neither it nor its end
 // stands there, and an operators' record if there is none of its name; of all
 // else the leader knows what there is.
-net::Task<void> RecoveryDesk::HandIn(uint64_t epoch) {
+net::Task<void> RecoveryCoordinator::HandIn(uint64_t epoch) {
   const double pause = kRoundPause * settings_.workers.report_s;
   const auto stale = [this, epoch] {
     return catalog_.epoch().number != epoch ||
@@ -206,7 +206,7 @@
     co_await loop_.Sleep(pause);
     if (stale()) co_return;
   }
-  co_await GatherFromAll(&RecoveryDesk::GatherEnds);
+  co_await GatherFromAll(&RecoveryCoordinator::GatherEnds);
   if (stale()) co_return;
   std::vector<std::string> handed;
   for (const auto& [key, version] : catalog_.owed()) {
@@ -233,7 +233,8 @@
   follower_.Reread();
 }
 
-net::Task<bool> RecoveryDesk::HandInRecord(std::string key, size_t* count) {
+net::Task<bool> RecoveryCoordinator::HandInRecord(std::string key,
+                                                  size_t* count) {
   const bool is_job = key.starts_with(keys::kJob);
   const std::string id = is_job ? key.substr(keys::kJob.size()) : "";
   const Record record = catalog_.RecordOf(key);
@@ -260,7 +261,7 @@
   co_return says == CheckSays::kStands;
 }
 
-net::Task<CheckSays> RecoveryDesk::Check() {
+net::Task<CheckSays> RecoveryCoordinator::Check() {
   const uint64_t number = catalog_.epoch().number;
   const std::string id = catalog_.epoch().id;
   std::vector<Condition> conditions;
@@ -301,7 +302,7 @@
   co_return CheckSays::kGone;
 }
 
-net::Task<void> RecoveryDesk::CheckLoop() {
+net::Task<void> RecoveryCoordinator::CheckLoop() {
   const double pause = settings_.workers.lease_s / tuning_.recovery_checks;
   for (;;) {
     co_await loop_.Sleep(pause);
@@ -322,7 +323,7 @@
   }
 }
 
-net::Task<CheckSays> RecoveryDesk::LookForJob(std::string id) {
+net::Task<CheckSays> RecoveryCoordinator::LookForJob(std::string id) {
   // In this order an end that is recorded meanwhile is not missed.
   const StateResult live =
       co_await state_.Get(keys::Of(keys::kJob, id), Urgency::kLeader);
@@ -351,7 +352,7 @@
                                                    : CheckSays::kNoAnswer;
 }
 
-net::Task<CheckSays> RecoveryDesk::LookForRecord(std::string key) {
+net::Task<CheckSays> RecoveryCoordinator::LookForRecord(std::string key) {
   if (key.starts_with(keys::kJob)) {
     std::string id = key.substr(keys::kJob.size());
     co_return co_await LookForJob(std::move(id));
@@ -365,7 +366,7 @@
                                                         : CheckSays::kGone;
 }
 
-net::Task<bool> RecoveryDesk::Finds(std::string key, uint64_t stamp) {
+net::Task<bool> RecoveryCoordinator::Finds(std::string key, uint64_t stamp) {
   const StateResult there = co_await state_.Get(key, Urgency::kLeader);
   if (there.ok()) co_return there.items[0].stamp >= stamp;
   if (!key.starts_with(keys::kJob)) co_return false;
@@ -376,7 +377,7 @@
 
 // A revision that has stepped back may have grown past what was seen before
 // anybody looks again; what was recorded in between is missing all the same.
-net::Task<CheckSays> RecoveryDesk::LookForNewest() {
+net::Task<CheckSays> RecoveryCoordinator::LookForNewest() {
   constexpr size_t kLooked = 4;
   std::vector<std::string> looked = catalog_.NewestKeys(kLooked);
   // What is still to be written back is no sign: with a newcomer asking all the
@@ -402,7 +403,7 @@
   co_return all;
 }
 
-net::Task<CheckSays> RecoveryDesk::Examine() {
+net::Task<CheckSays> RecoveryCoordinator::Examine() {
   const std::string key = sign_key_;
   const CheckSays stands = co_await Check();
   if (stands != CheckSays::kStands) co_return stands;
@@ -427,7 +428,7 @@
   }
 }
 
-net::Task<void> RecoveryDesk::Settle() {
+net::Task<void> RecoveryCoordinator::Settle() {
   const double pause = kRoundPause * settings_.workers.report_s;
   while (trust_.state() == TrustState::kDoubt) {
     const CheckSays mine = co_await Examine();
@@ -458,11 +459,11 @@
 }
 
 // Whoever leads may have nothing that tells it.
-net::Task<void> RecoveryDesk::SpreadWord() { co_await AskAll(); }
+net::Task<void> RecoveryCoordinator::SpreadWord() { co_await AskAll(); }
 
 // --- a new epoch
 
-RecoveryDesk::Opening RecoveryDesk::Found() const {
+RecoveryCoordinator::Opening RecoveryCoordinator::Found() const {
   Opening opening;
   if (!on() || catalog_.epoch().number > 0) return opening;
   opening.epoch.number = 1;
@@ -475,7 +476,7 @@
   return opening;
 }
 
-net::Task<bool> RecoveryDesk::Orphaned(const clients::KeyValue& leader) {
+net::Task<bool> RecoveryCoordinator::Orphaned(const clients::KeyValue& leader) {
   // Asking lengthens a lease that is there, so each controller asks once, when
   // the lease of one that is gone must have ended.
   const double ttl = tuning_.leader_lease_ratio * settings_.workers.lease_s;
@@ -502,7 +503,7 @@
   co_return false;
 }
 
-net::Task<void> RecoveryDesk::Introduce() {
+net::Task<void> RecoveryCoordinator::Introduce() {
   const double pause = kRoundPause * settings_.workers.report_s;
   const net::Time until = loop_.Now() + settings_.workers.lease_s;
   while (!introduced_) {
@@ -529,7 +530,7 @@
     }
     // How jobs have ended is followed from the start on; what was before that
     // the others know, and the state service may lose it once they are gone.
-    co_await GatherFromAll(&RecoveryDesk::GatherEnds);
+    co_await GatherFromAll(&RecoveryCoordinator::GatherEnds);
     // An older copy may hold as live what the others know to have ended: who
     // leads by it runs a cancelled job again.
     while (!follower_.ever_synced()) co_await loop_.Sleep(pause);
@@ -545,7 +546,7 @@
   }
 }
 
-std::string RecoveryDesk::Revived() const {
+std::string RecoveryCoordinator::Revived() const {
   for (const auto& [id, job] : catalog_.jobs()) {
     if (job.final_state == FinalState::kNone &&
         catalog_.FindFinal(id) != FinalState::kNone) {
@@ -555,7 +556,7 @@
   return {};
 }
 
-net::Task<void> RecoveryDesk::WatchLeader() {
+net::Task<void> RecoveryCoordinator::WatchLeader() {
   const LeaderRecord leader = catalog_.leader();
   clients::PeerClient* named = nullptr;
   for (const auto& peer : peers_) {
@@ -582,7 +583,8 @@
   if (orphaned) seams_.orphaned(leader.stamp);
 }
 
-net::Task<RecoveryDesk::Known> RecoveryDesk::AnybodyKnows(std::string id) {
+net::Task<RecoveryCoordinator::Known> RecoveryCoordinator::AnybodyKnows(
+    std::string id) {
   PeerMessage ask;
   ask.kind = PeerKind::kKnown;
   ask.node = settings_.node;
@@ -596,7 +598,7 @@
                                             : Known::kNobodyHeard;
 }
 
-net::Task<bool> RecoveryDesk::Prepare(Opening* out, bool led) {
+net::Task<bool> RecoveryCoordinator::Prepare(Opening* out, bool led) {
   const uint64_t known = catalog_.epoch().number;
   const std::string epoch_key(keys::kEpoch);
   const std::string leader_key(keys::kLeader);
@@ -654,7 +656,7 @@
   co_return true;
 }
 
-void RecoveryDesk::Opened(const Opening& opening, uint64_t revision) {
+void RecoveryCoordinator::Opened(const Opening& opening, uint64_t revision) {
   if (opening.epoch.number == 0) return;
   for (size_t i : {1, 0}) {  // the mark first, so that it is known with it
     follower_.Apply(opening.changes[i].key, opening.changes[i].record,
@@ -665,7 +667,7 @@
   net::Spawn(SpreadWord());
 }
 
-bool RecoveryDesk::Gathered(uint64_t revision) {
+bool RecoveryCoordinator::Gathered(uint64_t revision) {
   // By its term: after a second loss the revision may be the same again, and
   // the leader would wait for ever for what it took to be under way.
   const uint64_t term = TermOf(catalog_.epoch(), revision);
@@ -680,14 +682,15 @@
   return false;
 }
 
-net::Task<void> RecoveryDesk::Gather(uint64_t term) {
+net::Task<void> RecoveryCoordinator::Gather(uint64_t term) {
   // A controller that was not there before the loss does not know what it, in
   // its former life, may have accepted last.
   bool whole = whole_before_ && first_epoch_ < catalog_.epoch().number;
   // All ends first: what has ended is not revived by another's older memory.
-  const bool told = co_await GatherFromAll(&RecoveryDesk::GatherEnds);
+  const bool told = co_await GatherFromAll(&RecoveryCoordinator::GatherEnds);
   catalog_.ApplyEnds();
-  const bool witnessed = co_await GatherFromAll(&RecoveryDesk::GatherMemory);
+  const bool witnessed =
+      co_await GatherFromAll(&RecoveryCoordinator::GatherMemory);
   whole = whole && told && witnessed;
   if (gathering_ != term || TermOf(catalog_.epoch(), 0) > term) co_return;
   gathered_ = term;
@@ -699,7 +702,7 @@
   net::Spawn(CompareEnded(term, whole));
 }
 
-net::Task<bool> RecoveryDesk::GatherFromAll(Gatherer what) {
+net::Task<bool> RecoveryCoordinator::GatherFromAll(Gatherer what) {
   if (peers_.empty()) co_return true;
   auto ask = std::make_shared<Ask>(loop_);
   ask->left = peers_.size();
@@ -712,15 +715,16 @@
   co_return whole;
 }
 
-net::Task<void> RecoveryDesk::GatherOne(std::shared_ptr<Ask> ask, Gatherer what,
-                                        clients::PeerClient* peer,
-                                        bool* whole) {
+net::Task<void> RecoveryCoordinator::GatherOne(std::shared_ptr<Ask> ask,
+                                               Gatherer what,
+                                               clients::PeerClient* peer,
+                                               bool* whole) {
   const bool told = co_await (this->*what)(peer);
   *whole = *whole && told;
   if (--ask->left == 0) ask->done.Set();
 }
 
-net::Task<bool> RecoveryDesk::GatherEnds(clients::PeerClient* peer) {
+net::Task<bool> RecoveryCoordinator::GatherEnds(clients::PeerClient* peer) {
   const double timeout = kPageRatio * settings_.workers.lease_s;
   for (const FinalState part : {FinalState::kDone, FinalState::kAborted}) {
     std::string bytes;
@@ -742,7 +746,7 @@
   co_return true;
 }
 
-net::Task<bool> RecoveryDesk::GatherMemory(clients::PeerClient* peer) {
+net::Task<bool> RecoveryCoordinator::GatherMemory(clients::PeerClient* peer) {
   const double timeout = kPageRatio * settings_.workers.lease_s;
   bool witness = false;
   std::string after;
@@ -777,7 +781,7 @@
   co_return witness;
 }
 
-net::Task<void> RecoveryDesk::CompareEnded(uint64_t term, bool whole) {
+net::Task<void> RecoveryCoordinator::CompareEnded(uint64_t term, bool whole) {
   const uint64_t epoch = catalog_.epoch().number;
   FinalsIndex there;
   std::string after;
@@ -815,7 +819,7 @@
 
 // --- what is compared always
 
-net::Task<void> RecoveryDesk::AuditLoop() {
+net::Task<void> RecoveryCoordinator::AuditLoop() {
   const double pause = settings_.workers.lease_s / tuning_.recovery_pages;
   std::string live;
   std::string ended;
@@ -834,7 +838,7 @@
   }
 }
 
-net::Task<void> RecoveryDesk::AuditLive(std::string* after) {
+net::Task<void> RecoveryCoordinator::AuditLive(std::string* after) {
   const StateResult page =
       co_await state_.List(std::string(keys::kLive), *after);
   if (!page.ok()) co_return;
@@ -876,7 +880,7 @@
   Sign(LossSign::kRecordMissing, missing);
 }
 
-net::Task<void> RecoveryDesk::AuditEnded(std::string* after) {
+net::Task<void> RecoveryCoordinator::AuditEnded(std::string* after) {
   if (after->empty()) {
     present_ = {};
     known_ = catalog_.ended();
@@ -909,7 +913,7 @@
 
 // --- among the controllers
 
-PeerMessage RecoveryDesk::Ledger() const {
+PeerMessage RecoveryCoordinator::Ledger() const {
   PeerMessage message;
   message.kind = PeerKind::kLedger;
   message.node = settings_.node;
@@ -929,9 +933,9 @@
   return message;
 }
 
-net::Task<void> RecoveryDesk::AskOne(std::shared_ptr<Ask> ask,
-                                     clients::PeerClient* peer,
-                                     PeerMessage message, bool waited) {
+net::Task<void> RecoveryCoordinator::AskOne(std::shared_ptr<Ask> ask,
+                                            clients::PeerClient* peer,
+                                            PeerMessage message, bool waited) {
   const auto answer = co_await peer->Ask(std::move(message),
                                          kAskRatio * settings_.workers.lease_s);
   if (answer.ok) {
@@ -943,8 +947,8 @@
   if (waited && --ask->left == 0) ask->done.Set();
 }
 
-net::Task<std::vector<PeerMessage>> RecoveryDesk::AskAll(PeerMessage message,
-                                                         bool hurried) {
+net::Task<std::vector<PeerMessage>> RecoveryCoordinator::AskAll(
+    PeerMessage message, bool hurried) {
   if (peers_.empty()) co_return std::vector<PeerMessage>{};
   auto ask = std::make_shared<Ask>(loop_);
   std::vector<bool> waited;
@@ -960,17 +964,18 @@
   co_return ask->answers;
 }
 
-bool RecoveryDesk::IsPeer(const std::string& node) const {
+bool RecoveryCoordinator::IsPeer(const std::string& node) const {
   return std::any_of(peers_.begin(), peers_.end(),
                      [&](const auto& peer) { return peer->name() == node; });
 }
 
-bool RecoveryDesk::Takes(PeerKind kind) {
+bool RecoveryCoordinator::Takes(PeerKind kind) {
   return kind == PeerKind::kLedger || kind == PeerKind::kMemory ||
          kind == PeerKind::kEnded || kind == PeerKind::kKnown;
 }
 
-net::Task<void> RecoveryDesk::OnPeer(PeerMessage message, PeerMessage* reply) {
+net::Task<void> RecoveryCoordinator::OnPeer(PeerMessage message,
+                                            PeerMessage* reply) {
   if (!on()) co_return;
   switch (message.kind) {
     case PeerKind::kLedger: {
@@ -1021,7 +1026,7 @@
   }
 }
 
-void RecoveryDesk::FillLedger(CheckSays says, PeerMessage* reply) const {
+void RecoveryCoordinator::FillLedger(CheckSays says, PeerMessage* reply) const {
   if (says == CheckSays::kStands) reply->answer = PeerAnswer::kYes;
   reply->done = static_cast<uint32_t>(catalog_.epoch().number);
   reply->running = static_cast<uint32_t>(says);
@@ -1030,7 +1035,8 @@
   reply->term = foreign_term_;
 }
 
-void RecoveryDesk::FillMemory(const PeerMessage& ask, PeerMessage* reply) {
+void RecoveryCoordinator::FillMemory(const PeerMessage& ask,
+                                     PeerMessage* reply) {
   std::vector<std::string>& order = sending_[ask.node].memory_keys;
   const std::string& after = ask.job_id;
   if (after.empty() || order.empty()) {
@@ -1061,7 +1067,8 @@
   reply->text = clients::EncodeMemory(page);
 }
 
-void RecoveryDesk::FillEnded(const PeerMessage& ask, PeerMessage* reply) {
+void RecoveryCoordinator::FillEnded(const PeerMessage& ask,
+                                    PeerMessage* reply) {
   const auto part = static_cast<FinalState>(ask.done);
   if (part != FinalState::kDone && part != FinalState::kAborted) return;
   if (!IsPeer(ask.node)) return;
--- a/app/recovery_desk.h
+++ b/app/recovery_coordinator.h
@@ -13,8 +13,8 @@
 #include <utility>
 #include <vector>
 
-#include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/leader_health_coordinator.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/controller.h"
@@ -23,7 +23,7 @@
 
 namespace oxbow::app {
 
-class RecoveryDesk {
+class RecoveryCoordinator {
  public:
   struct Seams {
     // The loss is certain.
@@ -37,10 +37,10 @@
                        const std::function<void(Controller&)>&)>
         tell;
   };
-  RecoveryDesk(net::Loop& loop, const Settings& settings, const Tuning& tuning,
-               Catalog& catalog, clients::StateClient& state,
-               Follower& follower, const FitnessDesk::Peers& peers,
-               Seams seams);
+  RecoveryCoordinator(net::Loop& loop, const Settings& settings,
+                      const Tuning& tuning, Catalog& catalog,
+                      clients::StateClient& state, Follower& follower,
+                      const LeaderHealthCoordinator::Peers& peers, Seams seams);
   void Start();
 
   bool on() const { return tuning_.recovery_checks > 0; }
@@ -160,7 +160,8 @@
   clients::PeerMessage Ledger() const;
   net::Task<void> Gather(uint64_t term);
   // From every other controller at once; true if all of them have told all.
-  using Gatherer = net::Task<bool> (RecoveryDesk::*)(clients::PeerClient*);
+  using Gatherer =
+      net::Task<bool> (RecoveryCoordinator::*)(clients::PeerClient*);
   net::Task<bool> GatherFromAll(Gatherer what);
   net::Task<void> GatherOne(std::shared_ptr<Ask> ask, Gatherer what,
                             clients::PeerClient* peer, bool* whole);
@@ -183,7 +184,7 @@
   Catalog& catalog_;
   clients::StateClient& state_;
   Follower& follower_;
-  const FitnessDesk::Peers& peers_;
+  const LeaderHealthCoordinator::Peers& peers_;
   Seams seams_;
   Trust trust_;
   std::string sign_key_;       // what the sign is about
--- a/app/relays.cc
+++ b/app/relays.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 Relays::Relays(net::Loop& loop, const Settings& settings, Election& election,
-               const FitnessDesk::Peers& peers)
+               const LeaderHealthCoordinator::Peers& peers)
     : loop_(loop),
       settings_(settings),
       election_(election),
--- a/app/relays.h
+++ b/app/relays.h
@@ -6,7 +6,7 @@
 #include <memory>
 
 #include "app/election.h"
-#include "app/fitness_desk.h"
+#include "app/leader_health_coordinator.h"
 #include "clients/peer.h"
 #include "core/model/settings.h"
 #include "core/recovery/peer_choice.h"
@@ -17,7 +17,7 @@
 class Relays {
  public:
   Relays(net::Loop& loop, const Settings& settings, Election& election,
-         const FitnessDesk::Peers& peers);
+         const LeaderHealthCoordinator::Peers& peers);
 
   // From one peer after the other, `apart` s apart, until one of them can tell,
   // for `within` s. kNo: none could. It goes no further than to them.
@@ -46,7 +46,7 @@
   net::Loop& loop_;
   const Settings& settings_;
   Election& election_;
-  const FitnessDesk::Peers& peers_;
+  const LeaderHealthCoordinator::Peers& peers_;
   PeerChoice choice_;  // among peers_
 };
 
--- a/app/rollout_desk.cc
+++ b/app/rollout_coordinator.cc
@@ -1,4 +1,4 @@
-#include "app/rollout_desk.h"
+#include "app/rollout_coordinator.h"
 
 #include <algorithm>
 #include <utility>
@@ -25,16 +25,17 @@
 
 }  // namespace
 
-RolloutDesk::RolloutDesk(const Settings& settings, const Tuning& tuning,
-                         const Catalog& catalog, clients::StateClient& state,
-                         Seams seams)
+RolloutCoordinator::RolloutCoordinator(const Settings& settings,
+                                       const Tuning& tuning,
+                                       const Catalog& catalog,
+                                       clients::StateClient& state, Seams seams)
     : settings_(settings),
       tuning_(tuning),
       catalog_(catalog),
       state_(state),
       seams_(std::move(seams)) {}
 
-RolloutState RolloutDesk::StateOf(const RolloutRecord& record) const {
+RolloutState RolloutCoordinator::StateOf(const RolloutRecord& record) const {
   RolloutState state;
   state.record = record;
   const Controller* leader = seams_.leader();
@@ -46,7 +47,7 @@
   return state;
 }
 
-std::optional<std::vector<RolloutState>> RolloutDesk::List() {
+std::optional<std::vector<RolloutState>> RolloutCoordinator::List() {
   if (!seams_.synced()) return std::nullopt;
   std::vector<RolloutState> out;
   for (const auto& [id, record] : catalog_.rollouts()) {
@@ -59,7 +60,7 @@
   return out;
 }
 
-net::Task<RolloutAnswer> RolloutDesk::FreshRead(std::string id) {
+net::Task<RolloutAnswer> RolloutCoordinator::FreshRead(std::string id) {
   // An end moves from live to ended in one step, so in this order none is
   // missed.
   for (const std::string_view prefix : {keys::kRollout, keys::kRolloutEnd}) {
@@ -84,7 +85,7 @@
   co_return Say(Result::kNotFound, {});
 }
 
-net::Task<RolloutAnswer> RolloutDesk::Get(std::string id) {
+net::Task<RolloutAnswer> RolloutCoordinator::Get(std::string id) {
   const auto it = catalog_.rollouts().find(id);
   if (it != catalog_.rollouts().end() && seams_.leader() != nullptr) {
     RolloutAnswer answer;
@@ -95,7 +96,7 @@
   co_return co_await FreshRead(std::move(id));
 }
 
-net::Task<RolloutAnswer> RolloutDesk::Declare(
+net::Task<RolloutAnswer> RolloutCoordinator::Declare(
     std::shared_ptr<const RolloutSpec> spec) {
   if (!seams_.synced()) co_return Say(Result::kTryLater, "state unknown");
   const JobRecord* from = catalog_.FindJob(spec->from);
@@ -170,7 +171,8 @@
   co_return Say(Result::kTryLater, "cannot be recorded now");
 }
 
-net::Task<RolloutAnswer> RolloutDesk::Wish(std::string id, RolloutWish wish) {
+net::Task<RolloutAnswer> RolloutCoordinator::Wish(std::string id,
+                                                  RolloutWish wish) {
   constexpr int kTries = 3;
   for (int i = 0; i < kTries; ++i) {
     RolloutAnswer now = co_await FreshRead(id);
--- a/app/rollout_desk.h
+++ b/app/rollout_coordinator.h
@@ -11,7 +11,7 @@
 
 namespace oxbow::app {
 
-class RolloutDesk : public api::RolloutService {
+class RolloutCoordinator : public api::RolloutService {
  public:
   struct Seams {
     // Takes a record that was read or written into the picture.
@@ -25,8 +25,9 @@
     std::function<double()> now;
   };
 
-  RolloutDesk(const Settings& settings, const Tuning& tuning,
-              const Catalog& catalog, clients::StateClient& state, Seams seams);
+  RolloutCoordinator(const Settings& settings, const Tuning& tuning,
+                     const Catalog& catalog, clients::StateClient& state,
+                     Seams seams);
 
   bool Enabled() const override { return tuning_.rollouts_at_once >= 1; }
   net::Task<api::RolloutAnswer> Declare(
--- a/app/users.cc
+++ b/app/users.cc
@@ -59,8 +59,8 @@
 Users::Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
              clients::StateClient& state, Follower& follower,
              Election& election, LeaderService& leader_service,
-             const FitnessDesk::Peers& peers, ZoneDesk& zone_desk,
-             RecoveryDesk& recovery)
+             const LeaderHealthCoordinator::Peers& peers,
+             ZoneCoordinator& zone_coordinator, RecoveryCoordinator& recovery)
     : loop_(loop),
       settings_(settings),
       catalog_(catalog),
@@ -68,13 +68,13 @@
       follower_(follower),
       election_(election),
       leader_service_(leader_service),
-      zone_desk_(zone_desk),
+      zone_coordinator_(zone_coordinator),
       recovery_(recovery),
       relays_(loop, settings, election, peers) {}
 
 bool Users::Ready() {
   return follower_.ever_synced() && !follower_.types().empty() &&
-         !zone_desk_.Apart();
+         !zone_coordinator_.Apart();
 }
 
 const std::map<std::string, MachineType>* Users::Types() {
@@ -185,15 +185,15 @@
   }
   const CheckSays says = co_await recovery_.Check();
   if (says != CheckSays::kStands || !recovery_.MayDeny()) co_return status;
-  const RecoveryDesk::Known known = co_await recovery_.AnybodyKnows(id);
-  if (known == RecoveryDesk::Known::kYes || !recovery_.MayDeny()) {
+  const RecoveryCoordinator::Known known = co_await recovery_.AnybodyKnows(id);
+  if (known == RecoveryCoordinator::Known::kYes || !recovery_.MayDeny()) {
     recovery_.Sign(LossSign::kRecordMissing, keys::Of(keys::kJob, id));
     co_return status;
   }
   // After a rebuild that may lack something, a task of it may still be seen by
   // the leader, or the one that remembers it be away.
   if (recovery_.SomeoneMayTell() &&
-      (!unseen || known != RecoveryDesk::Known::kNobody)) {
+      (!unseen || known != RecoveryCoordinator::Known::kNobody)) {
     co_return status;
   }
   status.found = api::Status::Found::kNo;
@@ -327,7 +327,7 @@
   api::Status status;
   if (FinalKnown(id, &status) || ViewHere(id, &status)) co_return status;
   // Nobody can be asked: said at once, so that the user asks another.
-  if (zone_desk_.Apart()) {
+  if (zone_coordinator_.Apart()) {
     EndTold(id, &status);
     co_return status;
   }
@@ -356,7 +356,7 @@
   for (const auto& [id, job] : catalog_.jobs()) {
     if (job.final_state == FinalState::kNone) tasks += job.spec->tasks;
   }
-  if (!follower_.ever_synced() || zone_desk_.Apart() ||
+  if (!follower_.ever_synced() || zone_coordinator_.Apart() ||
       catalog_.jobs().size() >= kMostLiveJobs || tasks > kMostLiveTasks) {
     co_return api::Submitted{Result::kTryLater};
   }
@@ -411,7 +411,7 @@
 
 net::Task<api::Status> Users::CancelOrPass(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status) || zone_desk_.Apart()) co_return status;
+  if (FinalKnown(id, &status) || zone_coordinator_.Apart()) co_return status;
   if (!KnownHere(id)) {
     status = co_await FreshRead(id);
     if (status.found != api::Status::Found::kYes || FinalKnown(id, &status)) {
@@ -452,7 +452,7 @@
   api::Reported out;
   recovery_.TermSeen(report.token >> kTokenBits);
   if (const Controller* leading = leader_service_.Leading()) {
-    out.leader = zone_desk_.BetterPlaceFor(report, leading->revision());
+    out.leader = zone_coordinator_.BetterPlaceFor(report, leading->revision());
     if (!out.leader.empty()) {
       leader_service_.Tell(leading->revision(), [&](Controller& c) {
         c.OnProbeAnswer(report, loop_.Now());
@@ -463,8 +463,9 @@
     if (TakeReport(report, &out.reply)) out.result = Result::kAnswered;
     co_return out;
   }
-  if (zone_desk_.Relays(report, body.size())) {
-    ZoneDesk::Relayed relayed = co_await zone_desk_.Relay(std::move(body));
+  if (zone_coordinator_.Relays(report, body.size())) {
+    ZoneCoordinator::Relayed relayed =
+        co_await zone_coordinator_.Relay(std::move(body));
     if (relayed.answered) {
       out.relayed = std::move(relayed.text);
       out.result = Result::kRelayed;
@@ -474,23 +475,23 @@
   // Answered with the token that the worker knows, and without orders: it lives
   // on, and whoever leads next counts from when it takes office.
   const uint64_t term = report.token >> kTokenBits;
-  ZoneDesk::Keeping keeping = ZoneDesk::Keeping::kYes;
+  ZoneCoordinator::Keeping keeping = ZoneCoordinator::Keeping::kYes;
   if (report.token == 0 || !election_.Keeps(term)) {
-    keeping = zone_desk_.Keeps(report);
+    keeping = zone_coordinator_.Keeps(report);
   }
-  if (keeping == ZoneDesk::Keeping::kYes) {
+  if (keeping == ZoneCoordinator::Keeping::kYes) {
     out.reply.token = report.token;
     out.result = Result::kAnswered;
     co_return out;
   }
   // A worker sent to one that it can't reach would lose its time there. One
   // that a leader reaches, of the term that is known here, is sent to that one.
-  const bool named = keeping == ZoneDesk::Keeping::kSentOn &&
+  const bool named = keeping == ZoneCoordinator::Keeping::kSentOn &&
                      term == TermOf(catalog_.epoch(), catalog_.leader().stamp);
-  if (named || !zone_desk_.CutOff()) out.leader = election_.LeaderName();
-  if (out.leader.empty() && keeping == ZoneDesk::Keeping::kNo &&
+  if (named || !zone_coordinator_.CutOff()) out.leader = election_.LeaderName();
+  if (out.leader.empty() && keeping == ZoneCoordinator::Keeping::kNo &&
       report.zone == settings_.zone) {
-    out.leader = zone_desk_.Neighbour();
+    out.leader = zone_coordinator_.Neighbour();
   }
   if (out.leader != settings_.node) out.result = Result::kElsewhere;
   co_return out;
--- a/app/users.h
+++ b/app/users.h
@@ -8,12 +8,12 @@
 
 #include "api/api.h"
 #include "app/election.h"
-#include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/leader_health_coordinator.h"
 #include "app/leader_service.h"
-#include "app/recovery_desk.h"
+#include "app/recovery_coordinator.h"
 #include "app/relays.h"
-#include "app/zone_desk.h"
+#include "app/zone_coordinator.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/catalog.h"
@@ -24,8 +24,9 @@
  public:
   Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
         clients::StateClient& state, Follower& follower, Election& election,
-        LeaderService& leader_service, const FitnessDesk::Peers& peers,
-        ZoneDesk& zone_desk, RecoveryDesk& recovery);
+        LeaderService& leader_service,
+        const LeaderHealthCoordinator::Peers& peers,
+        ZoneCoordinator& zone_coordinator, RecoveryCoordinator& recovery);
 
   // api::Service
   bool Ready() override;
@@ -91,8 +92,8 @@
   Follower& follower_;
   Election& election_;
   LeaderService& leader_service_;
-  ZoneDesk& zone_desk_;
-  RecoveryDesk& recovery_;
+  ZoneCoordinator& zone_coordinator_;
+  RecoveryCoordinator& recovery_;
   Relays relays_;
   size_t under_way_ = 0;  // users' requests
   bool probing_ = false;  // the state service, on nobody's behalf
--- a/app/users_peer.cc
+++ b/app/users_peer.cc
@@ -105,7 +105,7 @@
         break;
       }
       reply->text = wire::EncodeReply(told);
-      if (reply->text.size() > ZoneDesk::kMostBytes) {
+      if (reply->text.size() > ZoneCoordinator::kMostBytes) {
         reply->text.clear();
         break;
       }
--- a/app/zone_desk.cc
+++ b/app/zone_coordinator.cc
@@ -1,4 +1,4 @@
-#include "app/zone_desk.h"
+#include "app/zone_coordinator.h"
 
 #include <spdlog/spdlog.h>
 
@@ -41,10 +41,11 @@
 
 }  // namespace
 
-ZoneDesk::ZoneDesk(net::Loop& loop, const Settings& settings,
-                   const Tuning& tuning, clients::StateClient& state,
-                   const FitnessDesk::Peers& peers, std::string life,
-                   Seams seams)
+ZoneCoordinator::ZoneCoordinator(net::Loop& loop, const Settings& settings,
+                                 const Tuning& tuning,
+                                 clients::StateClient& state,
+                                 const LeaderHealthCoordinator::Peers& peers,
+                                 std::string life, Seams seams)
     : loop_(loop),
       settings_(settings),
       on_(tuning.keep_zones > 0),
@@ -57,14 +58,14 @@
       record_(keeper_),
       signs_(settings.workers) {}
 
-void ZoneDesk::Start() {
+void ZoneCoordinator::Start() {
   if (!on_ || ZoneRight(settings_.workers) <= 0) return;
   net::Spawn(AskLoop());
   net::Spawn(RecordLoop());
   net::Spawn(NeighbourLoop());
 }
 
-PeerMessage ZoneDesk::Message(PeerKind kind) const {
+PeerMessage ZoneCoordinator::Message(PeerKind kind) const {
   PeerMessage message;
   message.kind = kind;
   message.node = settings_.node;
@@ -73,7 +74,7 @@
   return message;
 }
 
-net::Task<void> ZoneDesk::AskLoop() {
+net::Task<void> ZoneCoordinator::AskLoop() {
   const double lease = settings_.workers.lease_s;
   for (;;) {
     const net::Time sent = loop_.Refresh();
@@ -96,7 +97,7 @@
   }
 }
 
-net::Task<void> ZoneDesk::NeighbourLoop() {
+net::Task<void> ZoneCoordinator::NeighbourLoop() {
   const double lease = settings_.workers.lease_s;
   for (;;) {
     cut_since_ =
@@ -109,7 +110,7 @@
 }
 
 // The question is the one for the right: from a leader its answer does no harm.
-net::Task<void> ZoneDesk::AskNeighbour(clients::PeerClient* peer) {
+net::Task<void> ZoneCoordinator::AskNeighbour(clients::PeerClient* peer) {
   const double lease = settings_.workers.lease_s;
   const net::Time sent = loop_.Refresh();
   const auto answer =
@@ -126,27 +127,27 @@
   }
 }
 
-std::string ZoneDesk::Neighbour() const {
+std::string ZoneCoordinator::Neighbour() const {
   const bool wanted = CutOff() || LeaderUnknown();
   return wanted && loop_.Now() < neighbour_until_ ? neighbour_ : std::string();
 }
 
 // One that has just started inside a cut waits in vain for the state service:
 // its neighbour knows sooner than it does.
-bool ZoneDesk::LeaderUnknown() const {
+bool ZoneCoordinator::LeaderUnknown() const {
   return seams_.leader() == nullptr && seams_.leading() == nullptr;
 }
 
-bool ZoneDesk::Apart() const {
+bool ZoneCoordinator::Apart() const {
   return !peers_.empty() && CutOff() &&
          loop_.Now() - std::max(cut_since_, peer_heard_) >
              kApartAfter * settings_.workers.lease_s;
 }
 
-net::Task<void> ZoneDesk::Probe() {
+net::Task<void> ZoneCoordinator::Probe() {
   if (!probing_) {
     probing_ = true;
-    net::Spawn([](ZoneDesk* self) -> net::Task<void> {
+    net::Spawn([](ZoneCoordinator* self) -> net::Task<void> {
       co_await self->state_.Get(std::string(keys::kLeader),
                                 clients::Urgency::kLease);
       self->probing_ = false;
@@ -158,7 +159,7 @@
   if (probing_) state_missed_ = loop_.Now();
 }
 
-net::Task<void> ZoneDesk::RecordLoop() {
+net::Task<void> ZoneCoordinator::RecordLoop() {
   for (;;) {
     const RecordStep before = record_.step();
     co_await RecordOnce();
@@ -171,7 +172,7 @@
   }
 }
 
-net::Task<void> ZoneDesk::RecordOnce() {
+net::Task<void> ZoneCoordinator::RecordOnce() {
   using clients::StateResult;
   using clients::StateStatus;
   const net::Time sent = loop_.Refresh();
@@ -214,7 +215,7 @@
   }
 }
 
-bool ZoneDesk::Relays(const WorkerReport& report, size_t bytes) const {
+bool ZoneCoordinator::Relays(const WorkerReport& report, size_t bytes) const {
   if (!on_ || report.zone != settings_.zone || bytes > kMostBytes) return false;
   const clients::PeerClient* leader = seams_.leader();
   if (leader == nullptr) return false;
@@ -225,7 +226,7 @@
                      });
 }
 
-net::Task<ZoneDesk::Relayed> ZoneDesk::Relay(std::string body) {
+net::Task<ZoneCoordinator::Relayed> ZoneCoordinator::Relay(std::string body) {
   Relayed out;
   clients::PeerClient* leader = seams_.leader();
   if (leader == nullptr || CutOff()) co_return out;
@@ -262,8 +263,8 @@
   co_return out;
 }
 
-std::string ZoneDesk::BetterPlaceFor(const WorkerReport& report,
-                                     uint64_t revision) {
+std::string ZoneCoordinator::BetterPlaceFor(const WorkerReport& report,
+                                            uint64_t revision) {
   if (!on_ || report.zone == settings_.zone) return {};
   if (visited_ != revision) {
     visited_ = revision;
@@ -290,7 +291,7 @@
   return *there[std::hash<std::string>{}(report.host) % there.size()];
 }
 
-bool ZoneDesk::CutOff() const {
+bool ZoneCoordinator::CutOff() const {
   const bool state_out = state_.Failing() || state_missed_ > state_.last_good();
   if (!on_ || !state_out) return false;
   // Its own name in the key is that of a former life, or of a right that it
@@ -299,7 +300,7 @@
   return leader_missed_ > leader_met_;
 }
 
-ZoneDesk::Keeping ZoneDesk::Keeps(const WorkerReport& report) {
+ZoneCoordinator::Keeping ZoneCoordinator::Keeps(const WorkerReport& report) {
   if (!CutOff()) {
     signs_.Clear();
     return Keeping::kNo;
@@ -312,7 +313,7 @@
   return Keeping::kYes;
 }
 
-void ZoneDesk::DoAsk(const AskStandBack& ask, uint64_t revision) {
+void ZoneCoordinator::DoAsk(const AskStandBack& ask, uint64_t revision) {
   for (const auto& peer : peers_) {
     if (std::find(ask.peers.begin(), ask.peers.end(), peer->name()) !=
         ask.peers.end()) {
@@ -321,7 +322,8 @@
   }
 }
 
-net::Task<void> ZoneDesk::AskOne(clients::PeerClient* peer, uint64_t revision) {
+net::Task<void> ZoneCoordinator::AskOne(clients::PeerClient* peer,
+                                        uint64_t revision) {
   const net::Time sent = loop_.Refresh();
   const auto answer = co_await peer->Ask(Message(PeerKind::kStandBack),
                                          kWait * settings_.workers.lease_s);
@@ -335,7 +337,7 @@
   });
 }
 
-void ZoneDesk::OnPeer(const PeerMessage& message, PeerMessage* reply) {
+void ZoneCoordinator::OnPeer(const PeerMessage& message, PeerMessage* reply) {
   const net::Time now = loop_.Refresh();
   if (message.kind == PeerKind::kStandBack) {
     leader_met_ = now;
--- a/app/zone_desk.h
+++ b/app/zone_coordinator.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "app/fitness_desk.h"
+#include "app/leader_health_coordinator.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/controller.h"
@@ -22,7 +22,7 @@
 
 namespace oxbow::app {
 
-class ZoneDesk {
+class ZoneCoordinator {
  public:
   struct Seams {
     // The leader as far as is known; null: this one, or nobody.
@@ -34,9 +34,10 @@
         tell;
   };
 
-  ZoneDesk(net::Loop& loop, const Settings& settings, const Tuning& tuning,
-           clients::StateClient& state, const FitnessDesk::Peers& peers,
-           std::string life, Seams seams);
+  ZoneCoordinator(net::Loop& loop, const Settings& settings,
+                  const Tuning& tuning, clients::StateClient& state,
+                  const LeaderHealthCoordinator::Peers& peers, std::string life,
+                  Seams seams);
   void Start();
 
   // --- reports handed on
@@ -101,7 +102,7 @@
   const Settings& settings_;
   const bool on_;
   clients::StateClient& state_;
-  const FitnessDesk::Peers& peers_;
+  const LeaderHealthCoordinator::Peers& peers_;
   const std::string life_;  // incarnation of this process
   const net::Time started_;
   Seams seams_;
