--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -172,7 +172,7 @@
     Time next_try = 0;
     void Change(RentalState next);
   };
-  struct Emptying {
+  struct EvictionPlan {
     Machine* machine = nullptr;
     double cost = 0;
     std::vector<ResidentKey> victims;
@@ -224,7 +224,7 @@
   // have kept it alive.
   bool SessionOver(const Machine& m, Time now);
   void Drain(Machine& m, Time now, const char* why);
-  // Stops what has to leave a machine that is being emptied and may now.
+  // Stops what has to leave a machine that is being drained and may now.
   void StopLeaving(Machine& m, Time now);
   // Of its own accord: within the limits. False when they forbid it.
   bool TakeAway(Machine& m, LossCause cause, Time now);
@@ -304,7 +304,8 @@
   // Whether the job may take that room on the machine.
   bool TierAllows(const Job& job, const Machine& m) const;
   // Whether what makes room for the job would only take kept room.
-  bool TakesKept(const Job& job, const Machine& m, const Emptying& plan) const;
+  bool TakesKept(const Job& job, const Machine& m,
+                 const EvictionPlan& plan) const;
   void SurveyTiers();
   // Room that is kept is not there for those who wait.
   void SetKeptAside(SupplyInput& input) const;
@@ -334,8 +335,8 @@
   void HoldClaims(Time now);
   // The machine that a move holds for the service's next replica; null: none.
   Machine* HeldByMove(const Job& job, const Footprint& where, Time now);
-  bool EmptiedByMove(const Machine& m) const {
-    return mover_ && mover_->Empties(m.host());
+  bool DrainedByMove(const Machine& m) const {
+    return mover_ && mover_->Drains(m.host());
   }
   // Replicas that run, on machines that are heard and obey this leader alone.
   uint32_t RunSurely(const Job& job, Time now) const;
@@ -366,15 +367,15 @@
   void MakeTeamRoom(Job& job, uint32_t tasks, Time now);
   // Stops a task so that another may run.
   void Preempt(Machine& m, Resident& victim, const JobSpec& for_job, Time now);
-  std::optional<Emptying> PlanEmptying(const Job& job, Machine& m,
-                                       Resources taken, Time now) const;
-  void CarryOut(const Emptying& plan, const JobSpec& for_job, Time now);
+  std::optional<EvictionPlan> PlanEviction(const Job& job, Machine& m,
+                                           Resources taken, Time now) const;
+  void CarryOut(const EvictionPlan& plan, const JobSpec& for_job, Time now);
   // Room held on the machine for the job.
   static Resources HeldFor(const Job& job, const Machine& m);
-  // False when there is nothing that could be emptied.
+  // False when there is nothing that could be drained.
   bool MakeRoom(Job& job, const std::vector<Machine*>& usable, Time now);
   struct GangSlot {
-    Emptying plan;
+    EvictionPlan plan;
     bool waits = false;  // for short work to run off
   };
   bool MakeGangRoom(Job& job, const std::vector<Machine*>& usable, Time now);
--- a/core/controller/moves.cc
+++ b/core/controller/moves.cc
@@ -181,7 +181,7 @@
   std::vector<Machine*> usable;
   for (auto& m : machines_) {
     if (m->state() != MachineState::kGone && Usable(*m, now) &&
-        !EmptiedByMove(*m)) {
+        !DrainedByMove(*m)) {
       usable.push_back(m.get());
     }
   }
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -17,8 +17,9 @@
     if (job->live() && job->team() >= 0) order.push_back(job.get());
   }
   std::sort(order.begin(), order.end(), [](const Job* a, const Job* b) {
-    if (a->submitted() != b->submitted())
+    if (a->submitted() != b->submitted()) {
       return a->submitted() < b->submitted();
+    }
     return a->id() < b->id();
   });
   std::vector<Resources> sum(teams_.size());
@@ -232,7 +233,7 @@
     // Nor does it break a whole machine while there is room in pieces.
     if ((calm ? Gathers(*m) : !Spoils(spec, *m, accelerator_shape_)) &&
         !placer_.Breaks(spec, *m, queue_order_.WaitAim(spec)) &&
-        !EmptiedByMove(*m)) {
+        !DrainedByMove(*m)) {
       sparing.push_back(m);
     }
   }
@@ -502,10 +503,8 @@
 // What would have to be stopped on the machine for one more task of the job,
 // when `taken` of its room is spoken for, besides what is on its way out
 // already; nothing if even all would not do.
-std::optional<Controller::Emptying> Controller::PlanEmptying(const Job& job,
-                                                             Machine& m,
-                                                             Resources taken,
-                                                             Time now) const {
+std::optional<Controller::EvictionPlan> Controller::PlanEviction(
+    const Job& job, Machine& m, Resources taken, Time now) const {
   const JobSpec& spec = job.spec();
   Resources room = m.RoomFor(&job, spec.priority) + m.leaving - taken;
   // Most machines can be ruled out without a look at each task there.
@@ -515,7 +514,7 @@
     if (p > rank || job.within_guarantee) most += m.used_by[p];
   }
   if (!spec.need.FitsIn(most)) return std::nullopt;
-  Emptying plan{&m, 0, {}};
+  EvictionPlan plan{&m, 0, {}};
   if (spec.need.FitsIn(room)) return plan;
   std::vector<std::pair<double, ResidentKey>> victims;
   for (const auto& [key, r] : m.residents) {
@@ -533,7 +532,7 @@
   return std::nullopt;
 }
 
-void Controller::CarryOut(const Emptying& plan, const JobSpec& for_job,
+void Controller::CarryOut(const EvictionPlan& plan, const JobSpec& for_job,
                           Time now) {
   Machine& m = *plan.machine;
   for (const ResidentKey& key : plan.victims) {
@@ -548,7 +547,7 @@
   }
 }
 
-// Nothing fits. Picks the machines whose emptying costs least and holds their
+// Nothing fits. Picks the machines whose eviction costs least and holds their
 // room for the job, by stopping what may be stopped.
 bool Controller::MakeRoom(Job& job, const std::vector<Machine*>& usable,
                           Time now) {
@@ -570,29 +569,31 @@
     for (const Reservation& r : m->reservations) held += r.job == &job;
   }
   const uint32_t wanted = std::min(Wanted(job), 40u);
-  std::vector<Emptying> options;
+  std::vector<EvictionPlan> options;
   if (held < wanted) {
     for (Machine* m : usable) {
       if (!Allowed(spec, *m, where)) continue;
-      if (auto option = PlanEmptying(job, *m, HeldFor(job, *m), now)) {
+      if (auto option = PlanEviction(job, *m, HeldFor(job, *m), now)) {
         if (!TakesKept(job, *m, *option)) options.push_back(std::move(*option));
       }
     }
   }
   while (held < wanted && TeamAllows(job, held + 1)) {
-    std::erase_if(options, [&](const Emptying& o) {
+    std::erase_if(options, [&](const EvictionPlan& o) {
       return !Allowed(spec, *o.machine, where);
     });
-    const auto best = std::min_element(
-        options.begin(), options.end(),
-        [](const Emptying& a, const Emptying& b) { return a.cost < b.cost; });
+    const auto best =
+        std::min_element(options.begin(), options.end(),
+                         [](const EvictionPlan& a, const EvictionPlan& b) {
+                           return a.cost < b.cost;
+                         });
     if (best == options.end()) break;
     Machine& m = *best->machine;
     m.reservations.push_back({&job, spec.need, spec.priority, now + hold});
     where.Add(m.zone, 1);
     ++held;
     CarryOut(*best, spec, now);
-    if (auto next = PlanEmptying(job, m, HeldFor(job, m), now)) {
+    if (auto next = PlanEviction(job, m, HeldFor(job, m), now)) {
       *best = std::move(*next);
     } else {
       options.erase(best);
@@ -621,7 +622,7 @@
     // Of equal rank, short work is waited for.
     const Resources runs_off = m->total() - held - m->lasting;
     for (uint32_t n = 0; n < wanted; ++n, taken += spec.need) {
-      if (auto plan = PlanEmptying(job, *m, taken, now)) {
+      if (auto plan = PlanEviction(job, *m, taken, now)) {
         if (TakesKept(job, *m, *plan)) break;
         slots.push_back({std::move(*plan), false});
       } else if (spec.need.FitsIn(runs_off - taken)) {
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -31,7 +31,7 @@
         now - m->rented < tuning_.boot_timeout_ratio * m->type->boot_s;
     const bool up = m->state() == MachineState::kUp && !Suspect(*m, now);
     if (!coming && !up) continue;
-    // Room that is being emptied for a job is as good as there for it.
+    // Room that is being drained for a job is as good as there for it.
     input.rooms.push_back(
         {{m->type_name, m->zone, m->spot}, m->free() + m->leaving});
   }
@@ -143,7 +143,7 @@
   return m.total().gpus <= 0 || Spoilt(m, accelerator_shape_);
 }
 
-// Empties dear machines that only replicas still use, when all of them find
+// Drains dear machines that only replicas still use, when all of them find
 // room and their image elsewhere, and so much stays free that the loss of any
 // one machine could still be made good. Every move is a short gap for its
 // users, so only a small share of all replicas moves at a time.
@@ -159,7 +159,7 @@
     replicas += m->residents.size();
   }
   const double settled = 3 * settings_.workers.lease_s;
-  std::vector<Machine*> emptied;
+  std::vector<Machine*> drained;
   for (Machine* m : usable) {
     if (m->staying.cpus <= 0 || m->batch || !m->queue.empty()) continue;
     const bool only_settled_replicas = std::all_of(
@@ -170,9 +170,9 @@
                   r.job->spec().kind == JobKind::kService &&
                   now - r.running_since > settled);
         });
-    if (only_settled_replicas) emptied.push_back(m);
+    if (only_settled_replicas) drained.push_back(m);
   }
-  std::sort(emptied.begin(), emptied.end(),
+  std::sort(drained.begin(), drained.end(),
             [](const Machine* a, const Machine* b) {
               const double pa = a->type->price;
               const double pb = b->type->price;
@@ -184,7 +184,7 @@
   constexpr double kMovedAtOnce = 0.01;
   const double at_once = kMovedAtOnce * static_cast<double>(replicas);
   size_t moved = 0;
-  for (Machine* m : emptied) {
+  for (Machine* m : drained) {
     const auto more = moved + m->residents.size();
     if (moved > 0 && static_cast<double>(more) > at_once) break;
     if (!CanMoveAll(*m, usable, most_staying)) continue;
--- a/core/controller/tiers.cc
+++ b/core/controller/tiers.cc
@@ -74,7 +74,7 @@
 }
 
 bool Controller::TakesKept(const Job& job, const Machine& m,
-                           const Emptying& plan) const {
+                           const EvictionPlan& plan) const {
   const JobSpec& spec = job.spec();
   return plan.victims.empty() && spec.need.FitsIn(m.free()) &&
          !TierAllows(job, m);
--- a/core/limits/loss_limiter.h
+++ b/core/limits/loss_limiter.h
@@ -20,7 +20,7 @@
   kUnlisted,    // deleted: neither listed nor heard
   kNeverUp,     // deleted: did not come up in time
   kIdle,        // returned: nothing to do
-  kMoved,       // emptied: its replicas have room elsewhere
+  kMoved,       // drained: its replicas have room elsewhere
   kDistrusted,  // gets nothing for a while: several jobs failed there
 };
 inline constexpr size_t kLossCauses = 6;
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -112,7 +112,7 @@
   bool in_response = false;
 };
 
-// Room held back for a job that waits for a machine to be emptied.
+// Room held back for a job that waits for a machine to be drained.
 struct Reservation {
   Job* job = nullptr;
   Resources need;
--- a/core/moves/moves.cc
+++ b/core/moves/moves.cc
@@ -94,7 +94,7 @@
   int of_team = 0;
   for (const auto& [id, m] : moves_) {
     // Hysteresis: neither a leg nor its sisters go to and fro, and a machine
-    // that was filled by a move is not emptied by the next.
+    // that was filled by a move is not drained by the next.
     const bool same = m.claim.job == job;
     if (same && Ended(m.state) && now < m.cool) return false;
     if (m.claim.from == to && now < m.cool) return false;
@@ -211,7 +211,7 @@
   return MoveAct::kNone;
 }
 
-bool Mover::Empties(const std::string& host) const {
+bool Mover::Drains(const std::string& host) const {
   return std::any_of(moves_.begin(), moves_.end(), [&](const auto& e) {
     return e.second.claim.from == host && !Ended(e.second.state);
   });
--- a/core/moves/moves.h
+++ b/core/moves/moves.h
@@ -118,7 +118,7 @@
   // What to do now. A stop that is answered here counts as ordered.
   MoveAct Step(const std::string& id, const MoveSight& sight, Time now);
   // Whether a move takes a leg off that machine: nothing new belongs there.
-  bool Empties(const std::string& host) const;
+  bool Drains(const std::string& host) const;
   // The host held for the service's next replica; null for none.
   const std::string* TargetFor(const std::string& job) const;
   // Forgets ended ones that have cooled off.
--- a/core/moves/plan.cc
+++ b/core/moves/plan.cc
@@ -19,7 +19,7 @@
 struct Taken {
   std::map<const Machine*, Resources> room;  // of targets
   std::set<const Machine*> fetching;
-  std::set<const Machine*> emptied;
+  std::set<const Machine*> drained;
 
   Resources On(const Machine* m) const {
     const auto it = room.find(m);
@@ -40,7 +40,7 @@
   Machine* best = nullptr;
   double best_fetch = 0;
   for (Machine* m : in.targets) {
-    if (m == &from || taken.emptied.contains(m)) continue;
+    if (m == &from || taken.drained.contains(m)) continue;
     const Resources more = taken.On(m) + spec.need;
     if (!Allowed(spec, *m, where) ||
         !more.FitsIn(m->RoomFor(r.job, spec.priority)) ||
@@ -86,7 +86,7 @@
     if (a->need.gpus != b->need.gpus) return a->need.gpus < b->need.gpus;
     return KeyOf(*a) < KeyOf(*b);
   });
-  taken.emptied.insert(&m);
+  taken.drained.insert(&m);
   out->from = &m;
   for (const Resident* r : legs) {
     if (need.FitsIn(room)) break;
@@ -138,7 +138,7 @@
   double best_cost = 0;
   for (auto& [zone, options] : zones) {
     uint32_t left = in.missing - fitting[zone];
-    // A zone that can't become whole would be emptied for nothing.
+    // A zone that can't become whole would be drained for nothing.
     if (waiting.kind == JobKind::kGang && options.size() < left) continue;
     std::sort(options.begin(), options.end(),
               [](const Vacating& a, const Vacating& b) {
@@ -161,7 +161,7 @@
         taken.Take(move, move.from->residents.at(move.leg).need);
         moves.push_back(move);
       }
-      taken.emptied.insert(now.from);
+      taken.drained.insert(now.from);
       cost += now.cost;
       --left;
     }
--- a/core/moves/plan.h
+++ b/core/moves/plan.h
@@ -31,7 +31,7 @@
   double settled_s = 0;               // a replica that has run for less stays
   double disturbance_s = 0;           // of a stop and a start without a fetch
   // What a whole machine sooner is worth, s of its accelerators: about how long
-  // it would take until it empties by itself.
+  // it would take until it drains by itself.
   double horizon_s = 0;
   Time now = 0;
   // Whether this leg may be moved at all, and whether to that machine.
@@ -43,7 +43,7 @@
 // Machines that become able to take one more task of the waiting job, each with
 // all moves that this needs or none of them; the cheapest first. Targets are in
 // pieces already and stay of the same use to the mix, or gain; they are never
-// machines that are being emptied. A job in one zone gets machines of one zone
+// machines that are being drained. A job in one zone gets machines of one zone
 // only, and none where it can't become whole.
 std::vector<PlannedMove> PlanMoves(const MovePlanInput& input);
 
--- a/core/placement/placement.cc
+++ b/core/placement/placement.cc
@@ -170,7 +170,7 @@
       score[i] -= tuning_.spread_weight * on_machine(m) / tasks;
     } else if (total.cpus > 0) {
       // Short work fills machines that are in use already, so that others
-      // can be emptied for gangs or returned.
+      // can be drained for gangs or returned.
       score[i] += tuning_.pack_weight * m.used.cpus / total.cpus;
     }
     if (total.gpus > 0 && spec.need.gpus <= 0) {
--- a/core/rollout/rollout.cc
+++ b/core/rollout/rollout.cc
@@ -161,7 +161,7 @@
   uint32_t counted = Counted(now);
   // A build that is being taken back carries nothing that an old instance is
   // needed for: while it still passed here and there, old ones have been let
-  // go from a machine that was being emptied, and it failed a moment later.
+  // go from a machine that was being drained, and it failed a moment later.
   if (step() == kRollingBack && !i.view.is_new) {
     counted -= Count(now).new_baked;
   }
--- a/core/rollout/rollout.h
+++ b/core/rollout/rollout.h
@@ -79,7 +79,7 @@
   bool stopping = false;
   bool heard = false;    // its machine has reported lately
   Time last_heard = 0;   // when it did
-  bool leaving = false;  // its machine is being emptied
+  bool leaving = false;  // its machine is being drained
   std::string zone;
 };
 
--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -63,7 +63,7 @@
                   row.back, row.least);
     }
     std::printf(
-        "leaders killed %d, outages %d, machines emptied %d, zones cut %d\n",
+        "leaders killed %d, outages %d, machines drained %d, zones cut %d\n",
         kills_, outages_, drains_, cuts_);
     std::printf("no job silent for more than %.1f s, %d answers\n",
                 known_.longest_silence(), known_.answers());
@@ -196,7 +196,7 @@
   Task<void> WatchFloors() {
     while (!over_) {
       for (auto& [id, w] : watched_) {
-        // Held until the recorded end, no longer: a machine may be emptied
+        // Held until the recorded end, no longer: a machine may be drained
         // then.
         if (!c_.state().Value("ob/ended/o/" + id).empty()) continue;
         const double now = c_.loop.Now();
--- a/tests/packing_test.cc
+++ b/tests/packing_test.cc
@@ -151,7 +151,7 @@
   const JobSpec small = Spec(JobKind::kService, 2, 2);
   EXPECT_EQ(Choose(small, 1000), piece);
   EXPECT_EQ(Choose(small, 200), whole);  // 42 GB would take 252 s and more
-  // Nor would emptying it of short work help.
+  // Nor would draining it of short work help.
   EXPECT_TRUE(placer_.Breaks(small, *piece, 200));
 }
 
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -23,7 +23,7 @@
   int bad = 0;
 };
 
-// One roll-out, with leaders killed, machines emptied, the state service out
+// One roll-out, with leaders killed, machines drained, the state service out
 // and writes late at random times from a seed.
 class TroubledRollout {
  public:
