--- a/app/leader_health_coordinator.h
+++ b/app/leader_health_coordinator.h
@@ -11,7 +11,7 @@
 #include "clients/peer.h"
 #include "clients/reach.h"
 #include "core/controller/controller.h"
-#include "core/fitness/fitness.h"
+#include "core/leader_health/leader_health.h"
 
 namespace oxbow::app {
 
--- a/app/options.cc
+++ b/app/options.cc
@@ -37,7 +37,7 @@
     Entry{"machines", "boot_patience", &Tuning::boot_timeout_ratio, 1, 100},
     Entry{"leadership", "keeper_ratio", &Tuning::keeper_ratio, 0, 0.3},
     Entry{"leadership", "keep_zones", &Tuning::keep_zones, 0, 1},
-    Entry{"leadership", "doubt_share", &Tuning::doubt_share, 0.01, 1},
+    Entry{"leadership", "doubt_share", &Tuning::troubled_share, 0.01, 1},
     Entry{"leadership", "deaf_share", &Tuning::deaf_share, 0, 0.9},
     Entry{"leadership", "most_hand_overs", &Tuning::most_hand_overs, 0, 100},
     Entry{"limits", "window_leases", &Tuning::limit_window_leases, 0.1, 100},
--- a/clients/reach.cc
+++ b/clients/reach.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "core/fitness/reach.h"
+#include "core/leader_health/reach.h"
 #include "net/http_client.h"
 #include "wire/worker_json.h"
 
--- a/clients/reach.h
+++ b/clients/reach.h
@@ -18,7 +18,8 @@
       : loop_(loop), most_at_once_(most_at_once) {}
 
   struct Found {
-    std::string machines;  // as in core/fitness/reach.h, in the order asked
+    std::string
+        machines;  // as in core/leader_health/reach.h, in the order asked
     std::vector<WorkerReport> reports;
   };
   // Answers after `timeout_s` at the latest. An empty endpoint, and what is
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -137,7 +137,7 @@
   // job is not known.
   std::optional<Verdict> CalendarVerdict(const std::string& id, Time now) const;
   const Calendar& calendar() const { return calendar_; }
-  FitnessState fitness() const { return liveness_.fitness(); }
+  LeaderHealthState leader_health() const { return liveness_.leader_health(); }
   const ReportsHeard& reports_heard() const {
     return liveness_.reports_heard();
   }
--- a/core/controller/liveness_monitor.cc
+++ b/core/controller/liveness_monitor.cc
@@ -9,14 +9,15 @@
 namespace oxbow {
 namespace {
 
-Fitness::Limits FitnessLimits(const Settings& settings, const Tuning& tuning,
-                              const SilenceTimeouts& timeouts) {
+LeaderHealth::Limits LeaderHealthLimits(const Settings& settings,
+                                        const Tuning& tuning,
+                                        const SilenceTimeouts& timeouts) {
   // Of a lease. Most of it must be left: each worker tries a controller that
   // doesn't answer for 4 s, and waits 1 s, until it comes to the next leader.
   constexpr double kBlindAfter = 0.2;
   const double lease = settings.workers.lease_s;
-  Fitness::Limits limits;
-  limits.doubt_share = tuning.doubt_share;
+  LeaderHealth::Limits limits;
+  limits.troubled_share = tuning.troubled_share;
   limits.deaf_share = tuning.deaf_share;
   limits.pause_s = settings.workers.report_s / 2;
   limits.longest_pause_s = lease / 2;
@@ -69,7 +70,7 @@
       machines_(machines),
       started_(started),
       actions_(actions),
-      fitness_(FitnessLimits(settings, tuning, timeouts), started),
+      leader_health_(LeaderHealthLimits(settings, tuning, timeouts), started),
       limiter_(LossLimits(settings, tuning)),
       sampling_(seed) {}
 
@@ -103,11 +104,11 @@
       refusals_[i] = LossVerdict::kAllowed;
     }
   }
-  const FitnessState before = fitness_.state();
-  fitness_.Observe(heard, now);
-  if (fitness_.state() == before) return;
-  Say(std::string(fitness_.fit() ? "enough reports heard again"
-                                 : "few reports heard") +
+  const LeaderHealthState before = leader_health_.state();
+  leader_health_.Observe(heard, now);
+  if (leader_health_.state() == before) return;
+  Say(std::string(leader_health_.healthy() ? "enough reports heard again"
+                                           : "few reports heard") +
       ": " + std::to_string(heard.silent) + " silent and " +
       std::to_string(heard.troubled) + " troubled of " +
       std::to_string(heard.recorded) + " machines");
@@ -149,7 +150,7 @@
   const auto index = static_cast<size_t>(cause);
   // Whoever doubts its own reach takes nothing away for other reasons either:
   // idle, listed and booted are read off what it hears.
-  if (cause != LossCause::kSilent && !fitness_.fit()) return false;
+  if (cause != LossCause::kSilent && !leader_health_.healthy()) return false;
   int fleet = 0;
   int zone = 0;
   for (const auto& other : machines_) {
@@ -186,7 +187,7 @@
 
 std::vector<std::string> LivenessMonitor::Alarms() const {
   std::vector<std::string> alarms;
-  if (!fitness_.fit()) {
+  if (!leader_health_.healthy()) {
     alarms.push_back("few reports heard: " +
                      std::to_string(reports_heard_.silent) + " silent and " +
                      std::to_string(reports_heard_.troubled) + " troubled of " +
@@ -245,7 +246,7 @@
 // A sample of all machines, heard or not: one that reached only what this
 // controller does not would be no better place to lead from.
 void LivenessMonitor::AskWhoReaches(Time now) {
-  if (settings_.peers.empty() || !fitness_.WantsRound(now)) return;
+  if (settings_.peers.empty() || !leader_health_.WantsRound(now)) return;
   std::vector<Machine*> all;
   for (const auto& m : machines_) {
     if (Counts(*m) && !m->endpoint.empty()) all.push_back(m.get());
@@ -254,8 +255,8 @@
   std::sample(all.begin(), all.end(), std::back_inserter(sample), kReachSample,
               sampling_);
   if (sample.empty()) return;
-  fitness_.RoundAsked(now);
-  fitness_round_ = Ask(sample, /*sample=*/true, now);
+  leader_health_.RoundAsked(now);
+  health_round_ = Ask(sample, /*sample=*/true, now);
 }
 
 bool LivenessMonitor::OnReach(uint64_t round, std::vector<Reach> answers,
@@ -284,16 +285,17 @@
     }
   }
   if (round == silent_round_) silent_round_ = 0;
-  if (round != fitness_round_) return true;
-  fitness_round_ = 0;
-  const Fitness::Verdict verdict = fitness_.RoundAnswered(answers, now);
+  if (round != health_round_) return true;
+  health_round_ = 0;
+  const LeaderHealth::Verdict verdict =
+      leader_health_.RoundAnswered(answers, now);
   switch (verdict.kind) {
-    case Fitness::Verdict::Kind::kStay:
+    case LeaderHealth::Verdict::Kind::kStay:
       break;
-    case Fitness::Verdict::Kind::kOffer:
+    case LeaderHealth::Verdict::Kind::kOffer:
       actions_.push_back(OfferLead{verdict.to, verdict.why});
       break;
-    case Fitness::Verdict::Kind::kStepDown:
+    case LeaderHealth::Verdict::Kind::kStepDown:
       actions_.push_back(Resign{verdict.why, /*unfit=*/true});
       return false;
   }
@@ -302,7 +304,7 @@
 
 void LivenessMonitor::OnOfferRefused(const std::string& why, Time now) {
   Say("goes on leading: " + why);
-  fitness_.OfferRefused(now);
+  leader_health_.OfferRefused(now);
 }
 
 }  // namespace oxbow
--- a/core/controller/liveness_monitor.h
+++ b/core/controller/liveness_monitor.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "core/controller/actions.h"
-#include "core/fitness/fitness.h"
+#include "core/leader_health/leader_health.h"
 #include "core/limits/loss_limiter.h"
 #include "core/model/machine.h"
 #include "core/model/settings.h"
@@ -35,7 +35,7 @@
   // leadership is over.
   [[nodiscard]] bool OnReach(uint64_t round, std::vector<Reach> answers,
                              Time now);
-  void OnOfferAgreed() { fitness_.OfferAgreed(); }
+  void OnOfferAgreed() { leader_health_.OfferAgreed(); }
   void OnOfferRefused(const std::string& why, Time now);
 
   // Whether a machine has been silent, or deaf, for long enough.
@@ -45,7 +45,7 @@
   // Whether it may be taken away for this cause; counts it if so.
   bool LossAllowed(const Machine& m, LossCause cause, Time now);
 
-  FitnessState fitness() const { return fitness_.state(); }
+  LeaderHealthState leader_health() const { return leader_health_.state(); }
   const ReportsHeard& reports_heard() const { return reports_heard_; }
   // What is held back at this moment; a line each.
   std::vector<std::string> Alarms() const;
@@ -64,11 +64,11 @@
   const Machines& machines_;
   const Time started_;
   std::vector<Action>& actions_;
-  Fitness fitness_;
+  LeaderHealth leader_health_;
   LossLimiter limiter_;
   ReportsHeard reports_heard_;
   uint64_t next_round_ = 1;
-  uint64_t fitness_round_ = 0;  // under way; 0: none
+  uint64_t health_round_ = 0;  // under way; 0: none
   uint64_t silent_round_ = 0;
   struct Question {
     std::vector<Machine*> about;
--- a/core/controller/moves.cc
+++ b/core/controller/moves.cc
@@ -160,7 +160,7 @@
   StepMoves(now);
   if (now < next_move_plan_ || !AllAccounted() ||
       mover_->under_way() >= static_cast<int>(tuning_.moves_at_once) ||
-      liveness_.fitness() != FitnessState::kFit) {
+      liveness_.leader_health() != LeaderHealthState::kHealthy) {
     return;
   }
   next_move_plan_ = now + settings_.workers.report_s;
--- a/core/fitness/fitness.cc
+++ b/core/leader_health/leader_health.cc
@@ -1,4 +1,4 @@
-#include "core/fitness/fitness.h"
+#include "core/leader_health/leader_health.h"
 
 #include <algorithm>
 #include <array>
@@ -8,52 +8,52 @@
 namespace oxbow {
 namespace {
 
-using enum FitnessState;
+using enum LeaderHealthState;
 
 constexpr std::array kChanges = {
-    std::pair{kFit, kDoubt},       std::pair{kDoubt, kFit},
-    std::pair{kDoubt, kAsking},    std::pair{kAsking, kDoubt},
-    std::pair{kAsking, kOffering}, std::pair{kAsking, kYielding},
-    std::pair{kOffering, kDoubt},  std::pair{kOffering, kYielding},
+    std::pair{kHealthy, kSuspect},  std::pair{kSuspect, kHealthy},
+    std::pair{kSuspect, kAsking},   std::pair{kAsking, kSuspect},
+    std::pair{kAsking, kOffering},  std::pair{kAsking, kYielding},
+    std::pair{kOffering, kSuspect}, std::pair{kOffering, kYielding},
 };
 
 }  // namespace
 
-void Fitness::Change(FitnessEvent event) {
-  FitnessState next = state_;
+void LeaderHealth::Change(LeaderHealthEvent event) {
+  LeaderHealthState next = state_;
   switch (event) {
-    case FitnessEvent::kFewReports:
-      if (state_ == kFit) next = kDoubt;
+    case LeaderHealthEvent::kFewReports:
+      if (state_ == kHealthy) next = kSuspect;
       break;
-    case FitnessEvent::kEnoughReports:
+    case LeaderHealthEvent::kEnoughReports:
       // A round under way is let end: its answer says the same.
-      if (state_ == kDoubt) next = kFit;
+      if (state_ == kSuspect) next = kHealthy;
       break;
-    case FitnessEvent::kAsked:
+    case LeaderHealthEvent::kAsked:
       next = kAsking;
       break;
-    case FitnessEvent::kNoneBetter:
-    case FitnessEvent::kRefused:
-      next = kDoubt;
+    case LeaderHealthEvent::kNoneBetter:
+    case LeaderHealthEvent::kRefused:
+      next = kSuspect;
       break;
-    case FitnessEvent::kOneIsBetter:
+    case LeaderHealthEvent::kOneIsBetter:
       next = kOffering;
       break;
-    case FitnessEvent::kAgreed:
-    case FitnessEvent::kBlind:
+    case LeaderHealthEvent::kAgreed:
+    case LeaderHealthEvent::kBlind:
       next = kYielding;
       break;
   }
-  if (next != state_) CheckedChange(state_, next, kChanges, "fitness");
+  if (next != state_) CheckedChange(state_, next, kChanges, "leader health");
 }
 
-bool Fitness::Deaf() const {
+bool LeaderHealth::Deaf() const {
   return reports_heard_.recorded > 0 &&
          reports_heard_.recorded - reports_heard_.silent <
              limits_.deaf_share * reports_heard_.recorded;
 }
 
-void Fitness::Observe(const ReportsHeard& heard, Time now) {
+void LeaderHealth::Observe(const ReportsHeard& heard, Time now) {
   // After a stall everything looks overdue until what has arrived meanwhile is
   // read; and deafness that was not watched is not known to have lasted.
   const Time before = observed_;
@@ -78,29 +78,29 @@
     next_round_ = std::min(next_round_, now);
   }
   const bool little = heard.troubled > 0 &&
-                      heard.troubled >= limits_.doubt_share * heard.recorded;
-  if (state_ == kFit && little) {
+                      heard.troubled >= limits_.troubled_share * heard.recorded;
+  if (state_ == kHealthy && little) {
     pause_s_ = limits_.pause_s;
-    Change(FitnessEvent::kFewReports);
+    Change(LeaderHealthEvent::kFewReports);
   } else if (!little) {
-    Change(FitnessEvent::kEnoughReports);
+    Change(LeaderHealthEvent::kEnoughReports);
   }
 }
 
-bool Fitness::WantsRound(Time now) const {
-  return state_ == kDoubt && now >= next_round_ &&
+bool LeaderHealth::WantsRound(Time now) const {
+  return state_ == kSuspect && now >= next_round_ &&
          now - started_ >= limits_.settle_s;
 }
 
-void Fitness::RoundAsked(Time now) {
-  Change(FitnessEvent::kAsked);
+void LeaderHealth::RoundAsked(Time now) {
+  Change(LeaderHealthEvent::kAsked);
   // The longer it lasts without one better placed, the less often it is asked.
   next_round_ = now + pause_s_;
   pause_s_ = std::min(2 * pause_s_, limits_.longest_pause_s);
 }
 
-Fitness::Verdict Fitness::RoundAnswered(const std::vector<Reach>& answers,
-                                        Time now) {
+LeaderHealth::Verdict LeaderHealth::RoundAnswered(
+    const std::vector<Reach>& answers, Time now) {
   Verdict verdict;
   if (state_ != kAsking || answers.empty()) return verdict;
   const Reach& self = answers.front();
@@ -118,7 +118,7 @@
     most = more;
   }
   if (best != nullptr) {
-    Change(FitnessEvent::kOneIsBetter);
+    Change(LeaderHealthEvent::kOneIsBetter);
     verdict.kind = Verdict::Kind::kOffer;
     verdict.to = best->node;
     verdict.why = best->node + " reaches " + std::to_string(most) + " of " +
@@ -130,7 +130,7 @@
   // one takeover. Once, after it has lasted.
   if (!compared && answers.size() > 1 &&
       now - deaf_since_ >= limits_.blind_after_s) {
-    Change(FitnessEvent::kBlind);
+    Change(LeaderHealthEvent::kBlind);
     verdict.kind = Verdict::Kind::kStepDown;
     verdict.why =
         "hears " +
@@ -139,13 +139,13 @@
         " machines, and no controller to compare with";
     return verdict;
   }
-  Change(FitnessEvent::kNoneBetter);
+  Change(LeaderHealthEvent::kNoneBetter);
   return verdict;
 }
 
-void Fitness::OfferRefused(Time now) {
+void LeaderHealth::OfferRefused(Time now) {
   if (state_ != kOffering) return;
-  Change(FitnessEvent::kRefused);
+  Change(LeaderHealthEvent::kRefused);
   next_round_ = std::max(next_round_, now + pause_s_);
 }
 
--- a/core/fitness/fitness.h
+++ b/core/leader_health/leader_health.h
@@ -8,20 +8,20 @@
 #include <string>
 #include <vector>
 
-#include "core/fitness/reach.h"
+#include "core/leader_health/reach.h"
 #include "core/model/settings.h"
 
 namespace oxbow {
 
-enum class FitnessState : uint8_t {
-  kFit,       // hears as many machines as it should
-  kDoubt,     // hears too few: the others are to be asked
+enum class LeaderHealthState : uint8_t {
+  kHealthy,   // hears as many machines as it should
+  kSuspect,   // hears too few: the others are to be asked
   kAsking,    // a question is under way
   kOffering,  // another is surely better placed, and is asked to take over
   kYielding,  // it has agreed; this leadership ends
 };
 
-enum class FitnessEvent : uint8_t {
+enum class LeaderHealthEvent : uint8_t {
   kFewReports,
   kEnoughReports,
   kAsked,
@@ -41,12 +41,12 @@
   int silent = 0;  // no message for longer than a report may take
 };
 
-class Fitness {
+class LeaderHealth {
  public:
   struct Limits {
-    double doubt_share = 0;  // troubled machines that make it doubt
-    double deaf_share = 0;   // heard so few, it can't lead whoever else can
-    double pause_s = 0;      // between two rounds, at first
+    double troubled_share = 0;  // troubled machines that make it doubt
+    double deaf_share = 0;      // heard so few, it can't lead whoever else can
+    double pause_s = 0;         // between two rounds, at first
     double longest_pause_s = 0;
     double blind_after_s = 0;  // of being deaf with nobody to ask
     double settle_s = 0;       // after taking office, before any hand-over
@@ -58,11 +58,11 @@
     std::string why;
   };
 
-  Fitness(const Limits& limits, Time started)
+  LeaderHealth(const Limits& limits, Time started)
       : limits_(limits), started_(started) {}
 
-  FitnessState state() const { return state_; }
-  bool fit() const { return state_ == FitnessState::kFit; }
+  LeaderHealthState state() const { return state_; }
+  bool healthy() const { return state_ == LeaderHealthState::kHealthy; }
 
   // With each count. A gap in the calls (the process stood still) is no time in
   // which anything could have been heard.
@@ -73,16 +73,16 @@
   // The answers, this controller's first.
   Verdict RoundAnswered(const std::vector<Reach>& answers, Time now);
   void OfferRefused(Time now);
-  void OfferAgreed() { Change(FitnessEvent::kAgreed); }
+  void OfferAgreed() { Change(LeaderHealthEvent::kAgreed); }
 
  private:
   // The one function for a change.
-  void Change(FitnessEvent event);
+  void Change(LeaderHealthEvent event);
   bool Deaf() const;
 
   Limits limits_;
   Time started_;
-  FitnessState state_ = FitnessState::kFit;
+  LeaderHealthState state_ = LeaderHealthState::kHealthy;
   ReportsHeard reports_heard_;
   Time observed_ = -1e9;
   Time next_round_ = 0;
--- a/core/fitness/reach.cc
+++ b/core/leader_health/reach.cc
@@ -1,4 +1,4 @@
-#include "core/fitness/reach.h"
+#include "core/leader_health/reach.h"
 
 #include <algorithm>
 #include <boost/math/distributions/binomial.hpp>
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -128,7 +128,7 @@
   double boot_timeout_ratio = 2.5;
   // Who is fit to lead. A leader that hears so little of the recorded machines
   // asks the other controllers what they reach.
-  double doubt_share = 0.125;
+  double troubled_share = 0.125;
   // One that hears less than this can't lead, whoever else can.
   double deaf_share = 0.2;
   // Hand-overs that are let happen within a worker lease.
--- a/tests/fuzz/targets.cc
+++ b/tests/fuzz/targets.cc
@@ -6,7 +6,7 @@
 #include <cstdlib>
 
 #include "clients/peer.h"
-#include "core/fitness/reach.h"
+#include "core/leader_health/reach.h"
 #include "net/http.h"
 #include "wire/job_json.h"
 #include "wire/records.h"
--- a/tests/fitness_test.cc
+++ b/tests/leader_health_test.cc
@@ -1,7 +1,7 @@
 // Who is fit to lead, what may be destroyed, and the order of timeouts, each by
 // itself.
 
-#include "core/fitness/fitness.h"
+#include "core/leader_health/leader_health.h"
 
 #include <gtest/gtest.h>
 
@@ -32,51 +32,51 @@
   EXPECT_FALSE(IsReachText("012", 3));
 }
 
-Fitness::Limits SomeLimits() { return {0.125, 0.2, 0.5, 5, 4, 2}; }
+LeaderHealth::Limits SomeLimits() { return {0.125, 0.2, 0.5, 5, 4, 2}; }
 
 // Deaf from the start, at a time when hand-overs are allowed.
-Fitness Deaf(Time until) {
-  Fitness fitness(SomeLimits(), 0);
-  for (Time t = 0; t <= until; t += 0.05) fitness.Observe({20, 20, 20}, t);
-  return fitness;
+LeaderHealth Deaf(Time until) {
+  LeaderHealth health(SomeLimits(), 0);
+  for (Time t = 0; t <= until; t += 0.05) health.Observe({20, 20, 20}, t);
+  return health;
 }
 
-TEST(Fitness, AsksOnlyAfterItHasSettled) {
-  Fitness fitness = Deaf(1.0);
-  EXPECT_EQ(fitness.state(), FitnessState::kDoubt);
-  EXPECT_FALSE(fitness.WantsRound(1.0));
-  EXPECT_TRUE(fitness.WantsRound(2.0));
+TEST(LeaderHealth, AsksOnlyAfterItHasSettled) {
+  LeaderHealth health = Deaf(1.0);
+  EXPECT_EQ(health.state(), LeaderHealthState::kSuspect);
+  EXPECT_FALSE(health.WantsRound(1.0));
+  EXPECT_TRUE(health.WantsRound(2.0));
 }
 
-TEST(Fitness, OffersToTheOneThatReachesMostAndMayLead) {
-  Fitness fitness = Deaf(3);
-  fitness.RoundAsked(3);
+TEST(LeaderHealth, OffersToTheOneThatReachesMostAndMayLead) {
+  LeaderHealth health = Deaf(3);
+  health.RoundAsked(3);
   const std::string none(20, '0');
   const std::string all(20, '1');
   const std::string most = all.substr(0, 15) + none.substr(0, 5);
-  const auto verdict = fitness.RoundAnswered(
-      {{"a", true, false, none},
-       {"b", true, true, most},
-       {"c", true, false, all},  // can't: no state service
-       {"d", true, true, all}},
-      4);
-  EXPECT_EQ(verdict.kind, Fitness::Verdict::Kind::kOffer);
+  const auto verdict =
+      health.RoundAnswered({{"a", true, false, none},
+                            {"b", true, true, most},
+                            {"c", true, false, all},  // can't: no state service
+                            {"d", true, true, all}},
+                           4);
+  EXPECT_EQ(verdict.kind, LeaderHealth::Verdict::Kind::kOffer);
   EXPECT_EQ(verdict.to, "d");
-  fitness.OfferRefused(4);
-  EXPECT_EQ(fitness.state(), FitnessState::kDoubt);
+  health.OfferRefused(4);
+  EXPECT_EQ(health.state(), LeaderHealthState::kSuspect);
 }
 
-TEST(Fitness, AsksLessOftenTheLongerNobodyIsBetter) {
-  Fitness fitness = Deaf(3);
+TEST(LeaderHealth, AsksLessOftenTheLongerNobodyIsBetter) {
+  LeaderHealth health = Deaf(3);
   const std::string none(20, '0');
   int rounds = 0;
   for (Time t = 3; t < 23; t += 0.05) {
-    fitness.Observe({20, 20, 20}, t);
-    if (!fitness.WantsRound(t)) continue;
-    fitness.RoundAsked(t);
-    const auto verdict = fitness.RoundAnswered(
+    health.Observe({20, 20, 20}, t);
+    if (!health.WantsRound(t)) continue;
+    health.RoundAsked(t);
+    const auto verdict = health.RoundAnswered(
         {{"a", true, false, none}, {"b", true, true, none}}, t);
-    EXPECT_EQ(verdict.kind, Fitness::Verdict::Kind::kStay);
+    EXPECT_EQ(verdict.kind, LeaderHealth::Verdict::Kind::kStay);
     ++rounds;
   }
   EXPECT_GE(rounds, 4);
@@ -85,34 +85,34 @@
 
 // A leader in doubt for long over one dead machine asked seldom, and found out
 // late that it had grown deaf meanwhile (storm seed 1256).
-TEST(Fitness, GrowingDeafEndsALongPause) {
-  Fitness fitness(SomeLimits(), 0);
+TEST(LeaderHealth, GrowingDeafEndsALongPause) {
+  LeaderHealth health(SomeLimits(), 0);
   const std::string none(20, '0');
   Time t = 0;
   for (; t < 30; t += 0.05) {
-    fitness.Observe({20, 3, 3}, t);
-    if (!fitness.WantsRound(t)) continue;
-    fitness.RoundAsked(t);
-    fitness.RoundAnswered({{"a", true, false, none}, {"b", true, true, none}},
-                          t);
+    health.Observe({20, 3, 3}, t);
+    if (!health.WantsRound(t)) continue;
+    health.RoundAsked(t);
+    health.RoundAnswered({{"a", true, false, none}, {"b", true, true, none}},
+                         t);
   }
-  EXPECT_FALSE(fitness.WantsRound(t));
+  EXPECT_FALSE(health.WantsRound(t));
   const Time deaf = t;
-  for (; !fitness.WantsRound(t); t += 0.05) fitness.Observe({20, 20, 20}, t);
+  for (; !health.WantsRound(t); t += 0.05) health.Observe({20, 20, 20}, t);
   EXPECT_LT(t - deaf, SomeLimits().pause_s);
 }
 
-TEST(Fitness, ADeafnessThatWasNotWatchedHasNotLasted) {
-  Fitness fitness = Deaf(3);
+TEST(LeaderHealth, ADeafnessThatWasNotWatchedHasNotLasted) {
+  LeaderHealth health = Deaf(3);
   const std::string none(20, '0');
   // The process stood still for ten seconds: no reason to step down blindly.
-  fitness.Observe({20, 20, 20}, 13);
-  fitness.RoundAsked(13);
-  EXPECT_EQ(fitness
+  health.Observe({20, 20, 20}, 13);
+  health.RoundAsked(13);
+  EXPECT_EQ(health
                 .RoundAnswered(
                     {{"a", true, false, none}, {"b", false, false, ""}}, 13)
                 .kind,
-            Fitness::Verdict::Kind::kStay);
+            LeaderHealth::Verdict::Kind::kStay);
 }
 
 TEST(HandOverLog, AllowsSoManyWithinItsWindow) {
