Rename: trust and doubt are store verification and suspected data loss

StoreVerification in core/recovery/store_verification.h with kVerified and kSuspected, StoreEpoch in store_epoch.h; a worker's delivery is suspected, a write's outcome unknown. Records and frames are written as before. No change in behaviour.

--- a/app/election.cc
+++ b/app/election.cc
@@ -62,7 +62,7 @@
 net::Task<bool> Election::Promise() {
   co_await ProbeState();
   // Data that is lost is as good as no answer: nobody can lead by it.
-  const bool fails = state_.Failing() || !recovery_.trust().MaySeek();
+  const bool fails = state_.Failing() || !recovery_.verification().MaySeek();
   co_return leadership_.AskedToPromise(fails, loop_.Refresh());
 }
 
@@ -71,7 +71,7 @@
   const std::string life = ask.text;
   const uint64_t number = ask.stamp;
   co_await ProbeState();
-  const bool fails = state_.Failing() || !recovery_.trust().MaySeek();
+  const bool fails = state_.Failing() || !recovery_.verification().MaySeek();
   co_return leadership_.AskedToTend(node, life, number, fails, loop_.Refresh());
 }
 
@@ -184,7 +184,7 @@
     if (leadership_.state() == LeaderState::kLapsed) {
       StepDown("its right to lead has run out");
     }
-    if (recovery_.trust().state() == TrustState::kLost &&
+    if (recovery_.verification().state() == StoreVerificationState::kLost &&
         (valid || leadership_.MaySeek(now))) {
       co_await Reopen();
       co_await loop_.Sleep(lease_s_ / 50);
@@ -314,7 +314,7 @@
     lease_missing_ = lease_id;
     recovery_.Sign(LossSign::kEpochMissing);
   }
-  return !recovery_.trust().MaySeek();
+  return !recovery_.verification().MaySeek();
 }
 
 net::Task<StateResult> Election::Take(std::vector<Condition> conditions,
--- a/app/follower.cc
+++ b/app/follower.cc
@@ -52,10 +52,10 @@
 // Without this a controller that reads an empty state service would take its
 // own memory, perhaps the last one there is, for outdated.
 bool Follower::OfThisEpoch(const std::vector<clients::KeyValue>& first) const {
-  const EpochRecord& known = catalog_.epoch();
+  const StoreEpoch& known = catalog_.epoch();
   if (known.number == 0) return true;
   for (const clients::KeyValue& item : first) {
-    if (const auto* epoch = std::get_if<EpochRecord>(&item.record)) {
+    if (const auto* epoch = std::get_if<StoreEpoch>(&item.record)) {
       return epoch->number > known.number ||
              (epoch->number == known.number && epoch->id == known.id);
     }
--- a/app/recovery_coordinator.cc
+++ b/app/recovery_coordinator.cc
@@ -72,7 +72,7 @@
   // A first epoch may have been founded in a service that has lost everything,
   // together with all controllers: the workers would tell within a lease.
   const double lease = settings_.workers.lease_s;
-  return trust_.MayDeny() && loop_.Now() > founded_ + lease &&
+  return verification_.MayDeny() && loop_.Now() > founded_ + lease &&
          (catalog_.epoch().whole ||
           (rebuilt_epoch_ == catalog_.epoch().number &&
            loop_.Now() > rebuilt_since_ + kToldRatio * lease));
@@ -106,7 +106,7 @@
 void RecoveryCoordinator::Sign(LossSign sign, const std::string& key) {
   // Nothing was ever known that could be missing.
   if (!on() || catalog_.epoch().number == 0) return;
-  if (!trust_.Note(sign)) return;
+  if (!verification_.Note(sign)) return;
   sign_key_ = key;
   spdlog::info("the state service may have lost data: {}{}{}", NameOf(sign),
                key.empty() ? "" : ", ", key);
@@ -132,7 +132,8 @@
 net::Task<void> RecoveryCoordinator::AskAboutJob(std::string id) {
   const CheckSays says = co_await LookForJob(id);
   // Where jobs may have been lost it is no news.
-  if (says == CheckSays::kGone && trust_.MayDeny() && catalog_.epoch().whole) {
+  if (says == CheckSays::kGone && verification_.MayDeny() &&
+      catalog_.epoch().whole) {
     Sign(LossSign::kUnknownTask, id);
   }
 }
@@ -155,9 +156,9 @@
 }
 
 void RecoveryCoordinator::EpochSeen() {
-  const EpochRecord& epoch = catalog_.epoch();
+  const StoreEpoch& epoch = catalog_.epoch();
   if (!on() || epoch.number == 0) return;
-  const TrustState before = trust_.state();
+  const StoreVerificationState before = verification_.state();
   if (epoch.number != seen_epoch_) {
     const bool first = seen_epoch_ == 0;
     seen_epoch_ = epoch.number;
@@ -181,12 +182,12 @@
     rebuilt_epoch_ = epoch.number;
     rebuilt_since_ = loop_.Now();
   }
-  trust_.OnEpoch(epoch.number, epoch.rebuilt);
+  verification_.OnEpoch(epoch.number, epoch.rebuilt);
   if (epoch.rebuilt && !catalog_.owed().empty() && !seams_.leading() &&
       handing_in_ != epoch.number) {
     handing_in_ = epoch.number;
     // One that has just been met is read anew already.
-    if (before == TrustState::kRebuilding) follower_.Reread();
+    if (before == StoreVerificationState::kRebuilding) follower_.Reread();
     net::Spawn(HandIn(epoch.number));
   }
 }
@@ -200,9 +201,10 @@
   const double pause = kRoundPause * settings_.workers.report_s;
   const auto stale = [this, epoch] {
     return catalog_.epoch().number != epoch ||
-           trust_.state() == TrustState::kLost;
+           verification_.state() == StoreVerificationState::kLost;
   };
-  while (!follower_.synced() || trust_.state() != TrustState::kSound) {
+  while (!follower_.synced() ||
+         verification_.state() != StoreVerificationState::kVerified) {
     co_await loop_.Sleep(pause);
     if (stale()) co_return;
   }
@@ -279,7 +281,7 @@
       co_await state_.Get(std::string(keys::kEpoch), Urgency::kLease);
   if (catalog_.epoch().number != number) co_return CheckSays::kStands;
   if (there.ok()) {
-    const auto* epoch = std::get_if<EpochRecord>(&there.items[0].record);
+    const auto* epoch = std::get_if<StoreEpoch>(&there.items[0].record);
     if (epoch != nullptr && epoch->number > number) {
       const StateResult mark = co_await state_.Get(
           keys::Of(keys::kEpochMark, epoch->id), Urgency::kLease);
@@ -307,12 +309,14 @@
   for (;;) {
     co_await loop_.Sleep(pause);
     if (catalog_.epoch().number == 0) continue;
-    if (trust_.state() == TrustState::kDoubt) continue;
-    if (trust_.state() == TrustState::kLost) {
+    if (verification_.state() == StoreVerificationState::kSuspected) continue;
+    if (verification_.state() == StoreVerificationState::kLost) {
       // Who can open the next epoch may not have seen the sign.
       co_await AskAll();
       const CheckSays still = co_await Examine();
-      if (trust_.state() == TrustState::kLost) trust_.OnRound(still, false);
+      if (verification_.state() == StoreVerificationState::kLost) {
+        verification_.OnRound(still, false);
+      }
       continue;
     }
     const CheckSays says = co_await Check();
@@ -407,7 +411,7 @@
   const std::string key = sign_key_;
   const CheckSays stands = co_await Check();
   if (stands != CheckSays::kStands) co_return stands;
-  switch (trust_.sign()) {
+  switch (verification_.sign()) {
     case LossSign::kTermAbove:
       co_return foreign_term_ > HighestTerm() ? CheckSays::kGone
                                               : CheckSays::kStands;
@@ -430,28 +434,31 @@
 
 net::Task<void> RecoveryCoordinator::Settle() {
   const double pause = kRoundPause * settings_.workers.report_s;
-  while (trust_.state() == TrustState::kDoubt) {
+  while (verification_.state() == StoreVerificationState::kSuspected) {
     const CheckSays mine = co_await Examine();
     bool others_stand = false;
-    const bool whole_service = trust_.sign() == LossSign::kStepBack ||
-                               trust_.sign() == LossSign::kEpochMissing;
+    const bool whole_service = verification_.sign() == LossSign::kStepBack ||
+                               verification_.sign() == LossSign::kEpochMissing;
     if (mine == CheckSays::kGone && whole_service) {
       const std::vector<PeerMessage> answers = co_await AskAll();
       others_stand = std::any_of(
           answers.begin(), answers.end(),
           [](const auto& a) { return a.answer == PeerAnswer::kYes; });
     }
-    const bool stepped = trust_.sign() == LossSign::kStepBack;
-    trust_.OnRound(mine, others_stand);
-    if (stepped && trust_.MaySeek()) {
+    const bool stepped = verification_.sign() == LossSign::kStepBack;
+    verification_.OnRound(mine, others_stand);
+    if (stepped && verification_.MaySeek()) {
       catalog_.FollowAnew();
       follower_.Reread();
     }
-    if (trust_.state() == TrustState::kDoubt) co_await loop_.Sleep(pause);
+    if (verification_.state() == StoreVerificationState::kSuspected) {
+      co_await loop_.Sleep(pause);
+    }
   }
-  if (trust_.state() == TrustState::kLost) {
+  if (verification_.state() == StoreVerificationState::kLost) {
     net::Spawn(SpreadWord());
-    spdlog::error("the state service has lost data: {}", NameOf(trust_.sign()));
+    spdlog::error("the state service has lost data: {}",
+                  NameOf(verification_.sign()));
     seams_.lost();
   } else {
     spdlog::info("the state service stands");
@@ -512,7 +519,7 @@
     PeerMessage ask = Ledger();
     ask.running = static_cast<uint32_t>(LossSign::kStepBack);
     const std::vector<PeerMessage> answers = co_await AskAll(std::move(ask));
-    const EpochRecord& mine = catalog_.epoch();
+    const StoreEpoch& mine = catalog_.epoch();
     uint64_t term = 0;
     bool elder = false;
     for (const PeerMessage& a : answers) {
@@ -612,11 +619,11 @@
     return Answered(r) || r.stepped_back;
   };
   if (!answered(epoch) || !answered(leader) ||
-      trust_.state() != TrustState::kLost) {
+      verification_.state() != StoreVerificationState::kLost) {
     co_return false;
   }
-  const EpochRecord* there =
-      epoch.ok() ? std::get_if<EpochRecord>(&epoch.items[0].record) : nullptr;
+  const StoreEpoch* there =
+      epoch.ok() ? std::get_if<StoreEpoch>(&epoch.items[0].record) : nullptr;
   if (there != nullptr && there->number > known) {
     co_await Check();  // takes it in
     co_return false;
@@ -826,7 +833,8 @@
   for (bool turn = false;; turn = !turn) {
     co_await loop_.Sleep(pause);
     // The leader has enough to do; its writes tell it as well.
-    if (seams_.leading() || trust_.state() != TrustState::kSound ||
+    if (seams_.leading() ||
+        verification_.state() != StoreVerificationState::kVerified ||
         !follower_.synced()) {
       continue;
     }
@@ -853,7 +861,7 @@
     co_await loop_.Sleep(pause);
   }
   if (catalog_.followed() < page.revision ||
-      trust_.state() != TrustState::kSound) {
+      verification_.state() != StoreVerificationState::kVerified) {
     co_return;
   }
   std::string missing;
@@ -920,8 +928,8 @@
   message.done = static_cast<uint32_t>(catalog_.epoch().number);
   message.text = catalog_.epoch().id;
   message.term = foreign_term_;
-  if (!trust_.MaySeek()) {
-    message.running = static_cast<uint32_t>(trust_.sign());
+  if (!verification_.MaySeek()) {
+    message.running = static_cast<uint32_t>(verification_.sign());
     message.job_id = sign_key_;
     // Found in its place is only what is as new: one that knows but the older
     // copy would stand by it, and the doubt of the one that remembers more
--- a/app/recovery_coordinator.h
+++ b/app/recovery_coordinator.h
@@ -1,8 +1,8 @@
 // What happens when the state service has lost data: finds out, keeps everybody
 // from acting on records that are missing, and puts together what all
-// controllers remember for the one that opens a new epoch. Owns the trust in
-// the state service; who may open an epoch the election says, what is written
-// back the leader's core.
+// controllers remember for the one that opens a new epoch. Owns the
+// verification of the state service; who may open an epoch the election says,
+// what is written back the leader's core.
 #pragma once
 
 #include <functional>
@@ -18,7 +18,7 @@
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/controller.h"
-#include "core/recovery/trust.h"
+#include "core/recovery/store_verification.h"
 #include "net/loop.h"
 
 namespace oxbow::app {
@@ -44,9 +44,11 @@
   void Start();
 
   bool on() const { return tuning_.recovery_checks > 0; }
-  const Trust& trust() const { return trust_; }
+  const StoreVerification& verification() const { return verification_; }
   // Whether a leader key that is free, or not there, means that nobody leads.
-  bool MaySeek() const { return !on() || (introduced_ && trust_.MaySeek()); }
+  bool MaySeek() const {
+    return !on() || (introduced_ && verification_.MaySeek());
+  }
   // Whether any controller knows of the job. For one who is about to deny it.
   enum class Known { kYes, kNobodyHeard, kNobody };
   net::Task<Known> AnybodyKnows(std::string id);
@@ -63,12 +65,15 @@
   // is remembered elsewhere.
   bool MayTellLive(uint64_t stamp) const {
     if (!on()) return true;
-    return introduced_ && (trust_.state() == TrustState::kSound ||
-                           (trust_.state() == TrustState::kRebuilding &&
-                            stamp > catalog_.opened()));
+    return introduced_ &&
+           (verification_.state() == StoreVerificationState::kVerified ||
+            (verification_.state() == StoreVerificationState::kRebuilding &&
+             stamp > catalog_.opened()));
   }
   // Whether a submission may be accepted here.
-  bool MayAccept() const { return !on() || trust_.MayAccept(seams_.leading()); }
+  bool MayAccept() const {
+    return !on() || verification_.MayAccept(seams_.leading());
+  }
 
   // Makes a write one of the epoch that is known.
   void AddGuard(std::vector<Condition>* conditions) const;
@@ -94,7 +99,7 @@
   struct Opening {
     std::vector<Condition> conditions;
     std::vector<KeyChange> changes;
-    EpochRecord epoch;
+    StoreEpoch epoch;
   };
   // The first epoch of a deployment.
   Opening Found() const;
@@ -186,7 +191,7 @@
   Follower& follower_;
   const LeaderHealthCoordinator::Peers& peers_;
   Seams seams_;
-  Trust trust_;
+  StoreVerification verification_;
   std::string sign_key_;       // what the sign is about
   uint64_t other_number_ = 0;  // of the epoch that another remembers
   std::string other_id_;
--- a/clients/memory_page.h
+++ b/clients/memory_page.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "core/recovery/epoch.h"
+#include "core/recovery/store_epoch.h"
 
 namespace oxbow::clients {
 
--- a/core/controller/catalog.cc
+++ b/core/controller/catalog.cc
@@ -124,7 +124,7 @@
     mark_stamp_ = stamp;
     return true;
   }
-  const auto* epoch = std::get_if<EpochRecord>(&record);
+  const auto* epoch = std::get_if<StoreEpoch>(&record);
   if (epoch == nullptr || epoch->number < epoch_.number) return false;
   if (epoch->number == epoch_.number && stamp <= epoch_.stamp) return false;
   if (epoch_.number > 0 && epoch->number > epoch_.number) Rebase();
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -17,8 +17,8 @@
 #include "core/model/job.h"
 #include "core/model/machine.h"
 #include "core/model/operator_record.h"
-#include "core/recovery/epoch.h"
 #include "core/recovery/finals_index.h"
+#include "core/recovery/store_epoch.h"
 #include "core/rollout/rollout.h"
 
 namespace oxbow {
@@ -68,7 +68,7 @@
 // monostate: the key does not exist.
 using Record =
     std::variant<std::monostate, LeaderRecord, JobRecord, MachineRecord,
-                 RentalRecord, FinalRecord, RolloutRecord, EpochRecord,
+                 RentalRecord, FinalRecord, RolloutRecord, StoreEpoch,
                  EpochMark, OperatorRecord>;
 
 class Catalog {
@@ -91,7 +91,7 @@
   void Missing(const std::string& key, uint64_t revision);
 
   // --- epochs: see docs/recovery.md for what beats what
-  const EpochRecord& epoch() const { return epoch_; }
+  const StoreEpoch& epoch() const { return epoch_; }
   // The stamp of the epoch's mark; 0 while it is not known.
   uint64_t opened() const { return mark_id_ == epoch_.id ? mark_stamp_ : 0; }
   // What a write has to be conditioned on to belong to this epoch.
@@ -182,7 +182,7 @@
   std::unordered_map<std::string, FinalRecord> finals_;
   std::deque<std::string> finals_order_;
   FinalsIndex ended_;
-  EpochRecord epoch_;
+  StoreEpoch epoch_;
   std::string mark_id_;
   uint64_t mark_stamp_ = 0;
   std::map<std::string, Version> owed_;
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -282,9 +282,9 @@
 
 void Controller::Tick(Time now, bool by_lease) {
   liveness_.Count(now);
-  in_doubt_ = false;
+  sessions_unsettled_ = false;
   for (auto& m : machines_) TickMachine(*m, now, by_lease);
-  if (in_doubt_ && now >= next_keepers_) {
+  if (sessions_unsettled_ && now >= next_keepers_) {
     next_keepers_ = now + StandBackFor(settings_.workers);
     actions_.push_back(ReadZoneKeepers{});
   }
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -429,7 +429,8 @@
   std::map<std::string, Rental> rentals_;
   std::map<SupplyKey, Time> refused_until_;
   ZoneRights zones_;
-  bool in_doubt_ = false;  // a silent session may be kept, in this tick
+  bool sessions_unsettled_ =
+      false;  // a silent session may be kept, in this tick
   Time next_keepers_ = 0;
   std::map<std::string, Rollout> rollouts_;                  // by id
   std::unordered_map<std::string, std::string> in_rollout_;  // by job id
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -918,8 +918,9 @@
   const bool may_hold =
       !m.residents.empty() || m.batch || (m.recorded_up && !m.reported);
   if (by_lease && may_hold && m.session.state() != SessionState::kOver) {
-    in_doubt_ =
-        in_doubt_ || now - std::max(m.last_heard, started_) > timeouts_.suspect;
+    sessions_unsettled_ =
+        sessions_unsettled_ ||
+        now - std::max(m.last_heard, started_) > timeouts_.suspect;
     if (SessionOver(m, now)) {
       Expire(m, now);
     } else if (Lapsed(m, now)) {
--- a/core/controller/restore.cc
+++ b/core/controller/restore.cc
@@ -221,7 +221,7 @@
       return true;
     }
     case WriteKind::kRebuilt: {
-      EpochRecord epoch = catalog_.epoch();
+      StoreEpoch epoch = catalog_.epoch();
       if (epoch.rebuilt) return false;
       txn->conditions.push_back({std::string(keys::kEpoch), epoch.stamp});
       epoch.rebuilt = true;
@@ -239,7 +239,7 @@
   if (op.kind == WriteKind::kRestore) {
     catalog_.Put(op.name, OwedRecord(catalog_, op.name), revision);
   } else if (op.kind == WriteKind::kRebuilt) {
-    EpochRecord epoch = catalog_.epoch();
+    StoreEpoch epoch = catalog_.epoch();
     epoch.rebuilt = true;
     epoch.whole = memory_whole_;
     catalog_.Put(std::string(keys::kEpoch), epoch, revision);
--- a/core/controller/write_queue.cc
+++ b/core/controller/write_queue.cc
@@ -48,7 +48,7 @@
   switch (event) {
     case WriteEvent::kSent:
       return CheckedChange(phase_, kWriting, kChanges, "writes");
-    case WriteEvent::kDoubt:
+    case WriteEvent::kOutcomeUnknown:
       return CheckedChange(phase_, kReading, kChanges, "writes");
     case WriteEvent::kAnswered:
     case WriteEvent::kRead:
@@ -147,7 +147,7 @@
       [[fallthrough]];
     case WriteOutcome::kUnknown:
       // It may have been applied, or may yet be: read before anything else.
-      Change(WriteEvent::kDoubt);
+      Change(WriteEvent::kOutcomeUnknown);
       actions_.push_back(ReadKeys{++id_, in_flight_keys_});
       break;
   }
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -53,7 +53,7 @@
   kReading,  // its outcome is not known: what it changes is read afresh
 };
 
-enum class WriteEvent : uint8_t { kSent, kAnswered, kDoubt, kRead };
+enum class WriteEvent : uint8_t { kSent, kAnswered, kOutcomeUnknown, kRead };
 
 class WriteQueue {
  public:
--- a/core/model/delivery.h
+++ b/core/model/delivery.h
@@ -17,10 +17,10 @@
 inline constexpr double kRetryPause_s = 1;
 
 enum class DeliveryState : uint8_t {
-  kUnproven,  // nothing of this leader has had an effect yet
-  kProven,    // something has, and nothing speaks against it since
-  kDoubted,   // an answer had no effect, or reports come as after timeouts
-  kDeaf,      // answers go on having none
+  kUnproven,   // nothing of this leader has had an effect yet
+  kProven,     // something has, and nothing speaks against it since
+  kSuspected,  // an answer had no effect, or reports come as after timeouts
+  kDeaf,       // answers go on having none
 };
 
 enum class DeliveryEvent : uint8_t {
@@ -40,7 +40,7 @@
   bool deaf() const { return state_ == DeliveryState::kDeaf; }
   // A question is open: nothing but answers may carry the newest token, or its
   // being shown would prove nothing.
-  bool asks() const { return deaf() || state_ == DeliveryState::kDoubted; }
+  bool asks() const { return deaf() || state_ == DeliveryState::kSuspected; }
   // Since when it is taken for deaf; looked at only if it is.
   Time deaf_since() const { return deaf_since_; }
   // Whether new work may go there.
@@ -155,22 +155,22 @@
           if (falls_ > 0) {
             asks_from_ = now + workers.lease_s / 4 * (1 << falls_);
             question_ = 0;
-            state_ = DeliveryState::kDoubted;
+            state_ = DeliveryState::kSuspected;
           }
           falls_ = std::min(falls_ + 1, kMostDoublings);
-          if (state_ == DeliveryState::kDoubted) return;
+          if (state_ == DeliveryState::kSuspected) return;
         }
         state_ = DeliveryState::kProven;
         return;
       case DeliveryEvent::kNoEffect:
         if (!asks()) question_ = 0;
-        if (state_ == DeliveryState::kDoubted) break;
-        if (!deaf()) state_ = DeliveryState::kDoubted;
+        if (state_ == DeliveryState::kSuspected) break;
+        if (!deaf()) state_ = DeliveryState::kSuspected;
         return;
       case DeliveryEvent::kTimeouts:
         if (asks()) return;
         question_ = 0;
-        state_ = DeliveryState::kDoubted;
+        state_ = DeliveryState::kSuspected;
         return;
       case DeliveryEvent::kSessionEnded:
         break;
--- a/core/recovery/epoch.h
+++ b/core/recovery/store_epoch.h
@@ -11,7 +11,7 @@
 namespace oxbow {
 
 // One record, never deleted, replaced only by that of a later epoch.
-struct EpochRecord {
+struct StoreEpoch {
   uint64_t number = 0;  // 0: none is known
   // Random. Another key is named after it, on which every write of the epoch
   // is conditioned: a revision that comes again can't fulfil the condition of
@@ -44,7 +44,7 @@
 
 // The upper part of a token: no two leaders share one. Within an epoch the
 // leader key's revisions differ; between epochs see NextBase.
-inline uint64_t TermOf(const EpochRecord& epoch, uint64_t leader_revision) {
+inline uint64_t TermOf(const StoreEpoch& epoch, uint64_t leader_revision) {
   return epoch.base + leader_revision;
 }
 
--- a/core/recovery/trust.h
+++ b/core/recovery/store_verification.h
@@ -11,9 +11,9 @@
 
 namespace oxbow {
 
-enum class TrustState : uint8_t {
-  kSound,       // what it does not hold is not there
-  kDoubt,       // a sign of a loss is being looked at
+enum class StoreVerificationState : uint8_t {
+  kVerified,    // what it does not hold is not there
+  kSuspected,   // a sign of a loss is being looked at
   kLost,        // it has lost data; a new epoch has to be opened
   kRebuilding,  // one is open, and what is remembered is being written back
 };
@@ -33,7 +33,7 @@
 // asks for looked at again.
 enum class CheckSays : uint8_t { kNoAnswer, kStands, kGone };
 
-enum class TrustEvent : uint8_t {
+enum class StoreVerificationEvent : uint8_t {
   kSign,
   kCleared,
   kConfirmed,
@@ -41,9 +41,9 @@
   kRebuilt,  // one that is
 };
 
-class Trust {
+class StoreVerification {
  public:
-  TrustState state() const { return state_; }
+  StoreVerificationState state() const { return state_; }
   LossSign sign() const { return sign_; }
 
   // A sign was seen. True when it is news: the doubt has to be settled.
@@ -56,23 +56,24 @@
   void OnEpoch(uint64_t number, bool rebuilt);
 
   // A record that nobody remembers was never there, and may be denied.
-  bool MayDeny() const { return state_ == TrustState::kSound; }
+  bool MayDeny() const { return state_ == StoreVerificationState::kVerified; }
   // A submission may be accepted: by anybody, or, while the memory is being
   // written back, by the leader, which holds all of it.
   bool MayAccept(bool leading) const {
-    return state_ == TrustState::kSound ||
-           (state_ == TrustState::kRebuilding && leading);
+    return state_ == StoreVerificationState::kVerified ||
+           (state_ == StoreVerificationState::kRebuilding && leading);
   }
   // The free leader key means that nobody leads.
   bool MaySeek() const {
-    return state_ == TrustState::kSound || state_ == TrustState::kRebuilding;
+    return state_ == StoreVerificationState::kVerified ||
+           state_ == StoreVerificationState::kRebuilding;
   }
 
  private:
   // The one function for a change.
-  void Change(TrustEvent event);
+  void Change(StoreVerificationEvent event);
 
-  TrustState state_ = TrustState::kSound;
+  StoreVerificationState state_ = StoreVerificationState::kVerified;
   LossSign sign_ = LossSign::kNone;
   uint64_t epoch_ = 0;
   bool rebuilt_ = true;
--- a/tests/delivery_test.cc
+++ b/tests/delivery_test.cc
@@ -28,11 +28,11 @@
   uint64_t seq_ = 0;
 };
 
-TEST_F(DeliveryTest, OneAnswerLostIsADoubtAndTwoAreDeafness) {
+TEST_F(DeliveryTest, OneAnswerLostIsASuspicionAndTwoAreDeafness) {
   Report(0, kToken);
   EXPECT_TRUE(d_.MayTakeWork());
   Report(0, kToken);
-  EXPECT_EQ(d_.state(), DeliveryState::kDoubted);
+  EXPECT_EQ(d_.state(), DeliveryState::kSuspected);
   EXPECT_FALSE(d_.MayTakeWork());
   Report(0, kToken);
   EXPECT_TRUE(d_.deaf());
@@ -44,7 +44,7 @@
   EXPECT_EQ(d_.state(), DeliveryState::kProven);
   Report(kToken, kToken, 5);
   Report(kToken, kToken, 5.2);
-  EXPECT_EQ(d_.state(), DeliveryState::kDoubted);
+  EXPECT_EQ(d_.state(), DeliveryState::kSuspected);
   ASSERT_TRUE(d_.WantsQuestion(now_));
   d_.Asked(kToken + 1);
   d_.OrdersSent(kToken + 1);
@@ -56,7 +56,7 @@
   EXPECT_EQ(d_.state(), DeliveryState::kProven);
 }
 
-TEST_F(DeliveryTest, UsualReportsRaiseNoDoubt) {
+TEST_F(DeliveryTest, UsualReportsRaiseNoSuspicion) {
   workers_.report_s = 4;
   Report(0, kToken);
   for (int i = 0; i < 100; ++i) Report(kToken, kToken, i % 2 ? 3.1 : 5.0);
@@ -75,7 +75,7 @@
   Report(0, kToken);
   Report(kToken, kToken);
   Report(kToken, kToken, 7);
-  EXPECT_EQ(d_.state(), DeliveryState::kDoubted);
+  EXPECT_EQ(d_.state(), DeliveryState::kSuspected);
 }
 
 TEST_F(DeliveryTest, WhatLacksOurTokenForALeaseIsOld) {
--- a/tests/recovery_test.cc
+++ b/tests/recovery_test.cc
@@ -7,16 +7,16 @@
 #include "core/controller/catalog.h"
 #include "core/lease/leadership.h"
 #include "core/lease/token.h"
-#include "core/recovery/epoch.h"
 #include "core/recovery/finals_index.h"
 #include "core/recovery/peer_choice.h"
-#include "core/recovery/trust.h"
+#include "core/recovery/store_epoch.h"
+#include "core/recovery/store_verification.h"
 #include "tests/known_account.h"
 
 namespace oxbow {
 namespace {
 
-using enum TrustState;
+using enum StoreVerificationState;
 
 JobRecord JobOf(const std::string& id, FinalState end = FinalState::kNone) {
   auto spec = std::make_shared<JobSpec>();
@@ -27,7 +27,7 @@
 std::string JobKey(const std::string& id) { return keys::Of(keys::kJob, id); }
 
 void OpenEpoch(Catalog& catalog, uint64_t number, uint64_t stamp) {
-  EpochRecord epoch;
+  StoreEpoch epoch;
   epoch.number = number;
   epoch.id = "e" + std::to_string(number);
   epoch.rebuilt = number == 1;
@@ -42,17 +42,17 @@
 // above all that were shown; those of one nobody heard of are within the leap.
 TEST(Epoch, TermsOfALaterEpochAreAboveAllBefore) {
   const uint64_t shown = 4711;
-  EpochRecord next;
+  StoreEpoch next;
   next.base = NextBase(shown, 1.7e9);
   EXPECT_GT(TermOf(next, 1), shown + 1'000'000);
-  EpochRecord after;
+  StoreEpoch after;
   after.base = NextBase(TermOf(next, 90'000), 1.7e9);
   EXPECT_GT(TermOf(after, 1), TermOf(next, 90'000'000));
 }
 
 TEST(Epoch, WithNothingRememberedTheClockKeepsEpochsApart) {
   const double opened = 1.8e9;
-  EpochRecord first;
+  StoreEpoch first;
   first.base = NextBase(0, opened);
   // Two thousand changes a second for an hour, then everything is lost again.
   const uint64_t last = TermOf(first, 2000 * 3600);
@@ -67,71 +67,73 @@
 
 // --- trust
 
-class Doubting : public testing::Test {
+class SuspectedDataLoss : public testing::Test {
  public:
-  Doubting() { trust_.OnEpoch(1, true); }
-  Trust trust_;
+  SuspectedDataLoss() { verification_.OnEpoch(1, true); }
+  StoreVerification verification_;
 };
 
-TEST_F(Doubting, ASignAloneIsNoLoss) {
-  EXPECT_TRUE(trust_.Note(LossSign::kStepBack));
-  EXPECT_FALSE(trust_.Note(LossSign::kEpochMissing));  // looked at already
-  EXPECT_FALSE(trust_.MayDeny());
-  trust_.OnRound(CheckSays::kStands, false);
-  EXPECT_EQ(trust_.state(), kSound);
-  EXPECT_TRUE(trust_.MayDeny());
-}
-
-TEST_F(Doubting, ALossTakesRoundsThatAgree) {
-  trust_.Note(LossSign::kEpochMissing);
-  trust_.OnRound(CheckSays::kGone, false);
-  EXPECT_EQ(trust_.state(), kDoubt);
-  trust_.OnRound(CheckSays::kNoAnswer, false);  // an outage settles nothing
-  EXPECT_EQ(trust_.state(), kDoubt);
-  trust_.OnRound(CheckSays::kGone, false);
-  EXPECT_EQ(trust_.state(), kLost);
-  EXPECT_FALSE(trust_.MayAccept(true));
-  EXPECT_FALSE(trust_.MaySeek());
+TEST_F(SuspectedDataLoss, ASignAloneIsNoLoss) {
+  EXPECT_TRUE(verification_.Note(LossSign::kStepBack));
+  EXPECT_FALSE(
+      verification_.Note(LossSign::kEpochMissing));  // looked at already
+  EXPECT_FALSE(verification_.MayDeny());
+  verification_.OnRound(CheckSays::kStands, false);
+  EXPECT_EQ(verification_.state(), kVerified);
+  EXPECT_TRUE(verification_.MayDeny());
+}
+
+TEST_F(SuspectedDataLoss, ALossTakesRoundsThatAgree) {
+  verification_.Note(LossSign::kEpochMissing);
+  verification_.OnRound(CheckSays::kGone, false);
+  EXPECT_EQ(verification_.state(), kSuspected);
+  verification_.OnRound(CheckSays::kNoAnswer,
+                        false);  // an outage settles nothing
+  EXPECT_EQ(verification_.state(), kSuspected);
+  verification_.OnRound(CheckSays::kGone, false);
+  EXPECT_EQ(verification_.state(), kLost);
+  EXPECT_FALSE(verification_.MayAccept(true));
+  EXPECT_FALSE(verification_.MaySeek());
 }
 
 // It reads a stale copy: the others find everything in its place.
-TEST_F(Doubting, AHoleThatOnlyOneSeesIsNoLoss) {
-  trust_.Note(LossSign::kStepBack);
-  for (int i = 0; i < 20; ++i) trust_.OnRound(CheckSays::kGone, true);
-  EXPECT_EQ(trust_.state(), kDoubt);
-  EXPECT_FALSE(trust_.MaySeek());
-  trust_.OnRound(CheckSays::kStands, true);
-  EXPECT_EQ(trust_.state(), kSound);
-}
-
-TEST_F(Doubting, DuringTheRebuildOnlyTheLeaderAccepts) {
-  trust_.Note(LossSign::kEpochMissing);
-  trust_.OnRound(CheckSays::kGone, false);
-  trust_.OnRound(CheckSays::kGone, false);
-  trust_.OnEpoch(2, false);
-  EXPECT_EQ(trust_.state(), kRebuilding);
-  EXPECT_TRUE(trust_.MayAccept(true));
-  EXPECT_FALSE(trust_.MayAccept(false));
-  EXPECT_FALSE(trust_.MayDeny());
-  trust_.OnEpoch(2, true);
-  EXPECT_EQ(trust_.state(), kSound);
-}
-
-TEST_F(Doubting, LostAgainInMidRebuild) {
-  trust_.OnEpoch(2, false);
-  EXPECT_TRUE(trust_.Note(LossSign::kStepBack));
-  trust_.OnRound(CheckSays::kGone, false);
-  trust_.OnRound(CheckSays::kGone, false);
-  EXPECT_EQ(trust_.state(), kLost);
-  trust_.OnEpoch(3, false);
-  EXPECT_EQ(trust_.state(), kRebuilding);
+TEST_F(SuspectedDataLoss, AHoleThatOnlyOneSeesIsNoLoss) {
+  verification_.Note(LossSign::kStepBack);
+  for (int i = 0; i < 20; ++i) verification_.OnRound(CheckSays::kGone, true);
+  EXPECT_EQ(verification_.state(), kSuspected);
+  EXPECT_FALSE(verification_.MaySeek());
+  verification_.OnRound(CheckSays::kStands, true);
+  EXPECT_EQ(verification_.state(), kVerified);
+}
+
+TEST_F(SuspectedDataLoss, DuringTheRebuildOnlyTheLeaderAccepts) {
+  verification_.Note(LossSign::kEpochMissing);
+  verification_.OnRound(CheckSays::kGone, false);
+  verification_.OnRound(CheckSays::kGone, false);
+  verification_.OnEpoch(2, false);
+  EXPECT_EQ(verification_.state(), kRebuilding);
+  EXPECT_TRUE(verification_.MayAccept(true));
+  EXPECT_FALSE(verification_.MayAccept(false));
+  EXPECT_FALSE(verification_.MayDeny());
+  verification_.OnEpoch(2, true);
+  EXPECT_EQ(verification_.state(), kVerified);
+}
+
+TEST_F(SuspectedDataLoss, LostAgainInMidRebuild) {
+  verification_.OnEpoch(2, false);
+  EXPECT_TRUE(verification_.Note(LossSign::kStepBack));
+  verification_.OnRound(CheckSays::kGone, false);
+  verification_.OnRound(CheckSays::kGone, false);
+  EXPECT_EQ(verification_.state(), kLost);
+  verification_.OnEpoch(3, false);
+  EXPECT_EQ(verification_.state(), kRebuilding);
 }
 
 // An epoch's record read late tells nothing of the one that stands.
-TEST_F(Doubting, AnEarlierEpochIsNoNews) {
-  trust_.OnEpoch(2, false);
-  trust_.OnEpoch(1, true);
-  EXPECT_EQ(trust_.state(), kRebuilding);
+TEST_F(SuspectedDataLoss, AnEarlierEpochIsNoNews) {
+  verification_.OnEpoch(2, false);
+  verification_.OnEpoch(1, true);
+  EXPECT_EQ(verification_.state(), kRebuilding);
 }
 
 // --- what is remembered
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -145,7 +145,7 @@
 }
 
 void Sim::OpenEpoch() {
-  EpochRecord epoch;
+  StoreEpoch epoch;
   epoch.number = ++epoch_;
   epoch.id = "e" + std::to_string(epoch_);
   epoch.base = epoch_ << 30;
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -69,7 +69,7 @@
     Key(w, "t");
     w.Double(r.declared_wall);
   }
-  void operator()(const EpochRecord& r) const {
+  void operator()(const StoreEpoch& r) const {
     Key(w, "number");
     w.Uint64(r.number);
     Field(w, "id", r.id);
@@ -109,7 +109,7 @@
     return state;
   };
   if (key == keys::kEpoch) {
-    EpochRecord epoch;
+    StoreEpoch epoch;
     epoch.number = json::GetUint(value, "number");
     epoch.id = json::GetString(value, "id");
     epoch.base = json::GetUint(value, "base");
