Rename: pieces are fragmentation

FragmentationIndex in core/packing/fragmentation.h, after the paper it follows; the log line begins with "fragmentation:". No change in behaviour.

--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -7,8 +7,8 @@
 namespace oxbow {
 namespace {
 
-// For how long what was asked for shapes the measure of pieces, in worker
-// leases: some waves of work, not the whole day.
+// For how long what was asked for shapes the measure of fragmentation, in
+// worker leases: some waves of work, not the whole day.
 constexpr double kMixLeases = 15;
 
 using enum RentalState;
@@ -37,7 +37,8 @@
       wall_minus_steady_(wall_minus_steady),
       timeouts_(SilenceTimeouts::From(settings.workers, tuning)),
       numbers_(term_),
-      pieces_(kMixLeases * settings.workers.lease_s, settings.workers.report_s),
+      fragmentation_(kMixLeases * settings.workers.lease_s,
+                     settings.workers.report_s),
       placer_(tuning, seed),
       queue_order_(settings, tuning),
       writes_(settings, Mandate(catalog, revision), *this, actions_),
@@ -45,7 +46,9 @@
       zones_(settings, now, keepers),
       tiers_(settings, tuning.tiers > 0),
       calendar_(settings.workers.lease_s, settings.clock_off_ms / 1000) {
-  if (tuning.piece_weight > 0) placer_.SetPieces(&pieces_);
+  if (tuning.fragmentation_weight > 0) {
+    placer_.SetFragmentation(&fragmentation_);
+  }
   for (const TeamSettings& team : settings.teams)
     teams_.push_back({team, {}, {}, {}});
   for (const auto& [host, record] : catalog.machines()) {
@@ -120,7 +123,7 @@
   if (!added.live()) RetireIfClear(added);
   quiet_since_ = now;
   queue_order_.Seen(added.spec());
-  pieces_.Note(added.spec(), added.submitted());
+  fragmentation_.Note(added.spec(), added.submitted());
   Resources& shape = accelerator_shape_;
   const Resources& need = added.spec().need;
   if (need.gpus > 0) {
@@ -262,19 +265,22 @@
   actions_.push_back(Note{std::move(text), false});
 }
 
-void Controller::LogPieces(Time now) {
-  if (tuning_.piece_weight <= 0 || now < next_pieces_) return;
+void Controller::LogFragmentation(Time now) {
+  if (tuning_.fragmentation_weight <= 0 || now < next_fragmentation_log_) {
+    return;
+  }
   constexpr double kEvery = 60;  // s: for people, whatever the lease
-  next_pieces_ = now + kEvery;
-  const PieceCount n = CountPieces();
+  next_fragmentation_log_ = now + kEvery;
+  const FragmentationCount n = CountFragmentation();
   if (n.accelerators <= 0) return;
   const auto whole = [](double x) {
     return std::to_string(static_cast<int64_t>(std::llround(x)));
   };
-  Log("pieces: of " + whole(n.accelerators) + " accelerators " + whole(n.free) +
-      " free, " + whole(n.useless) + " of these of no use to what is asked " +
-      "for; " + std::to_string(n.whole) + " machines whole, " +
-      std::to_string(n.in_pieces) + " in pieces" +
+  Log("fragmentation: of " + whole(n.accelerators) + " accelerators " +
+      whole(n.free) + " free, " + whole(n.useless) +
+      " of these of no use to what is asked " + "for; " +
+      std::to_string(n.whole) + " machines whole, " +
+      std::to_string(n.fragmented) + " fragmented" +
       (mover_ ? "; moves settled " + std::to_string(mover_->settled()) +
                     ", given up " + std::to_string(mover_->given_up())
               : ""));
@@ -305,7 +311,7 @@
     next_supply_ = now + settings_.workers.report_s;
     TickCalendar(now);
     for (auto& [id, job] : jobs_) RetireIfClear(*job);
-    LogPieces(now);
+    LogFragmentation(now);
     // Backed-off jobs, expired reservations, machines no longer suspect.
     dirty_ = true;
   }
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -30,7 +30,7 @@
 #include "core/model/settings.h"
 #include "core/model/timeouts.h"
 #include "core/moves/moves.h"
-#include "core/packing/pieces.h"
+#include "core/packing/fragmentation.h"
 #include "core/placement/placement.h"
 #include "core/provision/provision.h"
 #include "core/rollout/rollout.h"
@@ -150,10 +150,12 @@
   const std::vector<std::unique_ptr<Machine>>& machines() const {
     return machines_;
   }
-  // Accelerators left over in pieces, over all machines.
+  // Fragmentation of accelerators, over all machines.
   // Moves of replicas, where the operators have them turned on; null if not.
   const Mover* mover() const { return mover_ ? &*mover_ : nullptr; }
-  PieceCount CountPieces() const { return pieces_.Count(machines_); }
+  FragmentationCount CountFragmentation() const {
+    return fragmentation_.Count(machines_);
+  }
 
  private:
   struct Team {
@@ -269,7 +271,7 @@
   void Settle(Time now);
   void Log(std::string text);
   // Once a minute, where the operators have the packing turned on.
-  void LogPieces(Time now);
+  void LogFragmentation(Time now);
   // Built only when somebody reads it: there is one for every task.
   template <typename Text>
   void LogDetail(const Text& text) {
@@ -411,7 +413,7 @@
   const double wall_minus_steady_;
   const SilenceTimeouts timeouts_;
   NumberSource numbers_;
-  PieceBoard pieces_;
+  FragmentationIndex fragmentation_;
   Placer placer_;
   QueueOrder queue_order_;
   bool resigned_ = false;
@@ -440,7 +442,7 @@
   size_t first_checked_ = 0;
   Time next_rollouts_ = 0;
   Time next_supply_ = 0;
-  Time next_pieces_ = 0;
+  Time next_fragmentation_log_ = 0;
   std::optional<Mover> mover_;
   MoveCodec move_codec_;
   Time next_moves_ = 0;
--- a/core/controller/moves.cc
+++ b/core/controller/moves.cc
@@ -18,13 +18,13 @@
 // without a move; a replica that has just started is not worth another start.
 constexpr double kWaitsLeases = 0.5;
 constexpr double kSettledLeases = 1;
-// About how long a machine in pieces takes to empty by itself.
+// About how long a fragmented machine takes to empty by itself.
 constexpr double kHorizonLeases = 3;
 
 }  // namespace
 
 void Controller::UseMoves(const MoveCodec& codec, Time now) {
-  if (tuning_.moves_at_once < 1 || tuning_.piece_weight <= 0) return;
+  if (tuning_.moves_at_once < 1 || tuning_.fragmentation_weight <= 0) return;
   move_codec_ = codec;
   MoveLimits limits;
   limits.at_once = static_cast<int>(tuning_.moves_at_once);
@@ -187,7 +187,7 @@
   }
   const double lease = settings_.workers.lease_s;
   MovePlanInput input;
-  input.pieces = &pieces_;
+  input.fragmentation = &fragmentation_;
   input.usable = usable;
   input.waiting = &waiting.spec();
   input.missing = Wanted(waiting);
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -87,7 +87,7 @@
     team.orphans = orphans;
   }
   part_is_held_ = false;
-  pieces_.Settle(now);
+  fragmentation_.Settle(now);
   std::vector<Job*> order;
   for (auto& [id, job] : jobs_) {
     if (Placeable(*job, now, accounted)) order.push_back(job.get());
@@ -429,7 +429,8 @@
   constexpr double kDisturbance = 5.0;  // s: fetch and start again
   const double rank = 1 + (3 - static_cast<int>(spec.priority));
   // One task of a gang takes all of them along.
-  const bool whole = tuning_.piece_weight > 0 && spec.kind == JobKind::kGang;
+  const bool whole =
+      tuning_.fragmentation_weight > 0 && spec.kind == JobKind::kGang;
   return (lost + kDisturbance) * spec.need.cpus * rank *
          (whole ? spec.tasks : 1);
 }
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -53,7 +53,7 @@
                      if (gpus != other) return gpus < other;
                      // Pieces first: a small task counted into a whole machine
                      // would have another one rented for the next large one.
-                     return tuning_.piece_weight > 0 &&
+                     return tuning_.fragmentation_weight > 0 &&
                             a.free.gpus < b.free.gpus;
                    });
   std::vector<const Job*> waiting;
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -93,11 +93,11 @@
   // Of a class's work that is placed while some waits: for the largest and
   // those that have waited longest.
   double floor_share = 0.2;
-  // Weight of what a task adds to the accelerators left over in pieces, as a
-  // share of a machine's; 0: pieces are not looked at.
-  double piece_weight = 0;
+  // Weight of what a task adds to the fragmented accelerators, as a
+  // share of a machine's; 0: fragmentation is not looked at.
+  double fragmentation_weight = 0;
   // Moves of replicas with accelerators under way, so that large work finds
-  // whole machines; 0: none. Needs piece_weight.
+  // whole machines; 0: none. Needs fragmentation_weight.
   double moves_at_once = 0;
   // Moves begun until their services have cooled off, and for how many worker
   // leases these do.
--- a/core/moves/plan.cc
+++ b/core/moves/plan.cc
@@ -45,7 +45,7 @@
     if (!Allowed(spec, *m, where) ||
         !more.FitsIn(m->RoomFor(r.job, spec.priority)) ||
         !more.FitsIn(LastingRoom(*m)) ||
-        in.pieces->Added(*m, spec.need) > kNothing) {
+        in.fragmentation->Added(*m, spec.need) > kNothing) {
       continue;
     }
     const double fetch = SecondsToImage(*m, spec);
@@ -110,14 +110,14 @@
   MovePlanInput in = input;
   const JobSpec& waiting = *in.waiting;
   // Most machines are full or whole, and no target.
-  std::vector<Machine*> in_pieces;
+  std::vector<Machine*> fragmented;
   for (Machine* m : in.usable) {
     if (m->total().gpus > 0 && LastingRoom(*m).gpus > kNothing &&
-        in.pieces->Useless(*m) > kNothing) {
-      in_pieces.push_back(m);
+        in.fragmentation->Useless(*m) > kNothing) {
+      fragmented.push_back(m);
     }
   }
-  in.targets = in_pieces;
+  in.targets = fragmented;
   std::map<std::string, std::vector<Vacating>> zones;
   std::map<std::string, uint32_t> fitting;  // there already
   for (Machine* m : in.usable) {
--- a/core/moves/plan.h
+++ b/core/moves/plan.h
@@ -9,7 +9,7 @@
 
 #include "core/model/job.h"
 #include "core/model/machine.h"
-#include "core/packing/pieces.h"
+#include "core/packing/fragmentation.h"
 #include "core/placement/placement.h"
 
 namespace oxbow {
@@ -22,7 +22,7 @@
 };
 
 struct MovePlanInput {
-  const PieceBoard* pieces = nullptr;
+  const FragmentationIndex* fragmentation = nullptr;
   std::span<Machine* const> usable;
   std::span<Machine* const> targets;  // set by PlanMoves itself
   const JobSpec* waiting = nullptr;   // the large one
--- a/core/packing/pieces.cc
+++ b/core/packing/fragmentation.cc
@@ -1,4 +1,4 @@
-#include "core/packing/pieces.h"
+#include "core/packing/fragmentation.h"
 
 #include <algorithm>
 #include <cmath>
@@ -82,13 +82,14 @@
                                    m.type_name) != shape.types->end();
 }
 
-void PieceBoard::Settle(Time now) {
+void FragmentationIndex::Settle(Time now) {
   if (now < next_settle_) return;
   next_settle_ = now + settle_s_;
   if (mix_.Settle(now)) ++version_;
 }
 
-double PieceBoard::Measure(const Machine& m, const Resources& free) const {
+double FragmentationIndex::Measure(const Machine& m,
+                                   const Resources& free) const {
   if (free.gpus <= kEpsilon) return 0;
   double useless = 0;
   for (const TaskShape& shape : mix_.shapes()) {
@@ -99,7 +100,7 @@
   return useless;
 }
 
-PieceBoard::Known& PieceBoard::Fresh(const Machine& m) const {
+FragmentationIndex::Known& FragmentationIndex::Fresh(const Machine& m) const {
   const auto index = static_cast<size_t>(m.index());
   if (index >= known_.size()) known_.resize(index + 1);
   Known& known = known_[index];
@@ -110,9 +111,12 @@
   return known;
 }
 
-double PieceBoard::Useless(const Machine& m) const { return Fresh(m).useless; }
+double FragmentationIndex::Useless(const Machine& m) const {
+  return Fresh(m).useless;
+}
 
-double PieceBoard::Added(const Machine& m, const Resources& need) const {
+double FragmentationIndex::Added(const Machine& m,
+                                 const Resources& need) const {
   if (m.total().gpus <= 0) return 0;
   Known& known = Fresh(m);
   if (!known.has_added || !Same(known.need, need)) {
@@ -123,7 +127,7 @@
   return known.added;
 }
 
-const TaskShape* PieceBoard::Largest() const {
+const TaskShape* FragmentationIndex::Largest() const {
   const TaskShape* largest = nullptr;
   for (const TaskShape& shape : mix_.shapes()) {
     if (largest == nullptr || shape.need.gpus > largest->need.gpus ||
@@ -135,9 +139,9 @@
   return largest;
 }
 
-PieceCount PieceBoard::Count(
+FragmentationCount FragmentationIndex::Count(
     std::span<const std::unique_ptr<Machine>> machines) const {
-  PieceCount count;
+  FragmentationCount count;
   const TaskShape* largest = Largest();
   for (const auto& m : machines) {
     if (m->state() != MachineState::kUp || m->total().gpus <= 0) continue;
@@ -148,7 +152,7 @@
     count.useless += Useless(*m);
     const bool whole = largest != nullptr && MayBeOn(*largest, *m) &&
                        largest->need.FitsIn(free);
-    ++(whole ? count.whole : count.in_pieces);
+    ++(whole ? count.whole : count.fragmented);
   }
   return count;
 }
--- a/core/packing/pieces.h
+++ b/core/packing/fragmentation.h
@@ -1,4 +1,4 @@
-// Accelerators left over in pieces: free, yet of no use to the work that is
+// Fragmentation of accelerators: free, yet of no use to the work that is
 // asked for. A measure of them, and what one more task would add to it.
 #pragma once
 
@@ -54,12 +54,12 @@
 };
 
 // How it stands over all machines; accelerators, and machines that have some.
-struct PieceCount {
+struct FragmentationCount {
   double accelerators = 0;  // there are
   double free = 0;          // of lasting work
   double useless = 0;       // of the free ones, to the mix
-  int whole = 0;      // machines that could take the largest shape of the mix
-  int in_pieces = 0;  // machines with free ones that could not
+  int whole = 0;       // machines that could take the largest shape of the mix
+  int fragmented = 0;  // machines with free ones that could not
 };
 
 // The measure, machine by machine, after the fragmentation gradient of Weng et
@@ -70,11 +70,11 @@
 // there; for the mix, the mean by shares. Short work runs off or makes way, so
 // its room counts as free. Kept per machine and computed again only when what
 // it carries, the mix, or the question has changed.
-class PieceBoard {
+class FragmentationIndex {
  public:
   // `memory_s`: after so long a request counts a third. `settle_s`: the mix is
   // taken up at most so often.
-  PieceBoard(double memory_s, double settle_s)
+  FragmentationIndex(double memory_s, double settle_s)
       : mix_(memory_s), settle_s_(settle_s) {}
 
   void Note(const JobSpec& spec, Time asked) { mix_.Note(spec, asked); }
@@ -86,7 +86,8 @@
   // By how much `need`, staying there, changes that; negative where it takes
   // what nobody else could use.
   double Added(const Machine& m, const Resources& need) const;
-  PieceCount Count(std::span<const std::unique_ptr<Machine>> machines) const;
+  FragmentationCount Count(
+      std::span<const std::unique_ptr<Machine>> machines) const;
   std::span<const TaskShape> shapes() const { return mix_.shapes(); }
   // The largest by accelerators; null before any was asked for.
   const TaskShape* Largest() const;
--- a/core/placement/placement.cc
+++ b/core/placement/placement.cc
@@ -110,18 +110,18 @@
 
 bool Placer::Breaks(const JobSpec& spec, const Machine& m, double aim_s) const {
   if (!Counts(spec, m)) return false;
-  if (pieces_->Added(m, spec.need) > kNothing) return true;
+  if (fragmentation_->Added(m, spec.need) > kNothing) return true;
   // Work that stays long is there: it takes no room that short work could make.
   return spec.need.gpus > 0 && (!spec.need.FitsIn(LastingRoom(m)) ||
                                 SecondsToImage(m, spec) > kInTime * aim_s);
 }
 
-double Placer::PieceCost(const JobSpec& spec, const Machine& m, int here,
-                         double aim_s) const {
+double Placer::FragmentationCost(const JobSpec& spec, const Machine& m,
+                                 int here, double aim_s) const {
   const Resources& total = m.type->total;
-  double cost = pieces_->Added(m, spec.need) / total.gpus;
+  double cost = fragmentation_->Added(m, spec.need) / total.gpus;
   if (spec.need.gpus <= 0) return cost;
-  // Of machines in pieces the fullest, so that the others empty.
+  // Of fragmented machines the fullest, so that the others empty.
   constexpr double kFill = 0.1;
   cost -= kFill * m.lasting.gpus / total.gpus;
   // Images share the rate: four small replicas begun together on one machine
@@ -177,9 +177,9 @@
       score[i] -= tuning_.accelerator_weight;
     }
     if (Counts(spec, m)) {
-      // Exception to the design, "pieces": see docs/packing.md.
-      score[i] -=
-          tuning_.piece_weight * PieceCost(spec, m, on_machine(m), aim_s);
+      // Exception to the design, "fragmentation": see docs/packing.md.
+      score[i] -= tuning_.fragmentation_weight *
+                  FragmentationCost(spec, m, on_machine(m), aim_s);
     }
     if (dearest > 0 && total.cpus > 0) {
       const double price = m.spot ? m.type->spot_price : m.type->price;
--- a/core/placement/placement.h
+++ b/core/placement/placement.h
@@ -9,7 +9,7 @@
 
 #include "core/model/job.h"
 #include "core/model/machine.h"
-#include "core/packing/pieces.h"
+#include "core/packing/fragmentation.h"
 
 namespace oxbow {
 
@@ -68,9 +68,11 @@
   Placer(const Tuning& tuning, uint64_t seed)
       : tuning_(tuning), random_(seed) {}
 
-  // Looks at pieces too, where the operators' weight is above 0.
-  void SetPieces(const PieceBoard* pieces) { pieces_ = pieces; }
-  // Whether a task of this job would leave accelerators in pieces, or could
+  // Looks at fragmentation too, where the operators' weight is above 0.
+  void SetFragmentation(const FragmentationIndex* fragmentation) {
+    fragmentation_ = fragmentation;
+  }
+  // Whether a task of this job would leave accelerators fragmented, or could
   // not be ready there in time. `aim_s`: how soon its class is to start.
   bool Breaks(const JobSpec& spec, const Machine& m, double aim_s) const;
 
@@ -83,18 +85,18 @@
                   double mean_bandwidth, double aim_s = 1e18);
 
  private:
-  // Whether pieces are looked at for this job on such a machine.
+  // Whether fragmentation is looked at for this job on such a machine.
   bool Counts(const JobSpec& spec, const Machine& m) const {
-    return pieces_ != nullptr && tuning_.piece_weight > 0 &&
+    return fragmentation_ != nullptr && tuning_.fragmentation_weight > 0 &&
            m.total().gpus > 0 &&
            (spec.need.gpus > 0 || spec.kind == JobKind::kService);
   }
-  // What the placement costs in pieces, as a share of the machine.
-  double PieceCost(const JobSpec& spec, const Machine& m, int here,
-                   double aim_s) const;
+  // What the placement costs in fragmentation, as a share of the machine.
+  double FragmentationCost(const JobSpec& spec, const Machine& m, int here,
+                           double aim_s) const;
 
   const Tuning& tuning_;
-  const PieceBoard* pieces_ = nullptr;
+  const FragmentationIndex* fragmentation_ = nullptr;
   std::mt19937_64 random_;
 };
 
--- a/tests/moves_storm_test.cc
+++ b/tests/moves_storm_test.cc
@@ -27,7 +27,7 @@
     storm.held = Between(0, 0.05);
     storm.refused = Between(0, 0.05);
     storm.longest_s = Between(1, 30);
-    sim_.tuning.piece_weight = 2;
+    sim_.tuning.fragmentation_weight = 2;
     sim_.tuning.moves_at_once = 4;
     sim_.tuning.moves_cool_leases = 2;
     // Nothing is taken away for silence, and replicas don't gather in a calm.
--- a/tests/packing_test.cc
+++ b/tests/packing_test.cc
@@ -1,11 +1,11 @@
-// Accelerators left over in pieces: the measure, and where tasks go by it.
+// Fragmentation of accelerators: the measure, and where tasks go by it.
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <chrono>
 
-#include "core/packing/pieces.h"
+#include "core/packing/fragmentation.h"
 #include "core/placement/placement.h"
 
 namespace oxbow {
@@ -17,14 +17,14 @@
 class Packing : public testing::Test {
  protected:
   Packing() : board_(kMemory_s, kSettle_s), placer_(tuning_, 1) {
-    tuning_.piece_weight = 2;
+    tuning_.fragmentation_weight = 2;
     type_.name = "big";
     type_.total = {64, 8, 384};
     type_.cache_gb = 50;
     type_.fetch_gb_per_s = 0.25;
     type_.price = 10;
     type_.zones = {"a", "b"};
-    placer_.SetPieces(&board_);
+    placer_.SetFragmentation(&board_);
   }
 
   static JobSpec Spec(JobKind kind, double gpus, uint32_t tasks) {
@@ -67,7 +67,7 @@
 
   Tuning tuning_;
   MachineType type_;
-  PieceBoard board_;
+  FragmentationIndex board_;
   Placer placer_;
   std::vector<std::unique_ptr<Machine>> machines_;
   std::vector<Machine*> all_;
@@ -88,9 +88,9 @@
   Machine* busy = Add(0);
   busy->used = {64, 0, 100};
   EXPECT_EQ(board_.Useless(*busy), 0);
-  const PieceCount count = board_.Count(machines_);
+  const FragmentationCount count = board_.Count(machines_);
   EXPECT_EQ(count.whole, 1);
-  EXPECT_EQ(count.in_pieces, 1);
+  EXPECT_EQ(count.fragmented, 1);
   EXPECT_EQ(count.free, 14);
 }
 
@@ -124,7 +124,7 @@
   EXPECT_LE(board_.shapes().size(), 12U);
 }
 
-TEST_F(Packing, SmallOnesFillTheFullestPieceAndLeaveWholeMachinesWhole) {
+TEST_F(Packing, SmallOnesFillTheFullestFragmentAndLeaveWholeMachinesWhole) {
   Ask(Spec(JobKind::kGang, 8, 10));
   Ask(Spec(JobKind::kService, 2, 4));
   for (int i = 0; i < 20; ++i) Add(0);
@@ -138,21 +138,21 @@
   all_[0]->ImageCached("img", 14, 1);
   EXPECT_EQ(Choose(small), much);
   // Without the weight, it is one.
-  tuning_.piece_weight = 0;
+  tuning_.fragmentation_weight = 0;
   EXPECT_EQ(Choose(small), all_[0]);
 }
 
 TEST_F(Packing, FetchesBegunTogetherAreNotGatheredOnOneLink) {
   Ask(Spec(JobKind::kGang, 8, 10));
   Machine* whole = Add(0);
-  Machine* piece = Add(2);
-  piece->QueueImage("other", 14, 1);
-  piece->QueueImage("third", 14, 1);
+  Machine* fragmented = Add(2);
+  fragmented->QueueImage("other", 14, 1);
+  fragmented->QueueImage("third", 14, 1);
   const JobSpec small = Spec(JobKind::kService, 2, 2);
-  EXPECT_EQ(Choose(small, 1000), piece);
+  EXPECT_EQ(Choose(small, 1000), fragmented);
   EXPECT_EQ(Choose(small, 200), whole);  // 42 GB would take 252 s and more
   // Nor would draining it of short work help.
-  EXPECT_TRUE(placer_.Breaks(small, *piece, 200));
+  EXPECT_TRUE(placer_.Breaks(small, *fragmented, 200));
 }
 
 TEST_F(Packing, AServiceIsNotGatheredOnOneMachine) {
@@ -181,7 +181,7 @@
     m->lasting = {gpus * 6, gpus, gpus * 20};
     JobSpec spec = Spec(JobKind::kArray, 1 + static_cast<double>(step % 8), 1);
     if (step % 10 == 0) Ask(spec, step);
-    PieceBoard fresh = board_;
+    FragmentationIndex fresh = board_;
     Machine copy = *m;
     copy.lasting.cpus -= 1e-3;  // whatever was known is of no use
     (void)fresh.Added(copy, {1e-3, 0, 0});
@@ -204,7 +204,7 @@
     record.spec = std::make_shared<JobSpec>(small);
     const Job job(record, -1, 0);
     for (const double weight : {0.0, 2.0}) {
-      tuning_.piece_weight = weight;
+      tuning_.fragmentation_weight = weight;
       constexpr int kTimes = 20;
       const auto begin = std::chrono::steady_clock::now();
       for (int i = 0; i < kTimes; ++i) {
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -98,7 +98,7 @@
       } else if (name == "tiers") {
         sim_.tuning.tiers = std::stod(word);
       } else if (name == "piece_weight") {
-        sim_.tuning.piece_weight = std::stod(word);
+        sim_.tuning.fragmentation_weight = std::stod(word);
       } else if (name == "moves_at_once") {
         sim_.tuning.moves_at_once = std::stod(word);
       } else if (name == "txn_ops") {
@@ -195,9 +195,9 @@
         w.answers_cut = true;
         words >> w.retry_s;
         if (!words) w.retry_s = SimWorker().retry_s;
-      } else if (word == "answers-open")
+      } else if (word == "answers-open") {
         w.answers_cut = false;
-      else if (word == "copies")
+      } else if (word == "copies")
         words >> w.copy_after;  // copies S: every report again, S later
       else if (word == "hangs")
         w.hung = true;
@@ -505,13 +505,13 @@
     std::string relation;
     int wanted = 0;
     words >> relation >> wanted;
-    if (relation == "=")
+    if (relation == "=") {
       EXPECT_EQ(actual, wanted);
-    else if (relation == ">=")
+    } else if (relation == ">=") {
       EXPECT_GE(actual, wanted);
-    else if (relation == "<=")
+    } else if (relation == "<=") {
       EXPECT_LE(actual, wanted);
-    else
+    } else
       FAIL() << "unknown relation";
   }
 
