--- a/app/leader_service.cc
+++ b/app/leader_service.cc
@@ -114,14 +114,14 @@
   if (controller_) controller_->OnTypes(types);
 }
 
-void LeaderService::TellWaiters(const JobFinal& end) {
-  const auto it = final_waiters_.find(end.id);
-  if (it == final_waiters_.end()) return;
+void LeaderService::TellWaiters(const JobTerminated& end) {
+  const auto it = terminal_waiters_.find(end.id);
+  if (it == terminal_waiters_.end()) return;
   for (const auto& waiter : it->second) {
     waiter->state = end.state;
     waiter->event.Set();
   }
-  final_waiters_.erase(it);
+  terminal_waiters_.erase(it);
 }
 
 void LeaderService::TakeOffice(
@@ -233,8 +233,8 @@
       } else if (auto* gone = std::get_if<DeleteMachines>(&action)) {
         to_delete.insert(to_delete.end(), gone->hosts.begin(),
                          gone->hosts.end());
-      } else if (auto* final_state = std::get_if<JobFinal>(&action)) {
-        TellWaiters(*final_state);
+      } else if (auto* terminal_state = std::get_if<JobTerminated>(&action)) {
+        TellWaiters(*terminal_state);
       } else if (auto* quit = std::get_if<Resign>(&action)) {
         resign = quit->reason;
         unfit = quit->unfit;
@@ -370,19 +370,19 @@
        [&](Controller& c) { c.OnDeleteAnswer(hosts, ok, loop_.Now()); });
 }
 
-net::Task<FinalState> LeaderService::Cancel(std::string id) {
-  auto waiter = std::make_shared<FinalWaiter>(loop_);
-  final_waiters_[id].push_back(waiter);
+net::Task<TerminalState> LeaderService::Cancel(std::string id) {
+  auto waiter = std::make_shared<TerminalStateWaiter>(loop_);
+  terminal_waiters_[id].push_back(waiter);
   bool known = false;
   Tell(controller_->revision(),
        [&](Controller& c) { known = c.Cancel(id, loop_.Now()); });
   if (known) {
     co_await waiter->event.Wait(kCancelWaitRatio * settings_.workers.lease_s);
   }
-  const auto it = final_waiters_.find(id);
-  if (it != final_waiters_.end()) {
+  const auto it = terminal_waiters_.find(id);
+  if (it != terminal_waiters_.end()) {
     std::erase(it->second, waiter);
-    if (it->second.empty()) final_waiters_.erase(it);
+    if (it->second.empty()) terminal_waiters_.erase(it);
   }
   co_return waiter->state;
 }
--- a/app/leader_service.h
+++ b/app/leader_service.h
@@ -55,15 +55,15 @@
   void Perform();
   // Cancels a job and waits for its end to be recorded; kNone if it was not in
   // time. The caller has found this controller leading.
-  net::Task<FinalState> Cancel(std::string id);
+  net::Task<TerminalState> Cancel(std::string id);
 
  private:
   // Shows the leader the time of day, before every event.
   void LookAtClocks();
-  struct FinalWaiter {
-    explicit FinalWaiter(net::Loop& loop) : event(loop) {}
+  struct TerminalStateWaiter {
+    explicit TerminalStateWaiter(net::Loop& loop) : event(loop) {}
     net::Event event;
-    FinalState state = FinalState::kNone;
+    TerminalState state = TerminalState::kNone;
   };
 
   // Reads the tiers that are recorded; every controller does, so that its own
@@ -71,7 +71,7 @@
   void FollowTiers();
   net::Task<void> TickLoop();
   net::Task<void> ListLoop();
-  void TellWaiters(const JobFinal& end);
+  void TellWaiters(const JobTerminated& end);
   net::Task<void> DoSend(SendOrders orders, uint64_t revision);
   net::Task<void> DoProbe(Probe probe, uint64_t revision);
   net::Task<void> DoWrite(WriteTransaction txn, uint64_t revision);
@@ -97,8 +97,9 @@
   TiersInForce tiers_;
   std::unique_ptr<Controller> controller_;
   bool performing_ = false;
-  std::unordered_map<std::string, std::vector<std::shared_ptr<FinalWaiter>>>
-      final_waiters_;
+  std::unordered_map<std::string,
+                     std::vector<std::shared_ptr<TerminalStateWaiter>>>
+      terminal_waiters_;
 };
 
 }  // namespace oxbow::app
--- a/app/recovery_coordinator.cc
+++ b/app/recovery_coordinator.cc
@@ -242,11 +242,11 @@
   const Record record = catalog_.RecordOf(key);
   if (!catalog_.owed().contains(key) ||
       std::holds_alternative<std::monostate>(record) ||
-      (is_job && catalog_.FindFinal(id) != FinalState::kNone)) {
+      (is_job && catalog_.FindTerminalState(id) != TerminalState::kNone)) {
     co_return true;
   }
   std::vector<Condition> conditions{{key, 0}};
-  if (is_job) conditions.push_back({keys::Of(keys::kFinal, id), 0});
+  if (is_job) conditions.push_back({keys::Of(keys::kTerminal, id), 0});
   AddGuard(&conditions);
   std::vector<KeyChange> changes{{key, record}};
   const StateResult written = co_await state_.Write(
@@ -336,8 +336,8 @@
                     live.items[0].stamp);
     // Recorded as live though somebody knows its end: an older copy.
     const auto* job = std::get_if<JobRecord>(&live.items[0].record);
-    if (job != nullptr && job->final_state == FinalState::kNone &&
-        catalog_.FindFinal(id) != FinalState::kNone) {
+    if (job != nullptr && job->terminal_state == TerminalState::kNone &&
+        catalog_.FindTerminalState(id) != TerminalState::kNone) {
       co_return CheckSays::kGone;
     }
   }
@@ -345,9 +345,9 @@
     co_return live.ok() ? CheckSays::kStands : CheckSays::kNoAnswer;
   }
   const StateResult ended =
-      co_await state_.Get(keys::Of(keys::kFinal, id), Urgency::kLeader);
+      co_await state_.Get(keys::Of(keys::kTerminal, id), Urgency::kLeader);
   if (ended.ok()) {
-    if (const auto* end = std::get_if<FinalRecord>(&ended.items[0].record)) {
+    if (const auto* end = std::get_if<TerminalRecord>(&ended.items[0].record)) {
       catalog_.RememberEnd(id, *end);
     }
     co_return CheckSays::kStands;
@@ -375,7 +375,8 @@
   if (there.ok()) co_return there.items[0].stamp >= stamp;
   if (!key.starts_with(keys::kJob)) co_return false;
   const StateResult ended = co_await state_.Get(
-      keys::Of(keys::kFinal, key.substr(keys::kJob.size())), Urgency::kLeader);
+      keys::Of(keys::kTerminal, key.substr(keys::kJob.size())),
+      Urgency::kLeader);
   co_return ended.ok();
 }
 
@@ -555,8 +556,8 @@
 
 std::string RecoveryCoordinator::Revived() const {
   for (const auto& [id, job] : catalog_.jobs()) {
-    if (job.final_state == FinalState::kNone &&
-        catalog_.FindFinal(id) != FinalState::kNone) {
+    if (job.terminal_state == TerminalState::kNone &&
+        catalog_.FindTerminalState(id) != TerminalState::kNone) {
       return keys::Of(keys::kJob, id);
     }
   }
@@ -733,7 +734,8 @@
 
 net::Task<bool> RecoveryCoordinator::GatherEnds(clients::PeerClient* peer) {
   const double timeout = kPageRatio * settings_.workers.lease_s;
-  for (const FinalState part : {FinalState::kDone, FinalState::kAborted}) {
+  for (const TerminalState part :
+       {TerminalState::kDone, TerminalState::kAborted}) {
     std::string bytes;
     for (bool more = true; more;) {
       PeerMessage ask;
@@ -790,11 +792,11 @@
 
 net::Task<void> RecoveryCoordinator::CompareEnded(uint64_t term, bool whole) {
   const uint64_t epoch = catalog_.epoch().number;
-  FinalsIndex there;
+  TerminalStateIndex there;
   std::string after;
   for (;;) {
     const StateResult page =
-        co_await state_.List(std::string(keys::kFinal), after);
+        co_await state_.List(std::string(keys::kTerminal), after);
     if (catalog_.epoch().number != epoch || gathered_ != term) co_return;
     if (!page.ok()) {
       co_await loop_.Sleep(kRoundPause * settings_.workers.report_s);
@@ -802,13 +804,13 @@
     }
     for (const clients::KeyValue& item : page.items) {
       after = item.key;
-      const auto* end = std::get_if<FinalRecord>(&item.record);
+      const auto* end = std::get_if<TerminalRecord>(&item.record);
       if (end == nullptr) continue;
-      there.Add(item.key.substr(keys::kFinal.size()), end->state);
+      there.Add(item.key.substr(keys::kTerminal.size()), end->state);
     }
     if (!page.more || page.items.empty()) break;
   }
-  std::vector<std::pair<std::string, FinalState>> owed;
+  std::vector<std::pair<std::string, TerminalState>> owed;
   catalog_.ended().ForEachMissing(there, [&](const auto& id, auto state) {
     // One that is still live here moves there by itself.
     if (catalog_.FindJob(id) == nullptr) owed.emplace_back(id, state);
@@ -894,12 +896,12 @@
     known_ = catalog_.ended();
   }
   const StateResult page =
-      co_await state_.List(std::string(keys::kFinal), *after);
+      co_await state_.List(std::string(keys::kTerminal), *after);
   if (!page.ok()) co_return;
   for (const clients::KeyValue& item : page.items) {
-    const auto* end = std::get_if<FinalRecord>(&item.record);
+    const auto* end = std::get_if<TerminalRecord>(&item.record);
     if (end == nullptr) continue;
-    const std::string id = item.key.substr(keys::kFinal.size());
+    const std::string id = item.key.substr(keys::kTerminal.size());
     present_.Add(id, end->state);
     catalog_.ended().Add(id, end->state);
   }
@@ -909,7 +911,7 @@
   }
   after->clear();
   std::string missing;
-  known_.ForEachMissing(present_, [&](const std::string& id, FinalState) {
+  known_.ForEachMissing(present_, [&](const std::string& id, TerminalState) {
     if (catalog_.FindJob(id) == nullptr) missing = id;
   });
   if (missing.empty()) co_return;
@@ -1019,7 +1021,7 @@
     }
     case PeerKind::kKnown:
       if (catalog_.FindJob(message.job_id) != nullptr ||
-          catalog_.FindFinal(message.job_id) != FinalState::kNone) {
+          catalog_.FindTerminalState(message.job_id) != TerminalState::kNone) {
         reply->answer = PeerAnswer::kYes;
       }
       break;
@@ -1077,8 +1079,8 @@
 
 void RecoveryCoordinator::FillEnded(const PeerMessage& ask,
                                     PeerMessage* reply) {
-  const auto part = static_cast<FinalState>(ask.done);
-  if (part != FinalState::kDone && part != FinalState::kAborted) return;
+  const auto part = static_cast<TerminalState>(ask.done);
+  if (part != TerminalState::kDone && part != TerminalState::kAborted) return;
   if (!IsPeer(ask.node)) return;
   std::string& bytes = sending_[ask.node].ended_parts[ask.done];
   if (ask.stamp == 0) bytes = catalog_.ended().Encode(part);
--- a/app/recovery_coordinator.h
+++ b/app/recovery_coordinator.h
@@ -221,9 +221,9 @@
   std::set<std::string> silent_;  // peers that gave no answer the last time
   uint64_t rebuilt_epoch_ = 0;    // seen to be rebuilt, and since when
   net::Time rebuilt_since_ = 0;
-  uint64_t handing_in_ = 0;  // for that epoch
-  FinalsIndex present_;      // ends that the state service holds, in a round
-  FinalsIndex known_;        // those that were known when the round began
+  uint64_t handing_in_ = 0;     // for that epoch
+  TerminalStateIndex present_;  // ends that the state service holds, in a round
+  TerminalStateIndex known_;    // those that were known when the round began
 };
 
 }  // namespace oxbow::app
--- a/app/rollout_coordinator.cc
+++ b/app/rollout_coordinator.cc
@@ -100,7 +100,7 @@
     std::shared_ptr<const RolloutSpec> spec) {
   if (!seams_.synced()) co_return Say(Result::kTryLater, "state unknown");
   const JobRecord* from = catalog_.FindJob(spec->from);
-  if (from == nullptr || from->final_state != FinalState::kNone) {
+  if (from == nullptr || from->terminal_state != TerminalState::kNone) {
     co_return Say(Result::kImpossible, spec->from + " is no job that runs");
   }
   if (from->spec->kind != JobKind::kService) {
@@ -133,7 +133,7 @@
       {key, 0},
       {keys::Of(keys::kRolloutEnd, spec->id), 0},
       {keys::Of(keys::kJob, spec->to), 0},
-      {keys::Of(keys::kFinal, spec->to), 0},
+      {keys::Of(keys::kTerminal, spec->to), 0},
       {keys::Of(keys::kJob, spec->from), from->stamp}};
   std::vector<KeyChange> changes{{key, record}};
   seams_.add_guard(&conditions);
--- a/app/users.cc
+++ b/app/users.cc
@@ -83,33 +83,33 @@
 
 bool Users::KnownHere(const std::string& id) {
   return catalog_.FindJob(id) != nullptr ||
-         catalog_.FindFinal(id) != FinalState::kNone;
+         catalog_.FindTerminalState(id) != TerminalState::kNone;
 }
 
-bool Users::FinalKnown(const std::string& id, api::Status* out) const {
-  FinalRecord end = catalog_.FindEnd(id);
-  if (end.state == FinalState::kNone) {
+bool Users::TerminalStateKnown(const std::string& id, api::Status* out) const {
+  TerminalRecord end = catalog_.FindEnd(id);
+  if (end.state == TerminalState::kNone) {
     // Told by other controllers, while a leader that has just started may read
     // an older copy in which the job lives.
-    end.state = catalog_.FindFinal(id);
+    end.state = catalog_.FindTerminalState(id);
     const JobRecord* job = catalog_.FindJob(id);
-    if (end.state == FinalState::kDone && job == nullptr) return false;
+    if (end.state == TerminalState::kDone && job == nullptr) return false;
     if (job != nullptr) end.tasks = job->spec->tasks;
   }
-  if (end.state == FinalState::kNone) return false;
+  if (end.state == TerminalState::kNone) return false;
   out->found = api::Status::Found::kYes;
-  out->status = wire::NameOf(wire::kFinals, end.state);
-  out->done = end.state == FinalState::kDone ? end.tasks : 0;
+  out->status = wire::NameOf(wire::kTerminalStates, end.state);
+  out->done = end.state == TerminalState::kDone ? end.tasks : 0;
   out->running = 0;
   return true;
 }
 
 // That it has ended can't be old, whatever else can't be read now.
 bool Users::EndTold(const std::string& id, api::Status* out) const {
-  const FinalState end = catalog_.FindFinal(id);
-  if (end == FinalState::kNone) return false;
+  const TerminalState end = catalog_.FindTerminalState(id);
+  if (end == TerminalState::kNone) return false;
   out->found = api::Status::Found::kYes;
-  out->status = wire::NameOf(wire::kFinals, end);
+  out->status = wire::NameOf(wire::kTerminalStates, end);
   return true;
 }
 
@@ -143,7 +143,9 @@
     const auto* job = std::get_if<JobRecord>(&live.items[0].record);
     if (job == nullptr) co_return status;
     // The end of this record, or one that beats it.
-    if (FinalKnown(id, &status) || EndTold(id, &status)) co_return status;
+    if (TerminalStateKnown(id, &status) || EndTold(id, &status)) {
+      co_return status;
+    }
     if (recovery_.on() && catalog_.FindJob(id) == nullptr) {
       // The watch has passed it, and it was deleted: an older copy is back.
       recovery_.Sign(LossSign::kStepBack);
@@ -155,14 +157,14 @@
     co_return status;
   }
   if (live.status != StateStatus::kNotFound) co_return status;
-  // A job moves to the final states in one step, so one that is missing in
+  // A job moves to the terminal states in one step, so one that is missing in
   // both, read in this order, was not accepted when the first was read.
   const StateResult ended =
-      co_await state_.Get(keys::Of(keys::kFinal, id), Urgency::kUser);
+      co_await state_.Get(keys::Of(keys::kTerminal, id), Urgency::kUser);
   if (ended.ok()) {
-    if (const auto* end = std::get_if<FinalRecord>(&ended.items[0].record)) {
+    if (const auto* end = std::get_if<TerminalRecord>(&ended.items[0].record)) {
       catalog_.RememberEnd(id, *end);
-      FinalKnown(id, &status);
+      TerminalStateKnown(id, &status);
     }
   } else if (ended.status == StateStatus::kNotFound) {
     co_return co_await NotFound(std::move(id), unseen);
@@ -232,7 +234,9 @@
 
 net::Task<api::Status> Users::Poll(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status) || ViewHere(id, &status)) co_return status;
+  if (TerminalStateKnown(id, &status) || ViewHere(id, &status)) {
+    co_return status;
+  }
   if (!Takes()) co_return status;
   auto awaited = std::make_shared<Awaited<api::Status>>(loop_);
   net::Spawn(PollInto(std::move(id), awaited));
@@ -257,7 +261,7 @@
 
 net::Task<api::Status> Users::Cancel(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status) || !Takes()) co_return status;
+  if (TerminalStateKnown(id, &status) || !Takes()) co_return status;
   auto awaited = std::make_shared<Awaited<api::Status>>(loop_);
   net::Spawn(CancelInto(std::move(id), awaited));
   co_await awaited->done.Wait(kChangeWithin);
@@ -302,8 +306,8 @@
   const double left = from + kChangeWithin - loop_.Now();
   if (here.result != Result::kTryLater || left <= 0) co_return here;
   PeerMessage relay = RelayOf(PeerKind::kRelaySubmit, spec->id);
-  relay.text =
-      wire::EncodeRecord(JobRecord{spec, net::WallNow(), FinalState::kNone, 0});
+  relay.text = wire::EncodeRecord(
+      JobRecord{spec, net::WallNow(), TerminalState::kNone, 0});
   PeerMessage answer;
   if (election_.LeaderPeer() != nullptr && !recovery_.MayAccept()) {
     // Only the leader holds all that is remembered, and can tell a new job.
@@ -325,7 +329,9 @@
 
 net::Task<api::Status> Users::PollHere(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status) || ViewHere(id, &status)) co_return status;
+  if (TerminalStateKnown(id, &status) || ViewHere(id, &status)) {
+    co_return status;
+  }
   // Nobody can be asked: said at once, so that the user asks another.
   if (zone_coordinator_.Apart()) {
     EndTold(id, &status);
@@ -354,14 +360,14 @@
   using Result = api::Submitted::Result;
   size_t tasks = spec->tasks;
   for (const auto& [id, job] : catalog_.jobs()) {
-    if (job.final_state == FinalState::kNone) tasks += job.spec->tasks;
+    if (job.terminal_state == TerminalState::kNone) tasks += job.spec->tasks;
   }
   if (!follower_.ever_synced() || zone_coordinator_.Apart() ||
       catalog_.jobs().size() >= kMostLiveJobs || tasks > kMostLiveTasks) {
     co_return api::Submitted{Result::kTryLater};
   }
   const std::string key = keys::Of(keys::kJob, spec->id);
-  const JobRecord record{spec, net::WallNow(), FinalState::kNone, 0};
+  const JobRecord record{spec, net::WallNow(), TerminalState::kNone, 0};
   if (wire::EncodeRecord(record).size() >
       static_cast<size_t>(settings_.state.value_kb * 1024)) {
     co_return api::Submitted{Result::kTooLarge};
@@ -370,7 +376,7 @@
     co_return api::Submitted{Result::kTryLater};
   }
   std::vector<Condition> conditions{{key, 0},
-                                    {keys::Of(keys::kFinal, spec->id), 0}};
+                                    {keys::Of(keys::kTerminal, spec->id), 0}};
   recovery_.AddGuard(&conditions);
   std::vector<KeyChange> changes{{key, record}};
   const StateResult result = co_await state_.Write(
@@ -411,19 +417,22 @@
 
 net::Task<api::Status> Users::CancelOrPass(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status) || zone_coordinator_.Apart()) co_return status;
+  if (TerminalStateKnown(id, &status) || zone_coordinator_.Apart()) {
+    co_return status;
+  }
   if (!KnownHere(id)) {
     status = co_await FreshRead(id);
-    if (status.found != api::Status::Found::kYes || FinalKnown(id, &status)) {
+    if (status.found != api::Status::Found::kYes ||
+        TerminalStateKnown(id, &status)) {
       co_return status;
     }
   }
   api::Status unknown;
   if (leader_service_.Leading() != nullptr) {
-    const FinalState state = co_await leader_service_.Cancel(id);
-    if (state == FinalState::kNone) co_return unknown;
+    const TerminalState state = co_await leader_service_.Cancel(id);
+    if (state == TerminalState::kNone) co_return unknown;
     status.found = api::Status::Found::kYes;
-    status.status = wire::NameOf(wire::kFinals, state);
+    status.status = wire::NameOf(wire::kTerminalStates, state);
     co_return status;
   }
   const auto answer = co_await relays_.AskLeader(
--- a/app/users.h
+++ b/app/users.h
@@ -78,7 +78,7 @@
   net::Task<api::Status> NotFound(std::string id, bool unseen);
   // The leader's core takes the report; false if this is not the leader.
   bool TakeReport(const WorkerReport& report, ReportReply* reply);
-  bool FinalKnown(const std::string& id, api::Status* out) const;
+  bool TerminalStateKnown(const std::string& id, api::Status* out) const;
   // Its end, of which only the kind may be known.
   bool EndTold(const std::string& id, api::Status* out) const;
   bool ViewHere(const std::string& id, api::Status* out);
--- a/app/users_peer.cc
+++ b/app/users_peer.cc
@@ -63,7 +63,7 @@
   switch (message.kind) {
     case PeerKind::kPoll: {
       api::Status status;
-      if (FinalKnown(message.job_id, &status) ||
+      if (TerminalStateKnown(message.job_id, &status) ||
           ViewHere(message.job_id, &status)) {
         reply->answer = PeerAnswer::kYes;
         reply->text = status.status;
@@ -83,10 +83,11 @@
           break;
         }
       }
-      const FinalState state = co_await leader_service_.Cancel(message.job_id);
-      if (state == FinalState::kNone) break;
+      const TerminalState state =
+          co_await leader_service_.Cancel(message.job_id);
+      if (state == TerminalState::kNone) break;
       reply->answer = PeerAnswer::kYes;
-      reply->text = wire::NameOf(wire::kFinals, state);
+      reply->text = wire::NameOf(wire::kTerminalStates, state);
       break;
     }
     case PeerKind::kHint: {
--- a/core/controller/actions.h
+++ b/core/controller/actions.h
@@ -62,9 +62,9 @@
   std::vector<std::string> hosts;
 };
 
-struct JobFinal {  // recorded: whoever waits for it can be answered
+struct JobTerminated {  // recorded: whoever waits for it can be answered
   std::string id;
-  FinalState state = FinalState::kNone;
+  TerminalState state = TerminalState::kNone;
 };
 
 // Ask an instance of a roll-out whether it is well.
@@ -112,10 +112,10 @@
   bool detail = false;
 };
 
-using Action =
-    std::variant<SendOrders, Probe, WriteTransaction, ReadKeys, RentMachines,
-                 DeleteMachines, JobFinal, CheckInstance, AskReach, OfferLead,
-                 AskStandBack, ReadZoneKeepers, AskJob, Resign, Note>;
+using Action = std::variant<SendOrders, Probe, WriteTransaction, ReadKeys,
+                            RentMachines, DeleteMachines, JobTerminated,
+                            CheckInstance, AskReach, OfferLead, AskStandBack,
+                            ReadZoneKeepers, AskJob, Resign, Note>;
 
 // --- answers
 
--- a/core/controller/catalog.cc
+++ b/core/controller/catalog.cc
@@ -6,7 +6,7 @@
 namespace oxbow {
 namespace {
 
-constexpr size_t kFinalsKept = 20'000;
+constexpr size_t kTerminalRecordsKept = 20'000;
 
 template <typename Map>
 auto* Find(Map& map, std::string_view key, std::string_view prefix) {
@@ -14,8 +14,8 @@
   return it == map.end() ? nullptr : &it->second;
 }
 
-FinalRecord EndOf(const JobRecord& job) {
-  return {job.final_state, job.spec->tasks, 0};
+TerminalRecord EndOf(const JobRecord& job) {
+  return {job.terminal_state, job.spec->tasks, 0};
 }
 
 }  // namespace
@@ -46,7 +46,7 @@
     entry.stamp = stamp;
   });
   const auto* job = std::get_if<JobRecord>(&record);
-  if (job != nullptr && job->final_state == FinalState::kDone) {
+  if (job != nullptr && job->terminal_state == TerminalState::kDone) {
     RememberEnd(key.substr(keys::kJob.size()), EndOf(*job));
   }
 }
@@ -86,15 +86,16 @@
   if (owed_.contains(key)) return PutOverOwed(key, record, stamp);
   const uint64_t known = StampOf(key);
   const auto* job = std::get_if<JobRecord>(&record);
-  if (job != nullptr && job->final_state != FinalState::kNone) {
+  if (job != nullptr && job->terminal_state != TerminalState::kNone) {
     const std::string id = key.substr(keys::kJob.size());
-    if (job->final_state == FinalState::kDone) {
+    if (job->terminal_state == TerminalState::kDone) {
       RememberEnd(id, EndOf(*job));
     }
     // An end that was read may have been told, so it is never set aside for a
     // live record that looks newer: the service has gone back since that one.
     const auto live = jobs_.find(id);
-    if (live != jobs_.end() && live->second.final_state == FinalState::kNone) {
+    if (live != jobs_.end() &&
+        live->second.terminal_state == TerminalState::kNone) {
       Store(key, record, stamp);
       return true;
     }
@@ -104,13 +105,13 @@
   // deleted since, and this value comes from an older read.
   if (known == 0 && stamp <= followed_) return false;
   Store(key, record, stamp);
-  if (job != nullptr && job->final_state == FinalState::kNone &&
+  if (job != nullptr && job->terminal_state == TerminalState::kNone &&
       epoch_.number > 1 && stamp <= opened()) {
     // An older copy has come back, and the job has ended since.
     const std::string id = key.substr(keys::kJob.size());
-    const FinalState end = ended_.Find(id);
-    if (end != FinalState::kNone) {
-      jobs_.at(id).final_state = end;
+    const TerminalState end = ended_.Find(id);
+    if (end != TerminalState::kNone) {
+      jobs_.at(id).terminal_state = end;
       owed_[key] = {epoch_.number - 1, stamp};
     }
   }
@@ -140,7 +141,7 @@
                       stamp};
   const auto ended = [](const Record& r) {
     const auto* job = std::get_if<JobRecord>(&r);
-    return job != nullptr && job->final_state != FinalState::kNone;
+    return job != nullptr && job->terminal_state != TerminalState::kNone;
   };
   const Version mine = owed_.at(key);
   const bool mine_ended = ended(RecordOf(key));
@@ -187,8 +188,8 @@
   const auto* job = std::get_if<JobRecord>(&record);
   const std::string id =
       job != nullptr ? key.substr(keys::kJob.size()) : std::string();
-  if (job != nullptr && job->final_state == FinalState::kNone &&
-      ended_.Find(id) != FinalState::kNone) {
+  if (job != nullptr && job->terminal_state == TerminalState::kNone &&
+      ended_.Find(id) != TerminalState::kNone) {
     return false;
   }
   const Record mine = RecordOf(key);
@@ -196,9 +197,9 @@
   if (!std::holds_alternative<std::monostate>(mine)) {
     const auto* my_job = std::get_if<JobRecord>(&mine);
     const bool my_end =
-        my_job != nullptr && my_job->final_state != FinalState::kNone;
+        my_job != nullptr && my_job->terminal_state != TerminalState::kNone;
     const bool their_end =
-        job != nullptr && job->final_state != FinalState::kNone;
+        job != nullptr && job->terminal_state != TerminalState::kNone;
     // Operators' records count their own versions, which no epoch resets.
     const auto* my_word = std::get_if<OperatorRecord>(&mine);
     const auto* their_word = std::get_if<OperatorRecord>(&record);
@@ -216,9 +217,9 @@
 
 void Catalog::ApplyEnds() {
   for (auto& [id, job] : jobs_) {
-    if (job.final_state != FinalState::kNone) continue;
-    job.final_state = ended_.Find(id);
-    if (job.final_state == FinalState::kNone) continue;
+    if (job.terminal_state != TerminalState::kNone) continue;
+    job.terminal_state = ended_.Find(id);
+    if (job.terminal_state == TerminalState::kNone) continue;
     std::string key = keys::Of(keys::kJob, id);
     owed_.try_emplace(key, VersionOf(key));
   }
@@ -244,8 +245,9 @@
 }
 
 std::vector<std::string> Catalog::LatestEnds(size_t count) const {
-  const size_t kept = std::min(count, finals_order_.size());
-  return {finals_order_.end() - static_cast<long>(kept), finals_order_.end()};
+  const size_t kept = std::min(count, terminal_order_.size());
+  return {terminal_order_.end() - static_cast<long>(kept),
+          terminal_order_.end()};
 }
 
 void Catalog::ForgetOwed() {
@@ -271,11 +273,11 @@
     if (known == 0 || known > stamp) return false;
   }
   // A cancelled job's record goes once nothing is left of its tasks. From then
-  // on it may be told as cancelled; see FindFinal.
+  // on it may be told as cancelled; see FindTerminalState.
   if (key.starts_with(keys::kJob)) {
     const std::string id = key.substr(keys::kJob.size());
     const JobRecord* job = FindJob(id);
-    if (job != nullptr && job->final_state == FinalState::kAborted) {
+    if (job != nullptr && job->terminal_state == TerminalState::kAborted) {
       RememberEnd(id, EndOf(*job));
     }
   }
@@ -309,23 +311,23 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
-FinalRecord Catalog::FindEnd(const std::string& id) const {
-  const auto it = finals_.find(id);
-  return it == finals_.end() ? FinalRecord{} : it->second;
+TerminalRecord Catalog::FindEnd(const std::string& id) const {
+  const auto it = terminal_records_.find(id);
+  return it == terminal_records_.end() ? TerminalRecord{} : it->second;
 }
 
-FinalState Catalog::FindFinal(const std::string& id) const {
-  const FinalState state = FindEnd(id).state;
-  return state != FinalState::kNone ? state : ended_.Find(id);
+TerminalState Catalog::FindTerminalState(const std::string& id) const {
+  const TerminalState state = FindEnd(id).state;
+  return state != TerminalState::kNone ? state : ended_.Find(id);
 }
 
-void Catalog::RememberEnd(const std::string& id, const FinalRecord& end) {
+void Catalog::RememberEnd(const std::string& id, const TerminalRecord& end) {
   ended_.Add(id, end.state);
-  if (!finals_.try_emplace(id, end).second) return;
-  finals_order_.push_back(id);
-  if (finals_order_.size() > kFinalsKept) {
-    finals_.erase(finals_order_.front());
-    finals_order_.pop_front();
+  if (!terminal_records_.try_emplace(id, end).second) return;
+  terminal_order_.push_back(id);
+  if (terminal_order_.size() > kTerminalRecordsKept) {
+    terminal_records_.erase(terminal_order_.front());
+    terminal_order_.pop_front();
   }
 }
 
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -17,14 +17,14 @@
 #include "core/model/job.h"
 #include "core/model/machine.h"
 #include "core/model/operator_record.h"
-#include "core/recovery/finals_index.h"
 #include "core/recovery/store_epoch.h"
+#include "core/recovery/terminal_state_index.h"
 #include "core/rollout/rollout.h"
 
 namespace oxbow {
 
 // Keys. Everything live stands under one prefix, so one watch follows it all.
-// Final states move out of it and stay for ever.
+// Terminal states move out of it and stay for ever.
 namespace keys {
 inline constexpr std::string_view kLive = "ob/live/";
 inline constexpr std::string_view kLeader = "ob/live/leader";
@@ -39,7 +39,7 @@
 inline constexpr std::string_view kOperator = "ob/live/p/";
 // Rights to keep a zone's workers, each under a lease; not followed.
 inline constexpr std::string_view kZone = "ob/zone/";
-inline constexpr std::string_view kFinal = "ob/final/";
+inline constexpr std::string_view kTerminal = "ob/final/";
 inline constexpr std::string_view kRolloutEnd = "ob/ended/o/";
 // Earlier versions of operators' records, NAME/VERSION.
 inline constexpr std::string_view kOperatorPast = "ob/ended/p/";
@@ -59,8 +59,8 @@
   bool keeping = false;
 };
 
-struct FinalRecord {
-  FinalState state = FinalState::kNone;
+struct TerminalRecord {
+  TerminalState state = TerminalState::kNone;
   uint32_t tasks = 0;
   uint64_t stamp = 0;
 };
@@ -68,7 +68,7 @@
 // monostate: the key does not exist.
 using Record =
     std::variant<std::monostate, LeaderRecord, JobRecord, MachineRecord,
-                 RentalRecord, FinalRecord, RolloutRecord, StoreEpoch,
+                 RentalRecord, TerminalRecord, RolloutRecord, StoreEpoch,
                  EpochMark, OperatorRecord>;
 
 class Catalog {
@@ -141,16 +141,16 @@
   const JobRecord* FindJob(const std::string& id) const;
   // How a job ended, as far as a user may be told; kNone if that is not known.
   // `done` counts from its record on. A cancellation counts once the record has
-  // moved to the final states, where it goes when no task of the job can be on
-  // any machine: whoever may still answer a worker's reports, in an outage and
-  // without any memory, has nothing left to keep alive that is cancelled. Until
-  // then JobRecord::final_state says that the job is ending.
-  FinalRecord FindEnd(const std::string& id) const;
+  // moved to the terminal states, where it goes when no task of the job can be
+  // on any machine: whoever may still answer a worker's reports, in an outage
+  // and without any memory, has nothing left to keep alive that is cancelled.
+  // Until then JobRecord::terminal_state says that the job is ending.
+  TerminalRecord FindEnd(const std::string& id) const;
   // The same without its number of tasks, remembered for longer.
-  FinalState FindFinal(const std::string& id) const;
-  const FinalsIndex& ended() const { return ended_; }
-  FinalsIndex& ended() { return ended_; }
-  void RememberEnd(const std::string& id, const FinalRecord& end);
+  TerminalState FindTerminalState(const std::string& id) const;
+  const TerminalStateIndex& ended() const { return ended_; }
+  TerminalStateIndex& ended() { return ended_; }
+  void RememberEnd(const std::string& id, const TerminalRecord& end);
 
  private:
   template <typename Self, typename Visit>
@@ -179,9 +179,9 @@
   LeaderRecord leader_;
   uint64_t followed_ = 0;
   // Bounded: an older one is read from the state service again.
-  std::unordered_map<std::string, FinalRecord> finals_;
-  std::deque<std::string> finals_order_;
-  FinalsIndex ended_;
+  std::unordered_map<std::string, TerminalRecord> terminal_records_;
+  std::deque<std::string> terminal_order_;
+  TerminalStateIndex ended_;
   StoreEpoch epoch_;
   std::string mark_id_;
   uint64_t mark_stamp_ = 0;
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -95,8 +95,10 @@
       team == teams_.end() ? -1 : static_cast<int>(team - teams_.begin());
   auto job = std::make_unique<Job>(
       record, index, std::min(now, record.submitted_wall - wall_minus_steady_));
-  if (record.final_state == FinalState::kDone) job->Change(JobState::kDone);
-  if (record.final_state == FinalState::kAborted) {
+  if (record.terminal_state == TerminalState::kDone) {
+    job->Change(JobState::kDone);
+  }
+  if (record.terminal_state == TerminalState::kAborted) {
     job->Change(JobState::kAborted);
   }
   // What is written back gets a new stamp, but is as old as it was.
@@ -141,8 +143,8 @@
   if (it == jobs_.end()) {
     AddJob(*record, now);
     ScheduleIfNeeded(now);
-  } else if (record->final_state != FinalState::kNone) {
-    OnFinalRecorded(id, record->final_state, now);
+  } else if (record->terminal_state != TerminalState::kNone) {
+    OnTerminalStateRecorded(id, record->terminal_state, now);
   }
 }
 
@@ -155,64 +157,66 @@
 bool Controller::Cancel(const std::string& id, Time now) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) {
-    const FinalState known = catalog_.FindFinal(id);
-    if (known == FinalState::kNone) return false;
-    actions_.push_back(JobFinal{id, known});
+    const TerminalState known = catalog_.FindTerminalState(id);
+    if (known == TerminalState::kNone) return false;
+    actions_.push_back(JobTerminated{id, known});
     return true;
   }
   Job& job = *it->second;
   if (job.live()) {
     Log("cancel " + id + ": asked by its user");
-    FinishJob(job, FinalState::kAborted);
+    FinishJob(job, TerminalState::kAborted);
     writes_.Flush(now);
   } else if (job.state() == JobState::kDone) {
-    actions_.push_back(JobFinal{id, FinalState::kDone});
+    actions_.push_back(JobTerminated{id, TerminalState::kDone});
   } else if (CancellationStands(job)) {
-    actions_.push_back(JobFinal{id, FinalState::kAborted});
+    actions_.push_back(JobTerminated{id, TerminalState::kAborted});
   }
   return true;
 }
 
 // The record comes first. Nobody is told, and no task stopped, before it
 // stands: a leader that crashes in between must not leave a half-ended job.
-void Controller::FinishJob(Job& job, FinalState state) {
-  job.Change(state == FinalState::kDone ? JobState::kRecordingDone
-                                        : JobState::kRecordingAbort);
+void Controller::FinishJob(Job& job, TerminalState state) {
+  job.Change(state == TerminalState::kDone ? JobState::kRecordingDone
+                                           : JobState::kRecordingAbort);
   writes_.Queue({WriteKind::kFinish, job.id(), state, {}});
 }
 
-void Controller::OnFinalRecorded(const std::string& id, FinalState state,
-                                 Time now) {
+void Controller::OnTerminalStateRecorded(const std::string& id,
+                                         TerminalState state, Time now) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   Job& job = *it->second;
   if (job.ended_by_record()) return;
-  job.Change(state == FinalState::kDone ? JobState::kDone : JobState::kAborted);
+  job.Change(state == TerminalState::kDone ? JobState::kDone
+                                           : JobState::kAborted);
   job.ended = now;
-  Log("job " + id + (state == FinalState::kDone ? " done" : " cancelled") +
+  Log("job " + id + (state == TerminalState::kDone ? " done" : " cancelled") +
       ", recorded");
   // That it is cancelled is told once nothing is left of it (Done, kRetire).
-  if (state == FinalState::kDone) actions_.push_back(JobFinal{id, state});
+  if (state == TerminalState::kDone)
+    actions_.push_back(JobTerminated{id, state});
   StopJob(job, now);
   DropReservation(&job, nullptr);
   RetireIfClear(job);
   dirty_ = true;
 }
 
-// The record moves to the final states once no task of the job can be on any
+// The record moves to the terminal states once no task of the job can be on any
 // machine: until then a new leader needs what its tasks hold. The user of a
 // cancelled job waits for that.
 void Controller::RetireIfClear(Job& job) {
   if (!job.ended_by_record() || job.holding() > 0) return;
   // A machine not heard yet may hold tasks that a former leader has started.
   if (!AllAccounted()) return;
-  writes_.Queue({WriteKind::kRetire, job.id(), FinalState::kNone, {}},
+  writes_.Queue({WriteKind::kRetire, job.id(), TerminalState::kNone, {}},
                 /*lazy=*/job.state() == JobState::kDone);
 }
 
 bool Controller::CancellationStands(const Job& job) const {
   return job.state() == JobState::kAborted &&
-         catalog_.FindFinal(job.id()) == FinalState::kAborted;
+         catalog_.FindTerminalState(job.id()) == TerminalState::kAborted;
 }
 
 bool Controller::View(const std::string& id, JobView* out) const {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -103,11 +103,12 @@
   // Whether nothing is in a zone that must be gone before a right to keep its
   // workers could run out.
   bool ZoneSettled(const std::string& zone, Time now) const;
-  // Asks for the job to be cancelled; a JobFinal follows. False: unknown job.
+  // Asks for the job to be cancelled; a JobTerminated follows. False: unknown
+  // job.
   bool Cancel(const std::string& id, Time now);
   // How jobs ended that the state service does not hold any more.
   // `whole`: everybody who may have accepted a job was there to tell.
-  void OnEndsOwed(std::vector<std::pair<std::string, FinalState>> ends,
+  void OnEndsOwed(std::vector<std::pair<std::string, TerminalState>> ends,
                   bool whole);
   // `by_lease`: the right to lead rests on the lease of the key at this moment.
   // While it rests on promises somebody who does not know of them may keep
@@ -261,8 +262,9 @@
 
   // controller.cc
   void AddJob(const JobRecord& record, Time now);
-  void FinishJob(Job& job, FinalState state);
-  void OnFinalRecorded(const std::string& id, FinalState state, Time now);
+  void FinishJob(Job& job, TerminalState state);
+  void OnTerminalStateRecorded(const std::string& id, TerminalState state,
+                               Time now);
   void RetireIfClear(Job& job);
   // Whether its user may be told that the job is cancelled: nothing is left.
   bool CancellationStands(const Job& job) const;
@@ -453,7 +455,7 @@
   Time quiet_since_ = 1e18;  // no job has come or waited since
   uint64_t next_batch_ = 1;
   std::vector<std::string> restore_;  // owed keys, the most urgent last
-  std::vector<std::pair<std::string, FinalState>> ends_owed_;
+  std::vector<std::pair<std::string, TerminalState>> ends_owed_;
   bool ends_compared_ = false;
   bool memory_whole_ = false;
   std::unordered_map<std::string, Time> asked_jobs_;  // not again before
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -76,7 +76,8 @@
   // for it. A stranger shows our token first.
   if (m->stranger && report.token >= m->token) m->stranger = false;
   if (!m->recorded_up && m->state() == MachineState::kUp && !m->stranger) {
-    writes_.Queue({WriteKind::kMachineUp, report.host, FinalState::kNone, {}});
+    writes_.Queue(
+        {WriteKind::kMachineUp, report.host, TerminalState::kNone, {}});
     writes_.Flush(now);
   }
   return *m;
@@ -477,7 +478,7 @@
     }
     // Kept on the machine, uncleared, until the job's end is recorded: a new
     // leader learns from it that this task need not run again.
-    if (job->finished()) FinishJob(*job, FinalState::kDone);
+    if (job->finished()) FinishJob(*job, TerminalState::kDone);
     return;
   }
   if (job->task(r.task).state != TaskState::kPending) {
--- a/core/controller/restore.cc
+++ b/core/controller/restore.cc
@@ -14,8 +14,9 @@
 Record OwedRecord(const Catalog& catalog, const std::string& key) {
   Record record = catalog.RecordOf(key);
   auto* job = std::get_if<JobRecord>(&record);
-  if (job != nullptr && job->final_state == FinalState::kNone) {
-    job->final_state = catalog.FindFinal(key.substr(keys::kJob.size()));
+  if (job != nullptr && job->terminal_state == TerminalState::kNone) {
+    job->terminal_state =
+        catalog.FindTerminalState(key.substr(keys::kJob.size()));
   }
   return record;
 }
@@ -38,7 +39,8 @@
 // or can be read, or its record is lost, and killing it would be the loss of
 // the work as well.
 bool Controller::MayDropUnknown(const Resident& r, Time now) {
-  if (!Careful() || catalog_.FindFinal(r.job_id) != FinalState::kNone) {
+  if (!Careful() ||
+      catalog_.FindTerminalState(r.job_id) != TerminalState::kNone) {
     return true;
   }
   const auto [asked, first] = asked_jobs_.try_emplace(r.job_id, now);
@@ -115,7 +117,7 @@
 }
 
 void Controller::OnEndsOwed(
-    std::vector<std::pair<std::string, FinalState>> ends, bool whole) {
+    std::vector<std::pair<std::string, TerminalState>> ends, bool whole) {
   ends_owed_ = std::move(ends);
   ends_compared_ = true;
   memory_whole_ = whole;
@@ -134,28 +136,28 @@
     std::vector<std::string> news;
     for (const auto& [id, record] : catalog_.jobs()) {
       const auto it = jobs_.find(id);
-      if (it == jobs_.end() || (record.final_state != FinalState::kNone &&
+      if (it == jobs_.end() || (record.terminal_state != TerminalState::kNone &&
                                 it->second->state() != JobState::kDone &&
                                 it->second->state() != JobState::kAborted)) {
         news.push_back(id);
       }
     }
     for (const std::string& id : news) OnJobRecord(id, now);
-    std::vector<std::pair<std::string, FinalState>> ended;
+    std::vector<std::pair<std::string, TerminalState>> ended;
     for (const auto& [id, job] : jobs_) {
       if (job->state() == JobState::kDone ||
           job->state() == JobState::kAborted ||
           catalog_.FindJob(id) != nullptr) {
         continue;
       }
-      const FinalState end = catalog_.FindFinal(id);
-      if (end != FinalState::kNone) {
+      const TerminalState end = catalog_.FindTerminalState(id);
+      if (end != TerminalState::kNone) {
         ended.emplace_back(id, end);
       } else if (Careful()) {
         actions_.push_back(AskJob{id});
       }
     }
-    for (const auto& [id, end] : ended) OnFinalRecorded(id, end, now);
+    for (const auto& [id, end] : ended) OnTerminalStateRecorded(id, end, now);
   }
   // After the rebuild nothing is owed, but by one that had no part in it and
   // leads before it has handed in what it remembers.
@@ -172,7 +174,7 @@
   }
   while (restore_.empty() && !ends_owed_.empty() && queued < piece) {
     auto& [id, state] = ends_owed_.back();
-    writes_.Queue({WriteKind::kRestoreFinal, id, state}, /*lazy=*/true);
+    writes_.Queue({WriteKind::kRestoreTerminalState, id, state}, /*lazy=*/true);
     ends_owed_.pop_back();
     ++queued;
   }
@@ -207,17 +209,18 @@
       // Carried out late, after the job has ended and moved, it would let it
       // live again.
       const auto* job = std::get_if<JobRecord>(&record);
-      if (job != nullptr && job->final_state == FinalState::kNone) {
+      if (job != nullptr && job->terminal_state == TerminalState::kNone) {
         txn->conditions.push_back(
-            {keys::Of(keys::kFinal, op.name.substr(keys::kJob.size())), 0});
+            {keys::Of(keys::kTerminal, op.name.substr(keys::kJob.size())), 0});
       }
       txn->changes.push_back({op.name, record});
       return true;
     }
-    case WriteKind::kRestoreFinal: {
-      const FinalRecord known = catalog_.FindEnd(op.name);
-      txn->changes.push_back({keys::Of(keys::kFinal, op.name),
-                              FinalRecord{op.final_state, known.tasks, 0}});
+    case WriteKind::kRestoreTerminalState: {
+      const TerminalRecord known = catalog_.FindEnd(op.name);
+      txn->changes.push_back(
+          {keys::Of(keys::kTerminal, op.name),
+           TerminalRecord{op.terminal_state, known.tasks, 0}});
       return true;
     }
     case WriteKind::kRebuilt: {
--- a/core/controller/rollouts.cc
+++ b/core/controller/rollouts.cc
@@ -92,7 +92,7 @@
   for (const bool is_new : {false, true}) {
     const std::string& id = is_new ? spec.to : spec.from;
     const auto it = jobs_.find(id);
-    const bool ended = catalog_.FindFinal(id) != FinalState::kNone;
+    const bool ended = catalog_.FindTerminalState(id) != TerminalState::kNone;
     if (it == jobs_.end()) {
       if (is_new) view.to_known = ended;
       continue;
@@ -131,7 +131,7 @@
     if (plan.next) {
       writes_.Queue({WriteKind::kRollout,
                      id,
-                     FinalState::kNone,
+                     TerminalState::kNone,
                      {},
                      *plan.next,
                      plan.reason,
@@ -250,9 +250,9 @@
                                 ? &next.spec->to
                                 : nullptr;
   const JobRecord* job = ends ? catalog_.FindJob(*ends) : nullptr;
-  if (job != nullptr && job->final_state == FinalState::kNone) {
+  if (job != nullptr && job->terminal_state == TerminalState::kNone) {
     JobRecord ended = *job;
-    ended.final_state = FinalState::kAborted;
+    ended.terminal_state = TerminalState::kAborted;
     const std::string job_key = keys::Of(keys::kJob, *ends);
     txn->conditions.push_back({job_key, job->stamp});
     txn->changes.push_back({job_key, ended});
@@ -290,12 +290,12 @@
     if (revision > 0) {
       if (const JobRecord* record = catalog_.FindJob(ends)) {
         JobRecord ended = *record;
-        ended.final_state = FinalState::kAborted;
+        ended.terminal_state = TerminalState::kAborted;
         catalog_.Put(keys::Of(keys::kJob, ends), ended, revision);
       }
     }
     job->second->Change(JobState::kRecordingAbort);
-    OnFinalRecorded(ends, FinalState::kAborted, now);
+    OnTerminalStateRecorded(ends, TerminalState::kAborted, now);
   }
   dirty_ = urgent_dirty_ = true;
 }
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -116,7 +116,7 @@
       Log("rent " + std::to_string(rental.record.count) + " " + kind.type +
           " in " + kind.zone + (kind.spot ? " (spot)" : "") + " as " + name +
           ": tasks without a place");
-      writes_.Queue({WriteKind::kRental, name, FinalState::kNone, {}});
+      writes_.Queue({WriteKind::kRental, name, TerminalState::kNone, {}});
     }
   }
   // Returning. Only when nothing has come or waited for a while: between two
@@ -283,12 +283,13 @@
   const auto piece =
       static_cast<size_t>(std::max(1, settings_.state.txn_ops - 1));
   if (hosts.size() <= piece) {
-    writes_.Queue({WriteKind::kRentalSettle, name, FinalState::kNone, hosts});
+    writes_.Queue(
+        {WriteKind::kRentalSettle, name, TerminalState::kNone, hosts});
   } else {
     // Left to their reports, which record them as well.
     writes_.Queue({WriteKind::kRentalSettle,
                    name,
-                   FinalState::kNone,
+                   TerminalState::kNone,
                    {hosts.begin(), hosts.begin() + static_cast<long>(piece)}});
   }
   next_supply_ = std::min(next_supply_, now + 0.1 * settings_.workers.report_s);
@@ -309,7 +310,7 @@
     m->Change(MachineState::kGone);
     gone_hosts_.insert(host);
     machine_index_.erase(host);
-    writes_.Queue({WriteKind::kMachineForget, host, FinalState::kNone, {}},
+    writes_.Queue({WriteKind::kMachineForget, host, TerminalState::kNone, {}},
                   /*lazy=*/true);
   }
   if (ok) {
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -27,17 +27,17 @@
   kRental,
   kRentalSettle,
   kRollout,
-  kOperator,      // a record of a subsystem's own, see OperatorRecord
-  kRestore,       // a record that is owed to the state service
-  kRestoreFinal,  // how a job ended, likewise
-  kRebuilt,       // nothing is owed any more
+  kOperator,              // a record of a subsystem's own, see OperatorRecord
+  kRestore,               // a record that is owed to the state service
+  kRestoreTerminalState,  // how a job ended, likewise
+  kRebuilt,               // nothing is owed any more
 };
 
 // What the leader wants recorded. Of the same kind and name, one waits at most.
 struct WriteOp {
   WriteKind kind;
   std::string name;
-  FinalState final_state = FinalState::kNone;
+  TerminalState terminal_state = TerminalState::kNone;
   std::vector<std::string> hosts = {};
   // Of a roll-out: the step to record, why, and the wish that it fulfils.
   RolloutStep step = RolloutStep::kDeclared;
--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -8,11 +8,11 @@
   switch (op.kind) {
     case WriteKind::kFinish: {
       const JobRecord* record = catalog_.FindJob(op.name);
-      if (record == nullptr || record->final_state != FinalState::kNone) {
+      if (record == nullptr || record->terminal_state != TerminalState::kNone) {
         return false;
       }
       JobRecord next = *record;
-      next.final_state = op.final_state;
+      next.terminal_state = op.terminal_state;
       const std::string key = keys::Of(keys::kJob, op.name);
       txn->conditions.push_back({key, record->stamp});
       txn->changes.push_back({key, next});
@@ -20,14 +20,14 @@
     }
     case WriteKind::kRetire: {
       const JobRecord* record = catalog_.FindJob(op.name);
-      if (record == nullptr || record->final_state == FinalState::kNone) {
+      if (record == nullptr || record->terminal_state == TerminalState::kNone) {
         return false;
       }
       const std::string key = keys::Of(keys::kJob, op.name);
       txn->conditions.push_back({key, record->stamp});
       txn->changes.push_back(
-          {keys::Of(keys::kFinal, op.name),
-           FinalRecord{record->final_state, record->spec->tasks, 0}});
+          {keys::Of(keys::kTerminal, op.name),
+           TerminalRecord{record->terminal_state, record->spec->tasks, 0}});
       txn->changes.push_back({key, {}});
       return true;
     }
@@ -100,7 +100,7 @@
       return true;
     }
     case WriteKind::kRestore:
-    case WriteKind::kRestoreFinal:
+    case WriteKind::kRestoreTerminalState:
     case WriteKind::kRebuilt:
       return BuildRestore(op, txn);
   }
@@ -125,21 +125,23 @@
     case WriteKind::kFinish: {
       if (revision > 0) {
         JobRecord record = *catalog_.FindJob(op.name);
-        record.final_state = op.final_state;
+        record.terminal_state = op.terminal_state;
         catalog_.Put(keys::Of(keys::kJob, op.name), record, revision);
       }
       const JobRecord* record = catalog_.FindJob(op.name);
-      const FinalState state =
-          record ? record->final_state : catalog_.FindFinal(op.name);
-      if (state != FinalState::kNone) OnFinalRecorded(op.name, state, now);
+      const TerminalState state =
+          record ? record->terminal_state : catalog_.FindTerminalState(op.name);
+      if (state != TerminalState::kNone) {
+        OnTerminalStateRecorded(op.name, state, now);
+      }
       break;
     }
     case WriteKind::kRetire: {
       if (revision > 0) {
         catalog_.Erase(keys::Of(keys::kJob, op.name), revision);
       }
-      if (catalog_.FindFinal(op.name) == FinalState::kAborted) {
-        actions_.push_back(JobFinal{op.name, FinalState::kAborted});
+      if (catalog_.FindTerminalState(op.name) == TerminalState::kAborted) {
+        actions_.push_back(JobTerminated{op.name, TerminalState::kAborted});
       }
       const auto it = jobs_.find(op.name);
       if (it == jobs_.end()) break;
@@ -216,7 +218,7 @@
       OnOperatorRecord(op.name, now);
       break;
     case WriteKind::kRestore:
-    case WriteKind::kRestoreFinal:
+    case WriteKind::kRestoreTerminalState:
     case WriteKind::kRebuilt:
       RestoreDone(op, revision);
       break;
--- a/core/model/job.h
+++ b/core/model/job.h
@@ -18,7 +18,7 @@
 // In the order of their rank.
 enum class Priority : uint8_t { kProduction, kHigh, kNormal, kLow };
 inline constexpr size_t kPriorities = 4;
-enum class FinalState : uint8_t { kNone, kDone, kAborted };
+enum class TerminalState : uint8_t { kNone, kDone, kAborted };
 
 inline constexpr uint32_t kMaxTasks = 100'000;
 
@@ -89,7 +89,7 @@
 struct JobRecord {
   std::shared_ptr<const JobSpec> spec;
   double submitted_wall = 0;
-  FinalState final_state = FinalState::kNone;
+  TerminalState terminal_state = TerminalState::kNone;
   uint64_t stamp = 0;
 };
 
--- a/core/recovery/finals_index.cc
+++ b/core/recovery/terminal_state_index.cc
@@ -1,4 +1,4 @@
-#include "core/recovery/finals_index.h"
+#include "core/recovery/terminal_state_index.h"
 
 #include <charconv>
 #include <vector>
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-std::optional<uint32_t> FinalsIndex::NumberOf(std::string_view id) {
+std::optional<uint32_t> TerminalStateIndex::NumberOf(std::string_view id) {
   if (!id.starts_with(kPrefix)) return std::nullopt;
   id.remove_prefix(kPrefix.size());
   // One form for each number, or two jobs would share an end.
@@ -25,38 +25,39 @@
   return number;
 }
 
-std::string FinalsIndex::IdOf(uint32_t number) {
+std::string TerminalStateIndex::IdOf(uint32_t number) {
   std::string digits = std::to_string(number);
   if (digits.size() < kDigits) digits.insert(0, kDigits - digits.size(), '0');
   return std::string(kPrefix) + digits;
 }
 
-void FinalsIndex::Add(std::string_view id, FinalState state) {
+void TerminalStateIndex::Add(std::string_view id, TerminalState state) {
   const auto number = NumberOf(id);
-  if (!number || state == FinalState::kNone) return;
+  if (!number || state == TerminalState::kNone) return;
   if (done_.contains(*number) || aborted_.contains(*number)) return;
-  (state == FinalState::kDone ? done_ : aborted_).add(*number);
+  (state == TerminalState::kDone ? done_ : aborted_).add(*number);
 }
 
-FinalState FinalsIndex::Find(std::string_view id) const {
+TerminalState TerminalStateIndex::Find(std::string_view id) const {
   const auto number = NumberOf(id);
-  if (!number) return FinalState::kNone;
-  if (done_.contains(*number)) return FinalState::kDone;
-  if (aborted_.contains(*number)) return FinalState::kAborted;
-  return FinalState::kNone;
+  if (!number) return TerminalState::kNone;
+  if (done_.contains(*number)) return TerminalState::kDone;
+  if (aborted_.contains(*number)) return TerminalState::kAborted;
+  return TerminalState::kNone;
 }
 
-void FinalsIndex::ForEachMissing(
-    const FinalsIndex& other,
-    const std::function<void(const std::string& id, FinalState state)>& what)
+void TerminalStateIndex::ForEachMissing(
+    const TerminalStateIndex& other,
+    const std::function<void(const std::string& id, TerminalState state)>& what)
     const {
-  for (const FinalState state : {FinalState::kDone, FinalState::kAborted}) {
+  for (const TerminalState state :
+       {TerminalState::kDone, TerminalState::kAborted}) {
     const Roaring missing = Part(state) - (other.done_ | other.aborted_);
     for (const uint32_t number : missing) what(IdOf(number), state);
   }
 }
 
-std::string FinalsIndex::Encode(FinalState part) const {
+std::string TerminalStateIndex::Encode(TerminalState part) const {
   Roaring copy = Part(part);
   copy.runOptimize();
   std::string bytes(copy.getSizeInBytes(), '\0');
@@ -64,10 +65,10 @@
   return bytes;
 }
 
-bool FinalsIndex::Merge(FinalState part, const std::string& bytes) {
+bool TerminalStateIndex::Merge(TerminalState part, const std::string& bytes) {
   try {
     const Roaring told = Roaring::readSafe(bytes.data(), bytes.size());
-    if (part == FinalState::kDone) {
+    if (part == TerminalState::kDone) {
       done_ |= told - aborted_;
     } else {
       aborted_ |= told - done_;
--- a/core/recovery/finals_index.h
+++ b/core/recovery/terminal_state_index.h
@@ -14,7 +14,7 @@
 
 namespace oxbow {
 
-class FinalsIndex {
+class TerminalStateIndex {
  public:
   // The number of a job id in its usual form; nothing for another, which is
   // not indexed.
@@ -22,22 +22,23 @@
   static std::string IdOf(uint32_t number);
 
   // The first end that is told stays.
-  void Add(std::string_view id, FinalState state);
-  FinalState Find(std::string_view id) const;
+  void Add(std::string_view id, TerminalState state);
+  TerminalState Find(std::string_view id) const;
   uint64_t size() const { return done_.cardinality() + aborted_.cardinality(); }
   // Those that `other` does not hold.
-  void ForEachMissing(const FinalsIndex& other,
-                      const std::function<void(const std::string& id,
-                                               FinalState state)>& what) const;
+  void ForEachMissing(
+      const TerminalStateIndex& other,
+      const std::function<void(const std::string& id, TerminalState state)>&
+          what) const;
 
   // For another controller. Both parts, done first.
-  std::string Encode(FinalState part) const;
+  std::string Encode(TerminalState part) const;
   // Adds what the bytes hold; false if they are no such part.
-  bool Merge(FinalState part, const std::string& bytes);
+  bool Merge(TerminalState part, const std::string& bytes);
 
  private:
-  const Roaring& Part(FinalState state) const {
-    return state == FinalState::kDone ? done_ : aborted_;
+  const Roaring& Part(TerminalState state) const {
+    return state == TerminalState::kDone ? done_ : aborted_;
   }
 
   Roaring done_;
--- a/tests/fuzz/targets.cc
+++ b/tests/fuzz/targets.cc
@@ -83,7 +83,7 @@
   if (!wire::ReadSpec(doc, &spec).empty()) return;
   const auto text = [](const JobSpec& s) {
     return wire::EncodeRecord(
-        JobRecord{std::make_shared<JobSpec>(s), 1, FinalState::kNone, 0});
+        JobRecord{std::make_shared<JobSpec>(s), 1, TerminalState::kNone, 0});
   };
   const std::string key = keys::Of(keys::kJob, spec.id);
   const std::string once = text(spec);
@@ -100,8 +100,8 @@
   rapidjson::Document doc;
   if (!json::Parse(bytes, &doc)) return;
   for (const std::string_view key :
-       {keys::kLeader, keys::kJob, keys::kMachine, keys::kRental, keys::kFinal,
-        keys::kRollout, keys::kRolloutEnd}) {
+       {keys::kLeader, keys::kJob, keys::kMachine, keys::kRental,
+        keys::kTerminal, keys::kRollout, keys::kRolloutEnd}) {
     Record record;
     wire::DecodeRecord(keys::Of(key, "x"), doc, &record);
   }
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -286,7 +286,7 @@
     EXPECT_LT(t->loop_.Now() - asked, 1);
     // Not found is only said after a fresh read.
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000003", ""), 503);
-    // A final state needs nobody.
+    // A terminal state needs nobody.
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000001", ""), 200);
     t->state_.down = false;
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000002")), 201);
@@ -294,7 +294,8 @@
 }
 
 // An acceptance without an answer is carried out after the job that was
-// accepted in its place has been cancelled and has moved to the final states.
+// accepted in its place has been cancelled and has moved to the terminal
+// states.
 TEST_F(WholeNode, AnAcceptanceCarriedOutLateRevivesNothing) {
   RunToEnd(loop_, [](WholeNode* t) -> Task<void> {
     co_await t->UntilReady();
--- a/tests/recovery_test.cc
+++ b/tests/recovery_test.cc
@@ -7,10 +7,10 @@
 #include "core/controller/catalog.h"
 #include "core/lease/leadership.h"
 #include "core/lease/token.h"
-#include "core/recovery/finals_index.h"
 #include "core/recovery/peer_choice.h"
 #include "core/recovery/store_epoch.h"
 #include "core/recovery/store_verification.h"
+#include "core/recovery/terminal_state_index.h"
 #include "tests/known_account.h"
 
 namespace oxbow {
@@ -18,7 +18,8 @@
 
 using enum StoreVerificationState;
 
-JobRecord JobOf(const std::string& id, FinalState end = FinalState::kNone) {
+JobRecord JobOf(const std::string& id,
+                TerminalState end = TerminalState::kNone) {
   auto spec = std::make_shared<JobSpec>();
   spec->id = id;
   return {spec, 0, end, 0};
@@ -146,8 +147,8 @@
     catalog_.Put(JobKey("job-000002"), JobOf("job-000002"), 20);
     catalog_.Followed(20);
   }
-  FinalState EndOf(const std::string& id) {
-    return catalog_.FindJob(id)->final_state;
+  TerminalState EndOf(const std::string& id) {
+    return catalog_.FindJob(id)->terminal_state;
   }
   Catalog catalog_;
 };
@@ -179,9 +180,9 @@
 
 TEST_F(Remembering, AChangeInTheNewEpochBeatsMemory) {
   OpenEpoch(catalog_, 2, 3);
-  catalog_.Put(JobKey("job-000001"), JobOf("job-000001", FinalState::kAborted),
-               4);
-  EXPECT_EQ(EndOf("job-000001"), FinalState::kAborted);
+  catalog_.Put(JobKey("job-000001"),
+               JobOf("job-000001", TerminalState::kAborted), 4);
+  EXPECT_EQ(EndOf("job-000001"), TerminalState::kAborted);
   EXPECT_FALSE(catalog_.owed().contains(JobKey("job-000001")));
 }
 
@@ -189,21 +190,21 @@
   // This controller lags behind: another one has seen the cancellation.
   OpenEpoch(catalog_, 2, 3);
   EXPECT_TRUE(catalog_.Remember(JobKey("job-000001"),
-                                JobOf("job-000001", FinalState::kAborted),
+                                JobOf("job-000001", TerminalState::kAborted),
                                 {1, 12}));
   EXPECT_FALSE(
       catalog_.Remember(JobKey("job-000001"), JobOf("job-000001"), {1, 19}));
-  EXPECT_EQ(EndOf("job-000001"), FinalState::kAborted);
+  EXPECT_EQ(EndOf("job-000001"), TerminalState::kAborted);
 }
 
 TEST_F(Remembering, AJobThatHasEndedIsNotRevivedByAnOlderCopy) {
-  catalog_.Put(JobKey("job-000001"), JobOf("job-000001", FinalState::kAborted),
-               21);
+  catalog_.Put(JobKey("job-000001"),
+               JobOf("job-000001", TerminalState::kAborted), 21);
   catalog_.Erase(JobKey("job-000001"), 22);
   ASSERT_EQ(catalog_.FindJob("job-000001"), nullptr);
   OpenEpoch(catalog_, 2, 15);
   catalog_.Put(JobKey("job-000001"), JobOf("job-000001"), 10);
-  EXPECT_EQ(EndOf("job-000001"), FinalState::kAborted);
+  EXPECT_EQ(EndOf("job-000001"), TerminalState::kAborted);
   // Nor by another controller that remembers it alive.
   EXPECT_FALSE(
       catalog_.Remember(JobKey("job-000001"), JobOf("job-000001"), {1, 10}));
@@ -212,38 +213,38 @@
 // One that lagged behind tells its memory before another tells of the end.
 TEST_F(Remembering, AnEndThatOthersKnowOfIsAppliedToWhatLives) {
   OpenEpoch(catalog_, 2, 3);
-  catalog_.ended().Add("job-000001", FinalState::kAborted);
+  catalog_.ended().Add("job-000001", TerminalState::kAborted);
   catalog_.ApplyEnds();
-  EXPECT_EQ(EndOf("job-000001"), FinalState::kAborted);
+  EXPECT_EQ(EndOf("job-000001"), TerminalState::kAborted);
   EXPECT_TRUE(catalog_.owed().contains(JobKey("job-000001")));
-  EXPECT_EQ(EndOf("job-000002"), FinalState::kNone);
+  EXPECT_EQ(EndOf("job-000002"), TerminalState::kNone);
 }
 
 // It may have been acted on, or told to its user, in a service that had stepped
 // back.
 TEST_F(Remembering, AnEndThatWasReadIsNeverSetAside) {
   EXPECT_TRUE(catalog_.Put(JobKey("job-000002"),
-                           JobOf("job-000002", FinalState::kAborted), 15));
-  EXPECT_EQ(EndOf("job-000002"), FinalState::kAborted);
+                           JobOf("job-000002", TerminalState::kAborted), 15));
+  EXPECT_EQ(EndOf("job-000002"), TerminalState::kAborted);
   EXPECT_TRUE(catalog_.Put(JobKey("job-000001"),
-                           JobOf("job-000001", FinalState::kDone), 5));
-  EXPECT_EQ(catalog_.FindFinal("job-000001"), FinalState::kDone);
+                           JobOf("job-000001", TerminalState::kDone), 5));
+  EXPECT_EQ(catalog_.FindTerminalState("job-000001"), TerminalState::kDone);
 }
 
 // Whoever follows the records has the cancellation before its tasks are gone,
 // and must not tell it: somebody who knows nothing may keep them alive.
 TEST_F(Remembering, ACancellationIsToldOnceItsRecordHasMoved) {
-  catalog_.Put(JobKey("job-000002"), JobOf("job-000002", FinalState::kAborted),
-               25);
-  EXPECT_EQ(EndOf("job-000002"), FinalState::kAborted);
-  EXPECT_EQ(catalog_.FindFinal("job-000002"), FinalState::kNone);
-  EXPECT_EQ(catalog_.ended().Find("job-000002"), FinalState::kNone);
+  catalog_.Put(JobKey("job-000002"),
+               JobOf("job-000002", TerminalState::kAborted), 25);
+  EXPECT_EQ(EndOf("job-000002"), TerminalState::kAborted);
+  EXPECT_EQ(catalog_.FindTerminalState("job-000002"), TerminalState::kNone);
+  EXPECT_EQ(catalog_.ended().Find("job-000002"), TerminalState::kNone);
   catalog_.Erase(JobKey("job-000002"), 26);
-  EXPECT_EQ(catalog_.FindFinal("job-000002"), FinalState::kAborted);
+  EXPECT_EQ(catalog_.FindTerminalState("job-000002"), TerminalState::kAborted);
   EXPECT_EQ(catalog_.FindEnd("job-000002").tasks, 1U);
   // A live record that goes alone tells of no end.
   catalog_.Erase(JobKey("job-000001"), 27);
-  EXPECT_EQ(catalog_.FindFinal("job-000001"), FinalState::kNone);
+  EXPECT_EQ(catalog_.FindTerminalState("job-000001"), TerminalState::kNone);
 }
 
 TEST_F(Remembering, WithinAnEpochTheHigherStampWins) {
@@ -279,40 +280,41 @@
 
 // --- ends
 
-TEST(FinalsIndex, OnlyOneFormOfAnIdIsKnown) {
-  EXPECT_EQ(FinalsIndex::NumberOf("job-000412"), 412U);
-  EXPECT_EQ(FinalsIndex::NumberOf("job-1234567"), 1234567U);
+TEST(TerminalStateIndex, OnlyOneFormOfAnIdIsKnown) {
+  EXPECT_EQ(TerminalStateIndex::NumberOf("job-000412"), 412U);
+  EXPECT_EQ(TerminalStateIndex::NumberOf("job-1234567"), 1234567U);
   for (const char* id : {"job-412", "job-0000412", "job-00041x", "run-000412",
                          "job-99999999999", "job-", ""}) {
-    EXPECT_FALSE(FinalsIndex::NumberOf(id)) << id;
+    EXPECT_FALSE(TerminalStateIndex::NumberOf(id)) << id;
   }
-  EXPECT_EQ(FinalsIndex::IdOf(412), "job-000412");
+  EXPECT_EQ(TerminalStateIndex::IdOf(412), "job-000412");
 }
 
-TEST(FinalsIndex, AnEndIsNeverTakenBack) {
-  FinalsIndex index;
-  index.Add("job-000001", FinalState::kAborted);
-  index.Add("job-000001", FinalState::kDone);
-  EXPECT_EQ(index.Find("job-000001"), FinalState::kAborted);
-  FinalsIndex other;
-  other.Add("job-000001", FinalState::kDone);
-  other.Add("job-000002", FinalState::kDone);
-  EXPECT_TRUE(index.Merge(FinalState::kDone, other.Encode(FinalState::kDone)));
-  EXPECT_EQ(index.Find("job-000001"), FinalState::kAborted);
-  EXPECT_EQ(index.Find("job-000002"), FinalState::kDone);
-  EXPECT_FALSE(index.Merge(FinalState::kDone, "no such bytes"));
+TEST(TerminalStateIndex, AnEndIsNeverTakenBack) {
+  TerminalStateIndex index;
+  index.Add("job-000001", TerminalState::kAborted);
+  index.Add("job-000001", TerminalState::kDone);
+  EXPECT_EQ(index.Find("job-000001"), TerminalState::kAborted);
+  TerminalStateIndex other;
+  other.Add("job-000001", TerminalState::kDone);
+  other.Add("job-000002", TerminalState::kDone);
+  EXPECT_TRUE(
+      index.Merge(TerminalState::kDone, other.Encode(TerminalState::kDone)));
+  EXPECT_EQ(index.Find("job-000001"), TerminalState::kAborted);
+  EXPECT_EQ(index.Find("job-000002"), TerminalState::kDone);
+  EXPECT_FALSE(index.Merge(TerminalState::kDone, "no such bytes"));
 }
 
-TEST(FinalsIndex, AMillionEndsTakeAFewMegabytes) {
-  FinalsIndex index;
+TEST(TerminalStateIndex, AMillionEndsTakeAFewMegabytes) {
+  TerminalStateIndex index;
   for (uint32_t i = 0; i < 1'000'000; ++i) {
-    index.Add(FinalsIndex::IdOf(i),
-              i % 7 == 0 ? FinalState::kAborted : FinalState::kDone);
+    index.Add(TerminalStateIndex::IdOf(i),
+              i % 7 == 0 ? TerminalState::kAborted : TerminalState::kDone);
   }
   EXPECT_EQ(index.size(), 1'000'000U);
   constexpr size_t kMost = 1'000'000;  // bytes
-  EXPECT_LT(index.Encode(FinalState::kDone).size() +
-                index.Encode(FinalState::kAborted).size(),
+  EXPECT_LT(index.Encode(TerminalState::kDone).size() +
+                index.Encode(TerminalState::kAborted).size(),
             kMost);
 }
 
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -170,7 +170,7 @@
   jobs_[spec.id] = {spec, std::nullopt, false};
   const std::string key = keys::Of(keys::kJob, spec.id);
   const JobRecord record{std::make_shared<JobSpec>(spec), now_ + kEpochOffset,
-                         FinalState::kNone, 0};
+                         TerminalState::kNone, 0};
   store_[key] = {record, ++revision_};
   news_.emplace_back(key, revision_);
   catalog_.Put(key, record, revision_);
@@ -844,16 +844,16 @@
     return !deletes && change.key.starts_with(live) &&
            store_.contains(keys::Of(end, change.key.substr(live.size())));
   };
-  if (ended(keys::kJob, keys::kFinal) ||
+  if (ended(keys::kJob, keys::kTerminal) ||
       ended(keys::kRollout, keys::kRolloutEnd)) {
     Break("lives again: " + change.key);
   }
-  if (!change.key.starts_with(keys::kFinal)) return;
+  if (!change.key.starts_with(keys::kTerminal)) return;
   const auto known = store_.find(change.key);
-  const auto* next = std::get_if<FinalRecord>(&change.record);
+  const auto* next = std::get_if<TerminalRecord>(&change.record);
   if (known != store_.end() &&
       (next == nullptr ||
-       std::get<FinalRecord>(known->second.first).state != next->state)) {
+       std::get<TerminalRecord>(known->second.first).state != next->state)) {
     Break("went_back: " + change.key);
   }
 }
@@ -881,20 +881,20 @@
   ++revision_;
   for (const KeyChange& change : txn.changes) {
     if (const auto* job = std::get_if<JobRecord>(&change.record)) {
-      FinalState& told = told_[job->spec->id];
-      if (told != FinalState::kNone && told != job->final_state) {
+      TerminalState& told = told_[job->spec->id];
+      if (told != TerminalState::kNone && told != job->terminal_state) {
         Break("went_back: " + job->spec->id);
       }
-      told = job->final_state;
-      if (told == FinalState::kDone &&
+      told = job->terminal_state;
+      if (told == TerminalState::kDone &&
           completed_[job->spec->id].size() != job->spec->tasks) {
         Break("not_done: " + job->spec->id);
       }
     }
     // From here on any controller tells the job's user that it is cancelled.
-    const auto* end = std::get_if<FinalRecord>(&change.record);
-    if (end != nullptr && end->state == FinalState::kAborted) {
-      jobs_.at(change.key.substr(keys::kFinal.size())).nothing_left = true;
+    const auto* end = std::get_if<TerminalRecord>(&change.record);
+    if (end != nullptr && end->state == TerminalState::kAborted) {
+      jobs_.at(change.key.substr(keys::kTerminal.size())).nothing_left = true;
     }
     CheckChange(change);
     news_.emplace_back(change.key, revision_);
@@ -1088,12 +1088,12 @@
       } else if (const auto* job = std::get_if<AskJob>(&action)) {
         // The shell reads the live record, then how it ended.
         After(kLatency, [this, leader, id = job->id] {
-          const auto end = store_.find(keys::Of(keys::kFinal, id));
+          const auto end = store_.find(keys::Of(keys::kTerminal, id));
           if (!leader_ || leader_->revision() != leader || state_down ||
               end == store_.end()) {
             return;
           }
-          catalog_.RememberEnd(id, std::get<FinalRecord>(end->second.first));
+          catalog_.RememberEnd(id, std::get<TerminalRecord>(end->second.first));
         });
       } else if (const auto* quit = std::get_if<Resign>(&action)) {
         After(0, [this, leader, unfit = quit->unfit] {
@@ -1405,9 +1405,9 @@
 }
 
 std::string Sim::JobStatus(const std::string& id) {
-  const FinalState state = catalog_.FindFinal(id);
-  if (state == FinalState::kDone) return "done";
-  if (state == FinalState::kAborted) return "aborted";
+  const TerminalState state = catalog_.FindTerminalState(id);
+  if (state == TerminalState::kDone) return "done";
+  if (state == TerminalState::kAborted) return "aborted";
   JobView view;
   if (leader_ && leader_->View(id, &view)) return std::string(view.status);
   return "unknown";
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -363,7 +363,7 @@
   std::map<std::string, std::vector<std::string>> rented_;
   std::map<std::string, StoredJob> jobs_;
   std::map<std::string, std::set<uint32_t>> completed_;
-  std::map<std::string, FinalState> told_;
+  std::map<std::string, TerminalState> told_;
   std::set<std::string> cancel_asked_;
   std::map<std::string, WorkerReport> sent_;  // the last of each worker
   std::vector<Later> later_;
--- a/tests/tiers_test.cc
+++ b/tests/tiers_test.cc
@@ -26,8 +26,9 @@
 }
 
 Job MakeJob(const JobSpec& spec) {
-  return Job({std::make_shared<const JobSpec>(spec), 0, FinalState::kNone, 0},
-             0, 0);
+  return Job(
+      {std::make_shared<const JobSpec>(spec), 0, TerminalState::kNone, 0}, 0,
+      0);
 }
 
 constexpr const char* kText = R"({"tiers":[
--- a/wire/names.h
+++ b/wire/names.h
@@ -66,9 +66,10 @@
                                        Op{OrderKind::kStop, "kill"},
                                        Op{OrderKind::kForget, "clear"}};
 
-using Final = std::pair<FinalState, std::string_view>;
-inline constexpr std::array kFinals = {Final{FinalState::kDone, "done"},
-                                       Final{FinalState::kAborted, "aborted"}};
+using Terminal = std::pair<TerminalState, std::string_view>;
+inline constexpr std::array kTerminalStates = {
+    Terminal{TerminalState::kDone, "done"},
+    Terminal{TerminalState::kAborted, "aborted"}};
 
 using Step = std::pair<RolloutStep, std::string_view>;
 inline constexpr std::array kRolloutStepNames = {
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -31,8 +31,8 @@
     WriteSpec(w, *r.spec);
     Key(w, "t");
     w.Double(r.submitted_wall);
-    if (r.final_state != FinalState::kNone) {
-      Field(w, "final", NameOf(kFinals, r.final_state));
+    if (r.terminal_state != TerminalState::kNone) {
+      Field(w, "final", NameOf(kTerminalStates, r.terminal_state));
     }
   }
   void operator()(const MachineRecord& r) const {
@@ -52,8 +52,8 @@
     Key(w, "count");
     w.Int(r.count);
   }
-  void operator()(const FinalRecord& r) const {
-    Field(w, "final", NameOf(kFinals, r.state));
+  void operator()(const TerminalRecord& r) const {
+    Field(w, "final", NameOf(kTerminalStates, r.state));
     Key(w, "tasks");
     w.Uint(r.tasks);
   }
@@ -103,9 +103,9 @@
 bool DecodeRecord(std::string_view key, const rapidjson::Value& value,
                   Record* out) {
   if (!value.IsObject()) return false;
-  const auto final_state = [&] {
-    FinalState state = FinalState::kNone;
-    TermOf(kFinals, json::GetString(value, "final"), &state);
+  const auto terminal_state = [&] {
+    TerminalState state = TerminalState::kNone;
+    TermOf(kTerminalStates, json::GetString(value, "final"), &state);
     return state;
   };
   if (key == keys::kEpoch) {
@@ -130,7 +130,7 @@
     if (spec == nullptr || !ReadSpec(*spec, parsed.get()).empty()) {
       return false;
     }
-    *out = JobRecord{parsed, json::GetDouble(value, "t"), final_state(), 0};
+    *out = JobRecord{parsed, json::GetDouble(value, "t"), terminal_state(), 0};
   } else if (key.starts_with(keys::kMachine)) {
     *out = MachineRecord{
         json::GetString(value, "type"), json::GetString(value, "zone"),
@@ -163,8 +163,9 @@
     OperatorRecord record;
     if (!ReadOperator(value, &record)) return false;
     *out = std::move(record);
-  } else if (key.starts_with(keys::kFinal)) {
-    *out = FinalRecord{final_state(),
+  } else if (key.starts_with(keys::kTerminal)) {
+    *out =
+        TerminalRecord{terminal_state(),
                        static_cast<uint32_t>(json::GetUint(value, "tasks")), 0};
   } else {
     return false;
