--- a/app/options.cc
+++ b/app/options.cc
@@ -27,7 +27,7 @@
           100},
     Entry{"placement", "price_weight", &Tuning::price_weight, 0, 100},
     Entry{"queue", "begin_within_s", &Tuning::begin_within_s, 0, 1e6},
-    Entry{"queue", "floor_share", &Tuning::floor_share, 0, 1},
+    Entry{"queue", "floor_share", &Tuning::minimum_share, 0, 1},
     Entry{"placement", "piece_weight", &Tuning::fragmentation_weight, 0, 100},
     Entry{"leadership", "lease_ratio", &Tuning::leader_lease_ratio, 0.05, 0.8},
     Entry{"machines", "suspect_ratio", &Tuning::suspect_ratio, 0.1, 1},
--- a/core/controller/queue_order.cc
+++ b/core/controller/queue_order.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // Groups within a rank.
-constexpr int kFloorGroup = -1;
+constexpr int kMinimumShareGroup = -1;
 constexpr int kLastAim = 0;  // the last aim that counts comes near
 constexpr int kInTime = 1;
 constexpr int kLater = 2;
@@ -22,8 +22,9 @@
 
 QueueOrder::QueueOrder(const Settings& settings, const Tuning& tuning)
     : begin_within_s_(tuning.begin_within_s),
-      turns_(tuning.floor_share,
-             tuning.begin_within_s > 0 ? tuning.begin_within_s / 2 : 1) {
+      fair_queueing_(tuning.minimum_share, tuning.begin_within_s > 0
+                                               ? tuning.begin_within_s / 2
+                                               : 1) {
   for (const Objective& objective : settings.objectives) {
     ClassAims& aims = aims_[objective.job_class];
     std::vector<double>* times =
@@ -89,9 +90,9 @@
   if (spec.kind == JobKind::kArray && begin_within_s_ > 0 &&
       job.placed() == 0 && job.done() == 0 &&
       waited > kArrayWaitShare * begin_within_s_) {
-    out->group = kFloorGroup;
+    out->group = kMinimumShareGroup;
     out->key = job.submitted();
-    out->by_floor = true;
+    out->by_minimum_share = true;
     return;
   }
   if (!spec.deadline_s) {
@@ -125,7 +126,7 @@
 // zone keeps a dozen others waiting past their aim. Before its last aim comes
 // near, each gets its turn, and the largest sooner, since their room takes
 // longest to come together: in a flood of four times a fifth to a half of them
-// began after four minutes. Both together get no more than the floor's share of
+// began after four minutes. Both together get no more than the minimum share of
 // the work, or in a flood every gang would wait that long.
 void QueueOrder::GangPlace(const Job& job, double run_s, Time now,
                            QueuePlace* out) const {
@@ -152,21 +153,22 @@
                        waited > kGangWaitShare * begin_within_s_ &&
                        sizes_.IsLargest(spec.job_class, spec.tasks);
   if (!near && !largest) return;
-  const bool floors = begin_within_s_ > 0;
-  if (floors && !turns_.FloorFirst(spec.job_class, now)) return;
+  const bool bounded = begin_within_s_ > 0;
+  if (bounded && !fair_queueing_.MinimumShareFirst(spec.job_class, now)) return;
   // One that is late already does not make those late that are not.
-  const bool late = floors && waited > begin_within_s_;
+  const bool late = bounded && waited > begin_within_s_;
   constexpr double kBehind = 1e6;  // s
   out->group = kLastAim;
-  out->key = (floors ? job.submitted() : job.submitted() + last) +
+  out->key = (bounded ? job.submitted() : job.submitted() + last) +
              (late ? kBehind : 0) - (largest && !late ? kBehind : 0);
-  out->by_floor = true;
+  out->by_minimum_share = true;
 }
 
 void QueueOrder::Placed(const Job& job, const QueuePlace& from, Time now) {
-  turns_.Placed(job.spec().job_class,
-                from.by_floor ? TurnSide::kFloor : TurnSide::kQuickest,
-                WorkOf(job), now);
+  fair_queueing_.Placed(
+      job.spec().job_class,
+      from.by_minimum_share ? QueueSide::kMinimumShare : QueueSide::kQuickest,
+      WorkOf(job), now);
 }
 
 }  // namespace oxbow
--- a/core/controller/queue_order.h
+++ b/core/controller/queue_order.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "core/floor/fair_turns.h"
+#include "core/fair_queueing/fair_queueing.h"
 #include "core/model/job.h"
 #include "core/model/settings.h"
 
@@ -31,7 +31,7 @@
   double key = 0;  // within the group
   // It goes first since it has waited for long: an array then starts only as
   // much as shows that it has begun.
-  bool by_floor = false;
+  bool by_minimum_share = false;
 
   bool Before(const QueuePlace& o) const {
     if (rank != o.rank) return rank < o.rank;
@@ -55,12 +55,13 @@
   // A gang has been placed whole, from that place in the queue.
   void Placed(const Job& job, const QueuePlace& from, Time now);
 
-  // How many tasks an array may start at once when it goes first by the floor.
+  // How many tasks an array may start at once when it goes first by the minimum
+  // share.
   static uint32_t FirstShare(const JobSpec& spec);
 
  private:
   // By the rules' four minutes, 0 when they are not asked for.
-  bool Floored(const Job& job, Time now) const;
+  bool HasMinimumShare(const Job& job, Time now) const;
   void ArrayPlace(const Job& job, double run_s, Time now,
                   QueuePlace* out) const;
   void GangPlace(const Job& job, double run_s, Time now, QueuePlace* out) const;
@@ -69,7 +70,7 @@
   const double begin_within_s_;
   std::map<std::string, ClassAims> aims_;  // by class
   LargestSizes sizes_;
-  FairTurns turns_;
+  FairQueueing fair_queueing_;
 };
 
 }  // namespace oxbow
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -113,8 +113,8 @@
   for (Job* job : order) {
     QueuePlace where = queue_order_.PlaceOf(*job, RunSeconds(job->spec()), now);
     where.tier = tiers_.Order(*job, job->tier);
-    // What has waited for the rules' floor comes next after the best tier.
-    if (where.by_floor) where.tier = std::min(where.tier, 1);
+    // What has waited for its minimum share comes next after the best tier.
+    if (where.by_minimum_share) where.tier = std::min(where.tier, 1);
     entries.push_back({where, job});
   }
   std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
@@ -263,7 +263,7 @@
   Footprint where = Where(job);
   int64_t task;
   uint32_t left =
-      from.by_floor ? QueueOrder::FirstShare(job.spec()) : UINT32_MAX;
+      from.by_minimum_share ? QueueOrder::FirstShare(job.spec()) : UINT32_MAX;
   while (left > 0 && Wanted(job) > 0 && (task = job.PeekPending()) >= 0) {
     if (!WindowAllows(job, 1)) return;
     if (!TeamAllows(job, 1)) {
--- a/core/floor/fair_turns.cc
+++ b/core/fair_queueing/fair_queueing.cc
@@ -1,28 +1,30 @@
-#include "core/floor/fair_turns.h"
+#include "core/fair_queueing/fair_queueing.h"
 
 #include <algorithm>
 #include <cmath>
 
 namespace oxbow {
 
-FairTurns::Sum FairTurns::Decayed(const Sum& sum, Time now) const {
+FairQueueing::Sum FairQueueing::Decayed(const Sum& sum, Time now) const {
   const double kept = std::exp(-std::max(0.0, now - sum.at) / memory_s_);
-  return {sum.floor * kept, sum.quickest * kept, now};
+  return {sum.minimum_share * kept, sum.quickest * kept, now};
 }
 
-bool FairTurns::FloorFirst(const std::string& job_class, Time now) const {
+bool FairQueueing::MinimumShareFirst(const std::string& job_class,
+                                     Time now) const {
   const auto it = placed_.find(job_class);
-  if (it == placed_.end()) return floor_share_ > 0;
+  if (it == placed_.end()) return minimum_share_ > 0;
   const Sum sum = Decayed(it->second, now);
-  return sum.floor < floor_share_ * (sum.floor + sum.quickest) ||
-         (floor_share_ > 0 && sum.floor + sum.quickest <= 0);
+  return sum.minimum_share <
+             minimum_share_ * (sum.minimum_share + sum.quickest) ||
+         (minimum_share_ > 0 && sum.minimum_share + sum.quickest <= 0);
 }
 
-void FairTurns::Placed(const std::string& job_class, TurnSide side, double work,
-                       Time now) {
+void FairQueueing::Placed(const std::string& job_class, QueueSide side,
+                          double work, Time now) {
   Sum& sum = placed_[job_class];
   sum = Decayed(sum, now);
-  (side == TurnSide::kFloor ? sum.floor : sum.quickest) += work;
+  (side == QueueSide::kMinimumShare ? sum.minimum_share : sum.quickest) += work;
 }
 
 void LargestSizes::Seen(const std::string& job_class, uint32_t tasks) {
--- a/core/floor/fair_turns.h
+++ b/core/fair_queueing/fair_queueing.h
@@ -11,37 +11,38 @@
 namespace oxbow {
 
 // Whose turn a class's room goes to while there is more work than room.
-enum class TurnSide : uint8_t {
-  kQuickest,  // least work first: most jobs are served in time
-  kFloor,     // the longest waiting and the largest: nobody is left out
+enum class QueueSide : uint8_t {
+  kQuickest,      // least work first: most jobs are served in time
+  kMinimumShare,  // the longest waiting and the largest: nobody is left out
 };
 
 // Least work first keeps the large ones waiting for ever; by age alone most
 // jobs come late together. Each side is owed a share of the work that is
 // placed, and the one that is behind goes first. What was placed long ago is
 // forgotten, so that a new leader, who begins with nothing, soon shares alike.
-class FairTurns {
+class FairQueueing {
  public:
-  // `floor_share`: of the work placed, for the floor, between 0 and 1.
-  // `memory_s`: what was placed so long ago counts for 1/e.
-  FairTurns(double floor_share, double memory_s)
-      : floor_share_(floor_share), memory_s_(memory_s) {}
+  // `minimum_share`: of the work placed, for the longest waiting, between 0
+  // and 1. `memory_s`: what was placed so long ago counts for 1/e.
+  FairQueueing(double minimum_share, double memory_s)
+      : minimum_share_(minimum_share), memory_s_(memory_s) {}
 
-  // Whether the floor's jobs of the class go before the quickest now.
-  bool FloorFirst(const std::string& job_class, Time now) const;
+  // Whether the jobs of the minimum share of the class go before the quickest
+  // now.
+  bool MinimumShareFirst(const std::string& job_class, Time now) const;
   // Work (core seconds) of the class has been placed.
-  void Placed(const std::string& job_class, TurnSide side, double work,
+  void Placed(const std::string& job_class, QueueSide side, double work,
               Time now);
 
  private:
   struct Sum {
-    double floor = 0;
+    double minimum_share = 0;
     double quickest = 0;
     Time at = 0;
   };
   Sum Decayed(const Sum& sum, Time now) const;
 
-  const double floor_share_;
+  const double minimum_share_;
   const double memory_s_;
   std::map<std::string, Sum> placed_;  // by class, of which there are few
 };
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -88,11 +88,11 @@
   double accelerator_weight = 0.6;
   double price_weight = 0.2;
   // Every job is to begin within so long, s, wherever the room is there: the
-  // operators' rule. 0: the floor of the queue's order is off.
+  // operators' rule. 0: the minimum share of the queue's order is off.
   double begin_within_s = 0;
   // Of a class's work that is placed while some waits: for the largest and
   // those that have waited longest.
-  double floor_share = 0.2;
+  double minimum_share = 0.2;
   // Weight of what a task adds to the fragmented accelerators, as a
   // share of a machine's; 0: fragmentation is not looked at.
   double fragmentation_weight = 0;
--- a/tests/floor_test.cc
+++ b/tests/fair_queueing_test.cc
@@ -1,37 +1,39 @@
 // Whose turn it is when there is more work than room: nobody is left out.
 
+#include "core/fair_queueing/fair_queueing.h"
+
 #include <gtest/gtest.h>
 
 #include <map>
 
 #include "core/controller/queue_order.h"
-#include "core/floor/fair_turns.h"
 
 namespace oxbow::test {
 namespace {
 
-TEST(FairTurns, EachSideGetsItsShareOfTheWork) {
-  FairTurns turns(0.25, 1e9);
-  double floor = 0;
+TEST(FairQueueing, EachSideGetsItsShareOfTheWork) {
+  FairQueueing queueing(0.25, 1e9);
+  double minimum_share = 0;
   double all = 0;
   for (int i = 0; i < 400; ++i) {
-    const bool first = turns.FloorFirst("c", 100);
-    const double work = first ? 8 : 1;  // the floor's are larger
-    turns.Placed("c", first ? TurnSide::kFloor : TurnSide::kQuickest, work,
-                 100);
-    floor += first ? work : 0;
+    const bool first = queueing.MinimumShareFirst("c", 100);
+    const double work = first ? 8 : 1;  // those of the minimum share are larger
+    queueing.Placed("c",
+                    first ? QueueSide::kMinimumShare : QueueSide::kQuickest,
+                    work, 100);
+    minimum_share += first ? work : 0;
     all += work;
   }
-  EXPECT_NEAR(floor / all, 0.25, 0.05);
+  EXPECT_NEAR(minimum_share / all, 0.25, 0.05);
 }
 
-TEST(FairTurns, WhatWasLongAgoIsForgotten) {
-  FairTurns turns(0.5, 10);
-  turns.Placed("c", TurnSide::kFloor, 1000, 0);
-  EXPECT_FALSE(turns.FloorFirst("c", 1));
-  turns.Placed("c", TurnSide::kQuickest, 1, 200);
-  EXPECT_TRUE(turns.FloorFirst("c", 200));
-  EXPECT_TRUE(turns.FloorFirst("another", 200));
+TEST(FairQueueing, WhatWasLongAgoIsForgotten) {
+  FairQueueing queueing(0.5, 10);
+  queueing.Placed("c", QueueSide::kMinimumShare, 1000, 0);
+  EXPECT_FALSE(queueing.MinimumShareFirst("c", 1));
+  queueing.Placed("c", QueueSide::kQuickest, 1, 200);
+  EXPECT_TRUE(queueing.MinimumShareFirst("c", 200));
+  EXPECT_TRUE(queueing.MinimumShareFirst("another", 200));
 }
 
 TEST(LargestSizes, NoneIsTheLargestOfOneSize) {
@@ -78,7 +80,8 @@
       order.PlaceOf(small, 100, 59).Before(order.PlaceOf(large, 100, 59)));
   EXPECT_TRUE(
       order.PlaceOf(large, 100, 61).Before(order.PlaceOf(small, 100, 61)));
-  // Having had more than its share, the floor stands back for the quick ones.
+  // Having had more than its share, the minimum share stands back for the quick
+  // ones.
   order.Placed(large, order.PlaceOf(large, 100, 61), 61);
   EXPECT_TRUE(
       order.PlaceOf(small, 100, 62).Before(order.PlaceOf(large, 100, 62)));
@@ -92,7 +95,7 @@
       order.PlaceOf(large, 18, 119).Before(order.PlaceOf(small, 18, 119)));
   const QueuePlace place = order.PlaceOf(large, 18, 121);
   EXPECT_TRUE(place.Before(order.PlaceOf(small, 18, 121)));
-  EXPECT_TRUE(place.by_floor);
+  EXPECT_TRUE(place.by_minimum_share);
   EXPECT_EQ(QueueOrder::FirstShare(large.spec()), 21u);
 }
 
@@ -100,7 +103,7 @@
   tuning.begin_within_s = 0;
   QueueOrder order(settings, tuning);
   const Job large = Waiting("large", JobKind::kArray, 1000, 0);
-  EXPECT_FALSE(order.PlaceOf(large, 18, 1000).by_floor);
+  EXPECT_FALSE(order.PlaceOf(large, 18, 1000).by_minimum_share);
 }
 
 }  // namespace
