--- a/app/election.cc
+++ b/app/election.cc
@@ -51,7 +51,8 @@
       seams_(std::move(seams)),
       leadership_(PeerNames(settings), lease_s_,
                   kPromiseRatio * settings.workers.lease_s,
-                  tuning.keeper_ratio * settings.workers.lease_s, loop.Now()),
+                  tuning.delegation_ratio * settings.workers.lease_s,
+                  loop.Now()),
       met_from_(loop.Now()) {}
 
 void Election::Start() {
@@ -66,35 +67,36 @@
   co_return leadership_.AskedToPromise(fails, loop_.Refresh());
 }
 
-net::Task<bool> Election::PromiseToTender(const PeerMessage& ask) {
+net::Task<bool> Election::PromiseToDelegate(const PeerMessage& ask) {
   const std::string node = ask.node;
   const std::string life = ask.text;
   const uint64_t number = ask.stamp;
   co_await ProbeState();
   const bool fails = state_.Failing() || !recovery_.verification().MaySeek();
-  co_return leadership_.AskedToTend(node, life, number, fails, loop_.Refresh());
+  co_return leadership_.AskedToDelegate(node, life, number, fails,
+                                        loop_.Refresh());
 }
 
-bool Election::Keeps(uint64_t term) {
+bool Election::MayRenew(uint64_t term) {
   const net::Time now = loop_.Refresh();
-  if (leadership_.state() == LeaderState::kKeeping) {
+  if (leadership_.state() == LeaderState::kRenewing) {
     // A worker that knows a later leader is not this one's to keep.
     return term < TermOf(catalog_.epoch(), leadership_.revision()) &&
-           leadership_.Keeps(now);
+           leadership_.MayRenew(now);
   }
   constexpr double kWanted = 2;  // reports
   wanted_until_ = now + kWanted * settings_.workers.report_s;
-  return leadership_.Keeps(now);
+  return leadership_.MayRenew(now);
 }
 
-void Election::Tend(net::Time now) {
-  if (leadership_.tend_s() <= 0) return;
+void Election::AskForDelegation(net::Time now) {
+  if (leadership_.delegation_s() <= 0) return;
   if (!state_.Failing()) {
-    const uint64_t number = leadership_.TendOver(now);
+    const uint64_t number = leadership_.DelegationOver(now);
     if (number == 0) return;
     for (const auto& peer : peers_) {
       PeerMessage over;
-      over.kind = PeerKind::kTendOver;
+      over.kind = PeerKind::kDelegationOver;
       over.node = settings_.node;
       over.text = incarnation_;
       over.stamp = number;
@@ -102,25 +104,25 @@
     }
     return;
   }
-  if (now >= wanted_until_ || now < next_tend_) return;
+  if (now >= wanted_until_ || now < next_delegation_) return;
   constexpr double kAgain = 0.25;
-  next_tend_ = now + kAgain * leadership_.tend_s();
-  const uint64_t number = leadership_.TendAsked(now);
+  next_delegation_ = now + kAgain * leadership_.delegation_s();
+  const uint64_t number = leadership_.DelegationAsked(now);
   for (const auto& peer : peers_) {
-    net::Spawn(AskToTend(peer.get(), number, now));
+    net::Spawn(AskToDelegate(peer.get(), number, now));
   }
 }
 
-net::Task<void> Election::AskToTend(clients::PeerClient* peer, uint64_t number,
-                                    net::Time sent) {
+net::Task<void> Election::AskToDelegate(clients::PeerClient* peer,
+                                        uint64_t number, net::Time sent) {
   PeerMessage ask;
-  ask.kind = PeerKind::kTend;
+  ask.kind = PeerKind::kDelegate;
   ask.node = settings_.node;
   ask.text = incarnation_;
   ask.stamp = number;
-  const auto answer = co_await peer->Ask(ask, leadership_.tend_s());
+  const auto answer = co_await peer->Ask(ask, leadership_.delegation_s());
   if (answer.ok && answer.message.answer == PeerAnswer::kYes) {
-    leadership_.TendGranted(peer->name(), sent);
+    leadership_.DelegationGranted(peer->name(), sent);
   }
 }
 
@@ -159,7 +161,7 @@
 
 void Election::StateLost() {
   if (Valid()) return;  // nobody else can lead; it opens the epoch itself
-  if (leadership_.state() == LeaderState::kKeeping) {
+  if (leadership_.state() == LeaderState::kRenewing) {
     StepDown("the state service has lost data");
   }
   met_from_ = loop_.Now();
@@ -195,9 +197,9 @@
           catalog_.followed() >= leadership_.revision() &&
           recovery_.Gathered(leadership_.revision())) {
         const uint64_t revision = leadership_.revision();
-        auto keepers = co_await ReadKeepers();
+        auto delegates = co_await ReadDelegates();
         if (Valid() && leadership_.revision() == revision) {
-          seams_.take_office(revision, keepers);
+          seams_.take_office(revision, delegates);
         }
       }
       if (!renewing_ && now >= next_renewal_) net::Spawn(Renew());
@@ -205,14 +207,14 @@
         next_promise_ = now + lease_s_ / 5;
         for (const auto& peer : peers_) net::Spawn(AskPromise(peer.get()));
       }
-    } else if (leadership_.state() == LeaderState::kKeeping) {
+    } else if (leadership_.state() == LeaderState::kRenewing) {
       if (leadership_.Promote(now)) {
         spdlog::info("{} leads, nobody rests on a promise", settings_.node);
         continue;
       }
       if (!renewing_ && now >= next_renewal_) net::Spawn(Renew());
     } else if (follower_.synced() && recovery_.MaySeek() &&
-               (leadership_.MaySeek(now) || leadership_.MayKeep(now))) {
+               (leadership_.MaySeek(now) || leadership_.MayTakeKey(now))) {
       const bool proven = leadership_.MaySeek(now);
       const LeaderRecord& leader = catalog_.leader();
       // The key names this controller's former life: it is certainly dead, so
@@ -222,8 +224,9 @@
       // A key whose lease is lost would stand for ever.
       const bool orphan = leader.stamp > 0 && leader.stamp == orphan_stamp_;
       const double free_for = now - key_free_since_;
-      const bool own = mine && !leader.keeping && met_once_ &&
-                       leadership_.tend_s() > 0 && leadership_.OwnProven(now);
+      const bool own = mine && !leader.renews_only && met_once_ &&
+                       leadership_.delegation_s() > 0 &&
+                       leadership_.OwnProven(now);
       const bool first =
           proven || free_for >= kLeadersFirst * lease_s_ || (mine && met_once_);
       if ((first && mine) || (proven && orphan) ||
@@ -237,7 +240,7 @@
         continue;
       }
     }
-    if (leadership_.state() == LeaderState::kFollower) Tend(now);
+    if (leadership_.state() == LeaderState::kFollower) AskForDelegation(now);
     co_await loop_.Sleep(lease_s_ / 50);
   }
 }
@@ -386,16 +389,16 @@
 }
 
 // A service that has lost data may have lost these too, and nobody would tell.
-net::Task<std::optional<std::set<std::string>>> Election::ReadKeepers() {
+net::Task<std::optional<std::set<std::string>>> Election::ReadDelegates() {
   const StateResult list = co_await state_.List(std::string(keys::kZone), "");
   if (!list.ok() || list.more || catalog_.epoch().number > 1) {
     co_return std::nullopt;
   }
-  std::set<std::string> keepers;
+  std::set<std::string> delegates;
   for (const clients::KeyValue& item : list.items) {
-    keepers.insert(item.key.substr(keys::kZone.size()));
+    delegates.insert(item.key.substr(keys::kZone.size()));
   }
-  co_return keepers;
+  co_return delegates;
 }
 
 net::Task<void> Election::Renew() {
--- a/app/election.h
+++ b/app/election.h
@@ -26,7 +26,7 @@
     // With the controllers that may hold a right to keep their zone's workers,
     // as read after the key was won; nothing if that is not known.
     std::function<void(uint64_t revision,
-                       const std::optional<std::set<std::string>>& keepers)>
+                       const std::optional<std::set<std::string>>& delegates)>
         take_office;
     std::function<void()> leave_office;
   };
@@ -54,20 +54,21 @@
   clients::PeerClient* LeaderPeer();
 
   // Whose right to keep a zone's workers is recorded; nothing if not known.
-  net::Task<std::optional<std::set<std::string>>> ReadKeepers();
+  net::Task<std::optional<std::set<std::string>>> ReadDelegates();
 
   // --- as one who is asked
   LeaderRole Role() const { return leadership_.Role(loop_.Now()); }
   net::Task<bool> Promise();
-  net::Task<bool> PromiseToTender(const clients::PeerMessage& ask);
-  void TendReleased(const clients::PeerMessage& over) {
-    leadership_.TendReleased(over.node, over.text, over.stamp);
+  net::Task<bool> PromiseToDelegate(const clients::PeerMessage& ask);
+  void DelegationReleased(const clients::PeerMessage& over) {
+    leadership_.DelegationReleased(over.node, over.text, over.stamp);
   }
 
   // --- keeping workers alive while nobody leads
   // Whether a report of a worker that has seen a token of that term may be
-  // answered here, without orders. Its asking is what tenders begin for.
-  bool Keeps(uint64_t term);
+  // answered here, without orders. Its asking is what delegates by promises
+  // begin for.
+  bool MayRenew(uint64_t term);
   // Whether the right to lead rests on the lease of the key, not on promises.
   bool ByLease() {
     return leadership_.Valid(loop_.Refresh()) &&
@@ -78,10 +79,10 @@
   net::Task<void> Run();
   // `leads`: it is proven that it may, as far as is known now.
   net::Task<void> Seek(bool leads);
-  // Asks to be let tend while it is wanted, and lets go once it is not.
-  void Tend(net::Time now);
-  net::Task<void> AskToTend(clients::PeerClient* peer, uint64_t number,
-                            net::Time sent);
+  // Asks for the delegation while it is wanted, and lets go once it is not.
+  void AskForDelegation(net::Time now);
+  net::Task<void> AskToDelegate(clients::PeerClient* peer, uint64_t number,
+                                net::Time sent);
   // Opens a new epoch and takes the key in it.
   net::Task<void> Reopen();
   // Whether the transaction that was sent has made this controller leader.
@@ -121,7 +122,7 @@
   net::Time key_free_since_ = 1e18;
   bool met_once_ = false;        // every other controller has been asked
   net::Time wanted_until_ = -1;  // workers ask here that nobody answers
-  net::Time next_tend_ = 0;
+  net::Time next_delegation_ = 0;
 };
 
 }  // namespace oxbow::app
--- a/app/leader_service.cc
+++ b/app/leader_service.cc
@@ -125,11 +125,11 @@
 }
 
 void LeaderService::TakeOffice(
-    uint64_t revision, const std::optional<std::set<std::string>>& keepers) {
+    uint64_t revision, const std::optional<std::set<std::string>>& delegates) {
   const net::Time now = loop_.Refresh();
   controller_ =
       std::make_unique<Controller>(settings_, tuning_, catalog_, revision, now,
-                                   net::WallNow() - now, revision, keepers);
+                                   net::WallNow() - now, revision, delegates);
   FollowTiers();
   controller_->UseTiers(tiers_.set());
   if (tuning_.calendar_on > 0) {
@@ -226,8 +226,8 @@
             leader_health_coordinator_.DoOffer(std::move(*offer), revision));
       } else if (auto* back = std::get_if<AskStandBack>(&action)) {
         zone_coordinator_.DoAsk(*back, revision);
-      } else if (std::holds_alternative<ReadZoneKeepers>(action)) {
-        net::Spawn(DoReadKeepers(revision));
+      } else if (std::holds_alternative<ReadDelegates>(action)) {
+        net::Spawn(DoReadDelegates(revision));
       } else if (auto* job = std::get_if<AskJob>(&action)) {
         net::Spawn(recovery_.AskAboutJob(std::move(job->id)));
       } else if (auto* gone = std::get_if<DeleteMachines>(&action)) {
@@ -354,12 +354,13 @@
   });
 }
 
-net::Task<void> LeaderService::DoReadKeepers(uint64_t revision) {
+net::Task<void> LeaderService::DoReadDelegates(uint64_t revision) {
   const net::Time sent = loop_.Refresh();
-  const auto keepers = co_await election_.ReadKeepers();
-  if (!keepers) co_return;
-  Tell(revision,
-       [&](Controller& c) { c.OnKeepersRead(*keepers, sent, loop_.Now()); });
+  const auto delegates = co_await election_.ReadDelegates();
+  if (!delegates) co_return;
+  Tell(revision, [&](Controller& c) {
+    c.OnDelegatesRead(*delegates, sent, loop_.Now());
+  });
 }
 
 net::Task<void> LeaderService::DoDelete(std::vector<std::string> hosts,
--- a/app/leader_service.h
+++ b/app/leader_service.h
@@ -37,9 +37,9 @@
   void Start();
 
   bool in_office() const { return controller_ != nullptr; }
-  // `keepers`: see Controller.
+  // `delegates`: see Controller.
   void TakeOffice(uint64_t revision,
-                  const std::optional<std::set<std::string>>& keepers);
+                  const std::optional<std::set<std::string>>& delegates);
   void LeaveOffice();
   // The core, if this controller may act as the leader now; else null.
   Controller* Leading();
@@ -78,7 +78,7 @@
   net::Task<void> DoRead(ReadKeys read, uint64_t revision);
   net::Task<void> DoRent(RentMachines rent, uint64_t revision);
   net::Task<void> DoCheck(CheckInstance check, uint64_t revision);
-  net::Task<void> DoReadKeepers(uint64_t revision);
+  net::Task<void> DoReadDelegates(uint64_t revision);
   net::Task<void> DoDelete(std::vector<std::string> hosts, uint64_t revision);
 
   net::Loop& loop_;
--- a/app/node.cc
+++ b/app/node.cc
@@ -119,8 +119,8 @@
       election_(loop, settings, tuning, state_, catalog_, follower_,
                 leader_health_coordinator_, peers_, recovery_, life_,
                 {[this] { return leader_service_.in_office(); },
-                 [this](uint64_t revision, const auto& keepers) {
-                   leader_service_.TakeOffice(revision, keepers);
+                 [this](uint64_t revision, const auto& delegates) {
+                   leader_service_.TakeOffice(revision, delegates);
                  },
                  [this] { leader_service_.LeaveOffice(); }}),
       leader_service_(loop, settings, tuning, catalog_, state_, cloud_,
@@ -193,13 +193,13 @@
       if (promised) reply.answer = PeerAnswer::kYes;
       break;
     }
-    case PeerKind::kTend: {
-      const bool promised = co_await election_.PromiseToTender(message);
+    case PeerKind::kDelegate: {
+      const bool promised = co_await election_.PromiseToDelegate(message);
       if (promised) reply.answer = PeerAnswer::kYes;
       break;
     }
-    case PeerKind::kTendOver:
-      election_.TendReleased(message);
+    case PeerKind::kDelegationOver:
+      election_.DelegationReleased(message);
       break;
     case PeerKind::kReach:
     case PeerKind::kSilent:
--- a/app/recovery_coordinator.cc
+++ b/app/recovery_coordinator.cc
@@ -580,7 +580,8 @@
   const double ttl = tuning_.leader_lease_ratio * settings_.workers.lease_s;
   const auto answer = co_await named->Ask(std::move(hello), ttl / 3);
   const LeaderRole role = answer.message.role;
-  if (answer.ok && (role == LeaderRole::kLeads || role == LeaderRole::kKeeps)) {
+  if (answer.ok &&
+      (role == LeaderRole::kLeads || role == LeaderRole::kRenewsByKey)) {
     leader_heard_ = loop_.Now();
   }
   if (loop_.Now() < leader_heard_ + ttl) co_return;
--- a/app/users.cc
+++ b/app/users.cc
@@ -484,21 +484,21 @@
   // Answered with the token that the worker knows, and without orders: it lives
   // on, and whoever leads next counts from when it takes office.
   const uint64_t term = report.token >> kTokenBits;
-  ZoneCoordinator::Keeping keeping = ZoneCoordinator::Keeping::kYes;
-  if (report.token == 0 || !election_.Keeps(term)) {
-    keeping = zone_coordinator_.Keeps(report);
+  ZoneCoordinator::Renewal renewal = ZoneCoordinator::Renewal::kYes;
+  if (report.token == 0 || !election_.MayRenew(term)) {
+    renewal = zone_coordinator_.MayRenew(report);
   }
-  if (keeping == ZoneCoordinator::Keeping::kYes) {
+  if (renewal == ZoneCoordinator::Renewal::kYes) {
     out.reply.token = report.token;
     out.result = Result::kAnswered;
     co_return out;
   }
   // A worker sent to one that it can't reach would lose its time there. One
   // that a leader reaches, of the term that is known here, is sent to that one.
-  const bool named = keeping == ZoneCoordinator::Keeping::kSentOn &&
+  const bool named = renewal == ZoneCoordinator::Renewal::kSentOn &&
                      term == TermOf(catalog_.epoch(), catalog_.leader().stamp);
   if (named || !zone_coordinator_.CutOff()) out.leader = election_.LeaderName();
-  if (out.leader.empty() && keeping == ZoneCoordinator::Keeping::kNo &&
+  if (out.leader.empty() && renewal == ZoneCoordinator::Renewal::kNo &&
       report.zone == settings_.zone) {
     out.leader = zone_coordinator_.Neighbour();
   }
--- a/app/zone_coordinator.cc
+++ b/app/zone_coordinator.cc
@@ -48,18 +48,18 @@
                                  std::string life, Seams seams)
     : loop_(loop),
       settings_(settings),
-      on_(tuning.keep_zones > 0),
+      on_(tuning.delegate_to_zones > 0),
       state_(state),
       peers_(peers),
       life_(std::move(life)),
       started_(loop.Now()),
       seams_(std::move(seams)),
-      keeper_(settings.workers),
-      record_(keeper_),
+      delegated_lease_(settings.workers),
+      record_(delegated_lease_),
       signs_(settings.workers) {}
 
 void ZoneCoordinator::Start() {
-  if (!on_ || ZoneRight(settings_.workers) <= 0) return;
+  if (!on_ || DelegatedLeaseTerm(settings_.workers) <= 0) return;
   net::Spawn(AskLoop());
   net::Spawn(RecordLoop());
   net::Spawn(NeighbourLoop());
@@ -82,13 +82,17 @@
       // Whoever leads next takes office after the lease has ended, and counts
       // what this one may do from then, as if it had been granted.
       leader_met_ = sent;
-      if (core->ZoneSettled(settings_.zone, sent)) keeper_.Granted(sent);
+      if (core->ZoneSettled(settings_.zone, sent)) {
+        delegated_lease_.Granted(sent);
+      }
     } else if (clients::PeerClient* leader = seams_.leader()) {
       const auto answer =
-          co_await leader->Ask(Message(PeerKind::kKeepZone), kWait * lease);
+          co_await leader->Ask(Message(PeerKind::kDelegateZone), kWait * lease);
       if (answer.ok && answer.message.role == LeaderRole::kLeads) {
         leader_met_ = sent;
-        if (answer.message.answer == PeerAnswer::kYes) keeper_.Granted(sent);
+        if (answer.message.answer == PeerAnswer::kYes) {
+          delegated_lease_.Granted(sent);
+        }
       } else if (!answer.ok) {
         leader_missed_ = sent;
       }
@@ -114,7 +118,7 @@
   const double lease = settings_.workers.lease_s;
   const net::Time sent = loop_.Refresh();
   const auto answer =
-      co_await peer->Ask(Message(PeerKind::kKeepZone), kWait * lease);
+      co_await peer->Ask(Message(PeerKind::kDelegateZone), kWait * lease);
   if (!answer.ok) co_return;
   peer_heard_ = loop_.Now();
   const bool near = std::any_of(
@@ -186,8 +190,8 @@
       break;
     }
     case RecordStep::kLease: {
-      const StateResult granted =
-          co_await state_.CreateLease(ZoneRecordLease(settings_.workers));
+      const StateResult granted = co_await state_.CreateLease(
+          DelegatedLeaseRecordTerm(settings_.workers));
       if (granted.ok()) record_.LeaseGranted(granted.lease_id, sent);
       break;
     }
@@ -300,17 +304,17 @@
   return leader_missed_ > leader_met_;
 }
 
-ZoneCoordinator::Keeping ZoneCoordinator::Keeps(const WorkerReport& report) {
+ZoneCoordinator::Renewal ZoneCoordinator::MayRenew(const WorkerReport& report) {
   if (!CutOff()) {
     signs_.Clear();
-    return Keeping::kNo;
+    return Renewal::kNo;
   }
-  if (report.token == 0 || report.zone != settings_.zone) return Keeping::kNo;
+  if (report.token == 0 || report.zone != settings_.zone) return Renewal::kNo;
   const net::Time now = loop_.Refresh();
-  if (signs_.SentOn(report, now)) return Keeping::kSentOn;
-  if (!keeper_.Keep(now)) return Keeping::kNo;
+  if (signs_.SentOn(report, now)) return Renewal::kSentOn;
+  if (!delegated_lease_.Renew(now)) return Renewal::kNo;
   signs_.Kept(report, now);
-  return Keeping::kYes;
+  return Renewal::kYes;
 }
 
 void ZoneCoordinator::DoAsk(const AskStandBack& ask, uint64_t revision) {
@@ -330,9 +334,9 @@
   const PeerMessage& said = answer.message;
   if (!answer.ok || said.answer != PeerAnswer::kYes) co_return;
   // One more than the time, 0 for never.
-  const double kept_ago = said.done == 0 ? -1 : Seconds(said.done - 1);
+  const double renewed_ago = said.done == 0 ? -1 : Seconds(said.done - 1);
   seams_.tell(revision, [&](Controller& c) {
-    c.OnStoodBack(peer->name(), said.text, Seconds(said.running), kept_ago,
+    c.OnStoodBack(peer->name(), said.text, Seconds(said.running), renewed_ago,
                   sent, loop_.Now());
   });
 }
@@ -341,9 +345,9 @@
   const net::Time now = loop_.Refresh();
   if (message.kind == PeerKind::kStandBack) {
     leader_met_ = now;
-    if (!keeper_.AskedToStandBack(now)) return;
-    const double kept_ago = keeper_.KeptAgo(now);
-    reply->done = kept_ago < 0 ? 0 : Milliseconds(kept_ago) + 1;
+    if (!delegated_lease_.AskedToStandBack(now)) return;
+    const double renewed_ago = delegated_lease_.RenewedAgo(now);
+    reply->done = renewed_ago < 0 ? 0 : Milliseconds(renewed_ago) + 1;
     reply->running = Milliseconds(now - started_);
     reply->text = life_;
     reply->answer = PeerAnswer::kYes;
@@ -351,10 +355,13 @@
   }
   Controller* core = seams_.leading();
   // One that has forgotten its right sends its workers here.
-  if (core == nullptr) reply->done = CutOff() && keeper_.Holds(now) ? 1 : 0;
+  if (core == nullptr) {
+    reply->done = CutOff() && delegated_lease_.Holds(now) ? 1 : 0;
+  }
   if (core != nullptr) peer_met_[message.node] = now;
-  if (core != nullptr && core->OnKeepAsked(message.node, message.text,
-                                           Seconds(message.running), now)) {
+  if (core != nullptr &&
+      core->OnDelegationAsked(message.node, message.text,
+                              Seconds(message.running), now)) {
     reply->answer = PeerAnswer::kYes;
   }
 }
--- a/app/zone_coordinator.h
+++ b/app/zone_coordinator.h
@@ -1,7 +1,8 @@
 // A controller and the workers of its zone, where the leader is in another one.
 // Their reports are handed on to the leader, so that they stay where they are
 // when the zone is cut off; then they are kept alive by a right that has been
-// asked for before. Gives no orders and leads nothing. See docs/keepers.md.
+// asked for before. Gives no orders and leads nothing. See
+// docs/delegated-lease.md.
 #pragma once
 
 #include <functional>
@@ -15,8 +16,8 @@
 #include "clients/state.h"
 #include "core/controller/controller.h"
 #include "core/lease/cut_signs.h"
-#include "core/lease/zone_keeping.h"
-#include "core/lease/zone_record.h"
+#include "core/lease/delegated_lease.h"
+#include "core/lease/delegated_lease_record.h"
 #include "core/model/report.h"
 #include "net/loop.h"
 
@@ -63,18 +64,18 @@
   // Whether it has reached neither the state service nor any controller for a
   // while: nothing that a user asks can be answered here.
   bool Apart() const;
-  enum class Keeping : uint8_t {
+  enum class Renewal : uint8_t {
     kNo,
     kYes,     // the report may be answered here, without orders
     kSentOn,  // a leader reaches the worker: it is to look for that one
   };
-  Keeping Keeps(const WorkerReport& report);
+  Renewal MayRenew(const WorkerReport& report);
 
   // --- as the leader
   void DoAsk(const AskStandBack& ask, uint64_t revision);
 
   static bool Takes(clients::PeerKind kind) {
-    return kind == clients::PeerKind::kKeepZone ||
+    return kind == clients::PeerKind::kDelegateZone ||
            kind == clients::PeerKind::kStandBack;
   }
   void OnPeer(const clients::PeerMessage& message, clients::PeerMessage* reply);
@@ -106,8 +107,8 @@
   const std::string life_;  // incarnation of this process
   const net::Time started_;
   Seams seams_;
-  ZoneKeeper keeper_;
-  ZoneRecord record_;
+  DelegatedLease delegated_lease_;
+  DelegatedLeaseRecord record_;
   CutSigns signs_;
   net::Time leader_met_ = -1e9;     // asked when it answered, or was this one
   net::Time leader_missed_ = -1e9;  // asked when it did not
--- a/clients/peer.h
+++ b/clients/peer.h
@@ -35,11 +35,11 @@
   kKnown,       // do you know of this job?
   kEnded,       // how the jobs that you know to have ended did end
   // I answer reports while nobody can lead: do not seek for a moment.
-  kTend,
-  kTendOver,   // I do not any more
-  kKeepZone,   // may I keep the workers of my zone, should it be cut off?
-  kStandBack,  // do not, for a moment: I take the silent ones for gone
-  kReport,     // of a worker of my zone, as it came
+  kDelegate,
+  kDelegationOver,  // I do not any more
+  kDelegateZone,    // may I keep the workers of my zone, should it be cut off?
+  kStandBack,       // do not, for a moment: I take the silent ones for gone
+  kReport,          // of a worker of my zone, as it came
 };
 
 enum class PeerAnswer : uint8_t { kNo, kYes, kUnknownJob, kKnownJob };
--- a/core/controller/actions.h
+++ b/core/controller/actions.h
@@ -95,7 +95,7 @@
 };
 
 // Read again whose right to keep a zone's workers is recorded.
-struct ReadZoneKeepers {};
+struct ReadDelegates {};
 
 // A task runs whose job is not known here: read how it stands.
 struct AskJob {
@@ -112,10 +112,10 @@
   bool detail = false;
 };
 
-using Action = std::variant<SendOrders, Probe, WriteTransaction, ReadKeys,
-                            RentMachines, DeleteMachines, JobTerminated,
-                            CheckInstance, AskReach, OfferLead, AskStandBack,
-                            ReadZoneKeepers, AskJob, Resign, Note>;
+using Action =
+    std::variant<SendOrders, Probe, WriteTransaction, ReadKeys, RentMachines,
+                 DeleteMachines, JobTerminated, CheckInstance, AskReach,
+                 OfferLead, AskStandBack, ReadDelegates, AskJob, Resign, Note>;
 
 // --- answers
 
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -56,7 +56,7 @@
   std::string incarnation;  // of the process, which a restart changes
   uint64_t stamp = 0;
   // Taken to keep the workers alive, not to lead (Leadership).
-  bool keeping = false;
+  bool renews_only = false;
 };
 
 struct TerminalRecord {
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -27,7 +27,7 @@
 Controller::Controller(const Settings& settings, const Tuning& tuning,
                        Catalog& catalog, uint64_t revision, Time now,
                        double wall_minus_steady, uint64_t seed,
-                       const std::optional<std::set<std::string>>& keepers)
+                       const std::optional<std::set<std::string>>& delegates)
     : settings_(settings),
       tuning_(tuning),
       catalog_(catalog),
@@ -43,7 +43,7 @@
       queue_order_(settings, tuning),
       writes_(settings, Mandate(catalog, revision), *this, actions_),
       liveness_(settings, tuning, timeouts_, machines_, now, seed, actions_),
-      zones_(settings, now, keepers),
+      zones_(settings, now, delegates),
       tiers_(settings, tuning.tiers > 0),
       calendar_(settings.workers.lease_s, settings.clock_off_ms / 1000) {
   if (tuning.fragmentation_weight > 0) {
@@ -294,9 +294,9 @@
   liveness_.Count(now);
   sessions_unsettled_ = false;
   for (auto& m : machines_) TickMachine(*m, now, by_lease);
-  if (sessions_unsettled_ && now >= next_keepers_) {
-    next_keepers_ = now + StandBackFor(settings_.workers);
-    actions_.push_back(ReadZoneKeepers{});
+  if (sessions_unsettled_ && now >= next_delegates_read_) {
+    next_delegates_read_ = now + StandBackFor(settings_.workers);
+    actions_.push_back(ReadDelegates{});
   }
   liveness_.Ask(now);
   for (auto& [name, rental] : rentals_) {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -21,8 +21,8 @@
 #include "core/controller/liveness_monitor.h"
 #include "core/controller/queue_order.h"
 #include "core/controller/write_queue.h"
+#include "core/lease/delegated_lease.h"
 #include "core/lease/token.h"
-#include "core/lease/zone_keeping.h"
 #include "core/limits/loss_limiter.h"
 #include "core/model/job.h"
 #include "core/model/machine.h"
@@ -40,12 +40,12 @@
 
 class Controller : private WriteQueue::Owner {
  public:
-  // `revision`: of the leader key, in the catalog's epoch. `keepers`: who may
-  // hold a right to keep the workers of its zone (ZoneRights).
+  // `revision`: of the leader key, in the catalog's epoch. `delegates`: who may
+  // hold a right to keep the workers of its zone (DelegatedLeases).
   Controller(const Settings& settings, const Tuning& tuning, Catalog& catalog,
              uint64_t revision, Time now, double wall_minus_steady,
              uint64_t seed,
-             const std::optional<std::set<std::string>>& keepers = {});
+             const std::optional<std::set<std::string>>& delegates = {});
 
   // --- events
   void OnTypes(const std::vector<MachineType>& types);
@@ -88,16 +88,16 @@
   }
   // A controller asks for the right to keep the workers of its zone, should it
   // be cut off. `life`, `age`: of its process, s.
-  bool OnKeepAsked(const std::string& peer, const std::string& life, double age,
-                   Time now);
+  bool OnDelegationAsked(const std::string& peer, const std::string& life,
+                         double age, Time now);
   // One that was asked at `sent` stands back. Ages as of its answer, s;
-  // `kept_ago` is negative if it never kept.
+  // `renewed_ago` is negative if it never kept.
   void OnStoodBack(const std::string& peer, const std::string& life, double age,
-                   double kept_ago, Time sent, Time now) {
-    zones_.StoodBack(peer, life, age, kept_ago, sent, now);
+                   double renewed_ago, Time sent, Time now) {
+    zones_.StoodBack(peer, life, age, renewed_ago, sent, now);
   }
-  void OnKeepersRead(const std::set<std::string>& recorded, Time sent,
-                     Time now) {
+  void OnDelegatesRead(const std::set<std::string>& recorded, Time sent,
+                       Time now) {
     zones_.RecordsRead(recorded, sent, now);
   }
   // Whether nothing is in a zone that must be gone before a right to keep its
@@ -432,10 +432,10 @@
   std::map<std::string, ClassStats> class_stats_;
   std::map<std::string, Rental> rentals_;
   std::map<SupplyKey, Time> refused_until_;
-  ZoneRights zones_;
+  DelegatedLeases zones_;
   bool sessions_unsettled_ =
       false;  // a silent session may be kept, in this tick
-  Time next_keepers_ = 0;
+  Time next_delegates_read_ = 0;
   std::map<std::string, Rollout> rollouts_;                  // by id
   std::unordered_map<std::string, std::string> in_rollout_;  // by job id
   int checks_in_flight_ = 0;
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -91,7 +91,7 @@
   if (report.session != m.session.number()) return true;
   return report.seq > m.seq &&
          !m.delivery.MustBeOld(report.token, settings_.workers.lease_s,
-                               zones_.MayBeKept(m.zone, now), now);
+                               zones_.MayBeRenewed(m.zone, now), now);
 }
 
 // Whether the worker may be waiting for the answer to this report. One that
@@ -156,7 +156,7 @@
   if (news) {
     m.delivery.Answered(report.seq, m.token, report.token,
                         settings_.workers.lease_s,
-                        zones_.MayBeKept(m.zone, now), now);
+                        zones_.MayBeRenewed(m.zone, now), now);
   }
   Settle(now);
   return reply;
@@ -176,7 +176,7 @@
 }
 
 bool Controller::Lapsed(const Machine& m, Time now) const {
-  return LetsLapse(m, m.seen_token, now) && !zones_.MayBeKept(m.zone, now) &&
+  return LetsLapse(m, m.seen_token, now) && !zones_.MayBeRenewed(m.zone, now) &&
          now > TasksMayLiveUntil(m.last_answer, settings_.workers.lease_s);
 }
 
@@ -590,7 +590,8 @@
   if (now <= m.session.MayLiveUntil(lease) - early) return false;
   const std::vector<std::string> asked = zones_.ToAsk(m.zone, now);
   if (!asked.empty()) actions_.push_back(AskStandBack{asked});
-  return now > m.session.MayLiveUntil(lease) && !zones_.MayBeKept(m.zone, now);
+  return now > m.session.MayLiveUntil(lease) &&
+         !zones_.MayBeRenewed(m.zone, now);
 }
 
 bool Controller::ZoneSettled(const std::string& zone, Time now) const {
@@ -601,7 +602,7 @@
       return false;
     }
   }
-  const double margin = ZoneMargin(settings_.workers) / 2;
+  const double margin = CancellationMargin(settings_.workers) / 2;
   for (const auto& [id, job] : jobs_) {
     if (job->state() != JobState::kAborted || job->holding() == 0 ||
         now - job->ended < margin) {
@@ -617,8 +618,9 @@
   return true;
 }
 
-bool Controller::OnKeepAsked(const std::string& peer, const std::string& life,
-                             double age, Time now) {
+bool Controller::OnDelegationAsked(const std::string& peer,
+                                   const std::string& life, double age,
+                                   Time now) {
   for (const PeerSettings& p : settings_.peers) {
     if (p.name != peer) continue;
     if (!ZoneSettled(p.zone, now)) return false;
--- a/core/lease/cut_signs.h
+++ b/core/lease/cut_signs.h
@@ -1,5 +1,5 @@
 // Whether a zone is cut off, or only the controller inside it: read off the
-// reports of the workers that it keeps. See docs/keepers.md.
+// reports of the workers that it keeps. See docs/delegated-lease.md.
 #pragma once
 
 #include <cstdint>
@@ -17,7 +17,7 @@
 // can: a leader asks a machine that it doesn't hear, and a new one raises its
 // token. Each such answer counts in `tally`. So a worker that was kept here,
 // and whose next report shows a token raised or a message made for somebody
-// else, is reached from outside the zone's keepers: it is sent on to find the
+// else, is reached from outside the zone's delegates: it is sent on to find the
 // leader, and with it those that come in the next moments.
 //
 // One that was sent on and comes back has been to all others. It is kept.
--- a/core/lease/zone_keeping.cc
+++ b/core/lease/delegated_lease.cc
@@ -1,4 +1,4 @@
-#include "core/lease/zone_keeping.h"
+#include "core/lease/delegated_lease.h"
 
 #include <algorithm>
 
@@ -6,19 +6,19 @@
 
 namespace oxbow {
 
-double ZoneMargin(const WorkerSettings& workers) {
+double CancellationMargin(const WorkerSettings& workers) {
   constexpr double kOfLease = 0.05;
   return kOfLease * workers.lease_s;
 }
 
-double ZoneRight(const WorkerSettings& workers) {
-  return std::max(0.0,
-                  workers.cancel_s - workers.lease_s - ZoneMargin(workers));
+double DelegatedLeaseTerm(const WorkerSettings& workers) {
+  return std::max(
+      0.0, workers.cancel_s - workers.lease_s - CancellationMargin(workers));
 }
 
-double ZoneRecordLease(const WorkerSettings& workers) {
+double DelegatedLeaseRecordTerm(const WorkerSettings& workers) {
   constexpr double kLonger = 0.2;
-  return ZoneRight(workers) + kLonger * workers.lease_s;
+  return DelegatedLeaseTerm(workers) + kLonger * workers.lease_s;
 }
 
 double StandBackFor(const WorkerSettings& workers) {
@@ -26,28 +26,28 @@
   return kOfLease * workers.lease_s;
 }
 
-void ZoneKeeper::Granted(Time sent) {
+void DelegatedLease::Granted(Time sent) {
   if (sent < recorded_from_) return;
   until_ = std::max(until_, sent + right_s_ * (1 - kDrift));
 }
 
-void ZoneKeeper::Recorded(Time sent) {
+void DelegatedLease::Recorded(Time sent) {
   recorded_until_ = std::max(recorded_until_, sent + record_s_ * (1 - kDrift));
 }
 
-void ZoneKeeper::RecordedAnew(Time sent, Time now) {
+void DelegatedLease::RecordedAnew(Time sent, Time now) {
   recorded_from_ = now;
   recorded_until_ = sent + record_s_ * (1 - kDrift);
   until_ = -1e9;
 }
 
-bool ZoneKeeper::Keep(Time now) {
+bool DelegatedLease::Renew(Time now) {
   if (!Holds(now)) return false;
   kept_ = now;
   return true;
 }
 
-bool ZoneKeeper::AskedToStandBack(Time now) {
+bool DelegatedLease::AskedToStandBack(Time now) {
   // One that kept a moment ago is as likely as not cut off: it goes on.
   if (kept_ >= 0 && now - kept_ < stand_s_) return false;
   stands_back_until_ =
@@ -55,10 +55,11 @@
   return true;
 }
 
-ZoneRights::ZoneRights(const Settings& settings, Time started,
-                       const std::optional<std::set<std::string>>& recorded)
+DelegatedLeases::DelegatedLeases(
+    const Settings& settings, Time started,
+    const std::optional<std::set<std::string>>& recorded)
     : lease_s_(settings.workers.lease_s),
-      right_s_(ZoneRight(settings.workers)),
+      right_s_(DelegatedLeaseTerm(settings.workers)),
       stand_s_(StandBackFor(settings.workers)) {
   for (const PeerSettings& peer : settings.peers) {
     // What an earlier leader has granted ends by then. One whose record was
@@ -74,7 +75,8 @@
 
 // A life not met before has forgotten what the one before it promised, and
 // does not know until when that one kept.
-void ZoneRights::Meet(Peer& p, const std::string& life, double age, Time now) {
+void DelegatedLeases::Meet(Peer& p, const std::string& life, double age,
+                           Time now) {
   if (p.life == life) return;
   p.life = life;
   p.met = now;
@@ -82,8 +84,8 @@
   p.kept = std::max(p.kept, now - age * (1 - kDrift));
 }
 
-void ZoneRights::Grant(const std::string& peer, const std::string& life,
-                       double age, Time now) {
+void DelegatedLeases::Grant(const std::string& peer, const std::string& life,
+                            double age, Time now) {
   const auto it = peers_.find(peer);
   if (it == peers_.end()) return;
   Peer& p = it->second;
@@ -92,8 +94,8 @@
   Meet(p, life, age, now);
 }
 
-void ZoneRights::RecordsRead(const std::set<std::string>& recorded, Time sent,
-                             Time now) {
+void DelegatedLeases::RecordsRead(const std::set<std::string>& recorded,
+                                  Time sent, Time now) {
   for (auto& [name, p] : peers_) {
     if (p.granted < sent && !recorded.contains(name)) {
       p.right_until = std::min(p.right_until, now);
@@ -101,20 +103,23 @@
   }
 }
 
-void ZoneRights::StoodBack(const std::string& peer, const std::string& life,
-                           double age, double kept_ago, Time sent, Time now) {
+void DelegatedLeases::StoodBack(const std::string& peer,
+                                const std::string& life, double age,
+                                double renewed_ago, Time sent, Time now) {
   const auto it = peers_.find(peer);
   if (it == peers_.end()) return;
   Peer& p = it->second;
   // Of a life that has ended, held back on the way.
   if (p.life != life && sent <= p.met) return;
   Meet(p, life, age, now);
-  if (kept_ago >= 0) p.kept = std::max(p.kept, now - kept_ago * (1 - kDrift));
+  if (renewed_ago >= 0) {
+    p.kept = std::max(p.kept, now - renewed_ago * (1 - kDrift));
+  }
   p.stands_back_until =
       std::max(p.stands_back_until, sent + stand_s_ * (1 - kDrift));
 }
 
-bool ZoneRights::MayBeKept(const std::string& zone, Time now) const {
+bool DelegatedLeases::MayBeRenewed(const std::string& zone, Time now) const {
   if (right_s_ <= 0) return false;
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const Peer& p = entry.second;
@@ -126,7 +131,8 @@
   });
 }
 
-std::vector<std::string> ZoneRights::ToAsk(const std::string& zone, Time now) {
+std::vector<std::string> DelegatedLeases::ToAsk(const std::string& zone,
+                                                Time now) {
   constexpr double kAgain = 0.3;  // of what a standing back lasts
   std::vector<std::string> names;
   for (auto& [name, p] : peers_) {
--- a/core/lease/zone_keeping.h
+++ b/core/lease/delegated_lease.h
@@ -1,7 +1,7 @@
 // A zone that is cut off: a controller inside may keep the workers of its zone
 // alive for a while, without orders, and the leader outside does not take for
 // over what may be kept. The right is a lease that the leader grants while
-// both can still talk. See docs/keepers.md.
+// both can still talk. See docs/delegated-lease.md.
 #pragma once
 
 #include <map>
@@ -18,22 +18,22 @@
 // is cancelled once its tasks are gone; behind a cut they go when the right has
 // run out and the worker's lease after it. Under one leader a user waits for
 // less than `cancel_s` for that.
-double ZoneRight(const WorkerSettings& workers);
+double DelegatedLeaseTerm(const WorkerSettings& workers);
 // How old a cancellation may be whose tasks are still there, for the right to
 // be granted anew, s.
-double ZoneMargin(const WorkerSettings& workers);
+double CancellationMargin(const WorkerSettings& workers);
 // Of the record of the right: a little longer, so that it need not be renewed
 // as often as the right, s.
-double ZoneRecordLease(const WorkerSettings& workers);
+double DelegatedLeaseRecordTerm(const WorkerSettings& workers);
 // How long one that stands back does not keep, s.
 double StandBackFor(const WorkerSettings& workers);
 
 // The one inside.
-class ZoneKeeper {
+class DelegatedLease {
  public:
-  explicit ZoneKeeper(const WorkerSettings& workers)
-      : right_s_(ZoneRight(workers)),
-        record_s_(ZoneRecordLease(workers)),
+  explicit DelegatedLease(const WorkerSettings& workers)
+      : right_s_(DelegatedLeaseTerm(workers)),
+        record_s_(DelegatedLeaseRecordTerm(workers)),
         stand_s_(StandBackFor(workers)) {}
 
   // The leader has granted the right, asked for at `sent`; or this controller
@@ -45,7 +45,7 @@
   // new leader may have found none: what was granted before is void.
   void RecordedAnew(Time sent, Time now);
   // Whether a report may be answered now; notes that it is.
-  bool Keep(Time now);
+  bool Renew(Time now);
   // The same, without noting anything.
   bool Holds(Time now) const {
     return now < until_ && now < recorded_until_ && now >= stands_back_until_;
@@ -53,7 +53,7 @@
   // Asked to stand back: not to keep for a moment. False while it keeps.
   bool AskedToStandBack(Time now);
   // s since a report was answered last; negative: none ever was.
-  double KeptAgo(Time now) const { return kept_ < 0 ? -1 : now - kept_; }
+  double RenewedAgo(Time now) const { return kept_ < 0 ? -1 : now - kept_; }
 
  private:
   double right_s_;
@@ -67,12 +67,12 @@
 };
 
 // The leader's picture of those inside.
-class ZoneRights {
+class DelegatedLeases {
  public:
   // `recorded`: whose right is, or may be, recorded in the state service as of
   // this leadership's beginning; nothing: that is not known.
-  ZoneRights(const Settings& settings, Time started,
-             const std::optional<std::set<std::string>>& recorded);
+  DelegatedLeases(const Settings& settings, Time started,
+                  const std::optional<std::set<std::string>>& recorded);
 
   // The right begins anew now. `life`: the incarnation that asks; another one
   // than before has forgotten that it stood back.
@@ -80,16 +80,16 @@
   // the latest.
   void Grant(const std::string& peer, const std::string& life, double age,
              Time now);
-  // The answer to a question sent at `sent`. Ages as of the answer; `kept_ago`
-  // is negative if it has never kept.
+  // The answer to a question sent at `sent`. Ages as of the answer;
+  // `renewed_ago` is negative if it has never kept.
   void StoodBack(const std::string& peer, const std::string& life, double age,
-                 double kept_ago, Time sent, Time now);
+                 double renewed_ago, Time sent, Time now);
   // The records as read by a question sent at `sent`: one whose record is gone
   // has no right, unless it was granted since.
   void RecordsRead(const std::set<std::string>& recorded, Time sent, Time now);
   // Whether a session in the zone may have been kept alive until less than a
   // worker lease ago.
-  bool MayBeKept(const std::string& zone, Time now) const;
+  bool MayBeRenewed(const std::string& zone, Time now) const;
   // Controllers in the zone whose standing back has to be asked for, each once
   // in a while.
   std::vector<std::string> ToAsk(const std::string& zone, Time now);
--- /dev/null
+++ b/core/lease/delegated_lease_record.cc
@@ -0,0 +1,49 @@
+#include "core/lease/delegated_lease_record.h"
+
+#include <array>
+#include <utility>
+
+#include "core/model/state_machine.h"
+
+namespace oxbow {
+namespace {
+
+using enum RecordStep;
+
+constexpr std::array kChanges = {
+    std::pair{kRead, kLease},  std::pair{kLease, kWrite},
+    std::pair{kWrite, kRenew}, std::pair{kWrite, kRead},
+    std::pair{kRenew, kRead},
+};
+
+}  // namespace
+
+void DelegatedLeaseRecord::Change(RecordStep next) {
+  CheckedChange(step_, next, kChanges, "zone record");
+}
+
+void DelegatedLeaseRecord::WasRead(uint64_t stamp) {
+  Change(kLease);
+  stamp_ = stamp;
+}
+
+void DelegatedLeaseRecord::LeaseGranted(uint64_t lease_id, Time sent) {
+  Change(kWrite);
+  lease_id_ = lease_id;
+  lease_sent_ = sent;
+}
+
+void DelegatedLeaseRecord::Written(Time now) {
+  Change(kRenew);
+  delegated_lease_.RecordedAnew(lease_sent_, now);
+}
+
+void DelegatedLeaseRecord::NotWritten() { Change(kRead); }
+
+void DelegatedLeaseRecord::Renewed(Time sent) {
+  if (step_ == kRenew) delegated_lease_.Recorded(sent);
+}
+
+void DelegatedLeaseRecord::LeaseEnded() { Change(kRead); }
+
+}  // namespace oxbow
--- a/core/lease/zone_record.h
+++ b/core/lease/delegated_lease_record.h
@@ -1,10 +1,10 @@
 // The record of a right to keep a zone's workers, in the state service: by it a
-// new leader tells whom it has to wait for. See docs/keepers.md.
+// new leader tells whom it has to wait for. See docs/delegated-lease.md.
 #pragma once
 
 #include <cstdint>
 
-#include "core/lease/zone_keeping.h"
+#include "core/lease/delegated_lease.h"
 #include "core/model/settings.h"
 
 namespace oxbow {
@@ -22,9 +22,10 @@
 // hang the key on a lease that nobody renews: it goes while its owner counts
 // with it, and a new leader takes for over what is kept. Under the stamp that
 // was read, of two such writes one is refused, and who is refused reads again.
-class ZoneRecord {
+class DelegatedLeaseRecord {
  public:
-  explicit ZoneRecord(ZoneKeeper& keeper) : keeper_(keeper) {}
+  explicit DelegatedLeaseRecord(DelegatedLease& lease)
+      : delegated_lease_(lease) {}
 
   RecordStep step() const { return step_; }
   uint64_t stamp() const { return stamp_; }        // of the key, 0: not there
@@ -43,7 +44,7 @@
  private:
   void Change(RecordStep next);
 
-  ZoneKeeper& keeper_;
+  DelegatedLease& delegated_lease_;
   RecordStep step_ = RecordStep::kRead;
   uint64_t stamp_ = 0;
   uint64_t lease_id_ = 0;
--- a/core/lease/leadership.cc
+++ b/core/lease/leadership.cc
@@ -11,8 +11,8 @@
 constexpr std::array kChanges = {
     std::pair{kFollower, kSeeking},  std::pair{kSeeking, kFollower},
     std::pair{kSeeking, kLeading},   std::pair{kLeading, kProlonged},
-    std::pair{kSeeking, kKeeping},   std::pair{kKeeping, kLeading},
-    std::pair{kKeeping, kLapsed},    std::pair{kLeading, kLapsed},
+    std::pair{kSeeking, kRenewing},  std::pair{kRenewing, kLeading},
+    std::pair{kRenewing, kLapsed},   std::pair{kLeading, kLapsed},
     std::pair{kProlonged, kLeading}, std::pair{kProlonged, kLapsed},
     std::pair{kLapsed, kFollower},
 };
@@ -20,12 +20,12 @@
 }  // namespace
 
 Leadership::Leadership(std::vector<std::string> peers, double lease_s,
-                       double promise_s, double tend_s, Time started)
+                       double promise_s, double delegation_s, Time started)
     : peers_(std::move(peers)),
       lease_s_(lease_s),
       promise_s_(promise_s),
       started_(started),
-      tend_s_(tend_s) {}
+      delegation_s_(delegation_s) {}
 
 void Leadership::Change(LeaderState next) {
   CheckedChange(state_, next, kChanges, "leadership");
@@ -42,7 +42,7 @@
 }
 
 bool Leadership::Valid(Time now) {
-  if (state_ == kKeeping && now >= lease_until_) Change(kLapsed);
+  if (state_ == kRenewing && now >= lease_until_) Change(kLapsed);
   if (state_ != kLeading && state_ != kProlonged) return false;
   if (now < lease_until_) {
     if (state_ == kProlonged) Change(kLeading);
@@ -60,34 +60,34 @@
   return state_ == kFollower && !Bound(now) && Proven(now);
 }
 
-bool Leadership::MayKeep(Time now) const {
-  return tend_s_ > 0 && state_ == kFollower && !Bound(now);
+bool Leadership::MayTakeKey(Time now) const {
+  return delegation_s_ > 0 && state_ == kFollower && !Bound(now);
 }
 
 // By a promise that this process has given.
 bool Leadership::Bound(Time now) const {
   if (now < promised_until_) return true;
-  return std::any_of(tend_promised_.begin(), tend_promised_.end(),
+  return std::any_of(delegation_promised_.begin(), delegation_promised_.end(),
                      [now](const auto& p) { return now < p.second.until; });
 }
 
 bool Leadership::Proven(Time now) const {
   if (now >= started_ + promise_s_ * (1 + kDrift)) return true;
-  return AllIdle(TendsAreOver(now));
+  return AllIdle(DelegationsAreOver(now));
 }
 
 bool Leadership::OwnProven(Time now) const {
-  return leading_.empty() && (TendsAreOver(now) || AllIdle(false));
+  return leading_.empty() && (DelegationsAreOver(now) || AllIdle(false));
 }
 
-bool Leadership::TendsAreOver(Time now) const {
-  return now >= started_ + tend_s_ * (1 + kDrift);
+bool Leadership::DelegationsAreOver(Time now) const {
+  return now >= started_ + delegation_s_ * (1 + kDrift);
 }
 
-bool Leadership::AllIdle(bool tends_are_over) const {
+bool Leadership::AllIdle(bool delegations_are_over) const {
   return std::all_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
     return known_idle_.contains(peer) ||
-           (tends_are_over && tending_.contains(peer));
+           (delegations_are_over && delegates_.contains(peer));
   });
 }
 
@@ -95,16 +95,17 @@
   Change(kSeeking);
   seen_ = seen;
   // Somebody who is told that this one keeps, or leads, no longer counts with
-  // a promise to a tender; one left over must not count afterwards either.
-  tend_over_ = std::max(tend_over_, tend_asked_);
-  tend_granted_.clear();
+  // a promise to a delegate by promises; one left over must not count
+  // afterwards either.
+  delegation_over_ = std::max(delegation_over_, delegation_asked_);
+  delegation_granted_.clear();
 }
 
 void Leadership::SeekFailed() { Change(kFollower); }
 
 void Leadership::Won(uint64_t revision, uint64_t lease_id, Time sent,
                      bool leads) {
-  Change(leads ? kLeading : kKeeping);
+  Change(leads ? kLeading : kRenewing);
   revision_ = revision;
   lease_id_ = lease_id;
   lease_until_ = sent + lease_s_ * (1 - kDrift);
@@ -112,7 +113,7 @@
 }
 
 bool Leadership::Promote(Time now) {
-  if (state_ != kKeeping || now >= lease_until_ || !Proven(now)) return false;
+  if (state_ != kRenewing || now >= lease_until_ || !Proven(now)) return false;
   Change(kLeading);
   return true;
 }
@@ -128,17 +129,17 @@
 void Leadership::Forget(Time now) {
   started_ = now;
   known_idle_.clear();
-  tending_.clear();
+  delegates_.clear();
   leading_.clear();
 }
 
 void Leadership::RenewGranted(Time sent) {
-  if (state_ != kLeading && state_ != kProlonged && state_ != kKeeping) return;
+  if (state_ != kLeading && state_ != kProlonged && state_ != kRenewing) return;
   lease_until_ = std::max(lease_until_, sent + lease_s_ * (1 - kDrift));
 }
 
 void Leadership::Lost() {
-  if (state_ == kLeading || state_ == kProlonged || state_ == kKeeping) {
+  if (state_ == kLeading || state_ == kProlonged || state_ == kRenewing) {
     Change(kLapsed);
   }
 }
@@ -175,8 +176,8 @@
     return;
   }
   leading_.erase(peer);
-  if (role == LeaderRole::kTends) {
-    tending_.insert(peer);
+  if (role == LeaderRole::kRenewsByPromises) {
+    delegates_.insert(peer);
   } else {
     known_idle_.insert(peer);
   }
@@ -184,61 +185,63 @@
 
 LeaderRole Leadership::Role(Time now) const {
   if (state_ == kLeading || state_ == kProlonged) return LeaderRole::kLeads;
-  if (state_ == kKeeping) return LeaderRole::kKeeps;
+  if (state_ == kRenewing) return LeaderRole::kRenewsByKey;
   // From the question on: the answer may be under way while its giver, started
   // again, asks who relies on it.
-  return tend_over_ < tend_asked_ && now < tend_asked_ + tend_s_
-             ? LeaderRole::kTends
+  return delegation_over_ < delegation_asked_ &&
+                 now < delegation_asked_ + delegation_s_
+             ? LeaderRole::kRenewsByPromises
              : LeaderRole::kNone;
 }
 
-bool Leadership::Keeps(Time now) {
-  if (state_ == kKeeping) {
+bool Leadership::MayRenew(Time now) {
+  if (state_ == kRenewing) {
     if (now < lease_until_) return true;
     Change(kLapsed);
     return false;
   }
-  if (state_ != kFollower || tend_s_ <= 0 || peers_.empty()) return false;
+  if (state_ != kFollower || delegation_s_ <= 0 || peers_.empty()) return false;
   return std::all_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
-    const auto it = tend_granted_.find(peer);
-    return it != tend_granted_.end() && now < it->second;
+    const auto it = delegation_granted_.find(peer);
+    return it != delegation_granted_.end() && now < it->second;
   });
 }
 
-uint64_t Leadership::TendAsked(Time sent) {
-  tend_asked_ = sent;
-  return ++tend_number_;
+uint64_t Leadership::DelegationAsked(Time sent) {
+  delegation_asked_ = sent;
+  return ++delegation_number_;
 }
 
-void Leadership::TendGranted(const std::string& peer, Time sent) {
-  if (sent <= tend_over_) return;
-  Time& until = tend_granted_[peer];
-  until = std::max(until, sent + tend_s_ * (1 - kDrift));
+void Leadership::DelegationGranted(const std::string& peer, Time sent) {
+  if (sent <= delegation_over_) return;
+  Time& until = delegation_granted_[peer];
+  until = std::max(until, sent + delegation_s_ * (1 - kDrift));
 }
 
-uint64_t Leadership::TendOver(Time now) {
-  if (tend_over_ >= tend_asked_) return 0;
-  tend_over_ = now;
-  tend_granted_.clear();
-  return tend_number_;
+uint64_t Leadership::DelegationOver(Time now) {
+  if (delegation_over_ >= delegation_asked_) return 0;
+  delegation_over_ = now;
+  delegation_granted_.clear();
+  return delegation_number_;
 }
 
-bool Leadership::AskedToTend(const std::string& peer, const std::string& life,
-                             uint64_t number, bool state_fails, Time now) {
-  if (tend_s_ <= 0 || !state_fails || state_ != kFollower) return false;
-  TendPromise& promise = tend_promised_[peer];
+bool Leadership::AskedToDelegate(const std::string& peer,
+                                 const std::string& life, uint64_t number,
+                                 bool state_fails, Time now) {
+  if (delegation_s_ <= 0 || !state_fails || state_ != kFollower) return false;
+  DelegationPromise& promise = delegation_promised_[peer];
   promise.life = life;
   promise.number = number;
-  promise.until = std::max(promise.until, now + tend_s_ * (1 + kDrift));
+  promise.until = std::max(promise.until, now + delegation_s_ * (1 + kDrift));
   return true;
 }
 
-void Leadership::TendReleased(const std::string& peer, const std::string& life,
-                              uint64_t number) {
-  const auto it = tend_promised_.find(peer);
-  if (it != tend_promised_.end() && it->second.life == life &&
+void Leadership::DelegationReleased(const std::string& peer,
+                                    const std::string& life, uint64_t number) {
+  const auto it = delegation_promised_.find(peer);
+  if (it != delegation_promised_.end() && it->second.life == life &&
       it->second.number <= number) {
-    tend_promised_.erase(it);
+    delegation_promised_.erase(it);
   }
 }
 
--- a/core/lease/leadership.h
+++ b/core/lease/leadership.h
@@ -16,7 +16,7 @@
 enum class LeaderState : uint8_t {
   kFollower,   // somebody else leads, or nobody
   kSeeking,    // a lease is asked for, the key is being written
-  kKeeping,    // holds the key, but somebody may still lead by a promise that
+  kRenewing,   // holds the key, but somebody may still lead by a promise that
                // this process has forgotten: keeps workers alive, no orders
   kLeading,    // the lease is known to be granted
   kProlonged,  // the service is out; every other controller has promised
@@ -25,17 +25,18 @@
 
 // What a controller is to the others, told with every answer to them.
 enum class LeaderRole : uint8_t {
-  kNone,   // relies on no promise
-  kLeads,  // may come to rely on promises, for the longest right there is
-  kKeeps,  // holds the key and relies on no promise
-  kTends,  // relies on promises, for a short right
+  kNone,         // relies on no promise
+  kLeads,        // may come to rely on promises, for the longest right there is
+  kRenewsByKey,  // holds the key and relies on no promise
+  kRenewsByPromises,  // relies on promises, for a short right
 };
 
 class Leadership {
  public:
-  // `tend_s`: how long a promise to a tender lasts; 0: there are no keepers.
+  // `delegation_s`: how long a promise to a delegate by promises lasts; 0:
+  // there are no delegates.
   Leadership(std::vector<std::string> peers, double lease_s, double promise_s,
-             double tend_s, Time started);
+             double delegation_s, Time started);
 
   LeaderState state() const { return state_; }
   uint64_t revision() const { return revision_; }
@@ -50,13 +51,13 @@
   // A starting controller has forgotten what it promised. It waits out the
   // longest promise, unless every other one says that it does not lead.
   bool MaySeek(Time now) const;
-  // Whether it may take a free key, at least as a keeper.
-  bool MayKeep(Time now) const;
+  // Whether it may take a free key, at least as a delegate.
+  bool MayTakeKey(Time now) const;
   // Whether nobody can rest on a promise that this process has forgotten.
   bool Proven(Time now) const;
   // The same where the key is this controller's own, from a life in which it
-  // led: nobody has led since, so only tenders have to be waited for. Who leads
-  // by data that the state service has lost would have said so.
+  // led: nobody has led since, so only delegates by promises have to be waited
+  // for. Who leads by data that the state service has lost would have said so.
   bool OwnProven(Time now) const;
   // `seen` is the leader key's revision that the search was decided on. The
   // write has to be conditioned on it, not on what the watch brings meanwhile:
@@ -67,7 +68,7 @@
   // `sent` is when the request that the lease counts from was sent. `leads`:
   // it was proven by then; else it keeps.
   void Won(uint64_t revision, uint64_t lease_id, Time sent, bool leads = true);
-  // A keeper for whom it is proven by now leads. True if it does.
+  // A delegate for whom it is proven by now leads. True if it does.
   bool Promote(Time now);
   void RenewGranted(Time sent);
   // The key was written anew under a right that still stood: into a state
@@ -101,29 +102,29 @@
   // --- keeping: answering reports without orders, so that workers live on
   // while nobody can lead. Any number of controllers may at the same time; what
   // must not be is a leader who takes a session for over that another keeps
-  // alive. So a tender holds every other controller's promise not to seek, and
-  // a keeper holds the key; a leader by promises, of whom a keeper may not
-  // know, takes no session for over (Controller::Tick).
-  bool Keeps(Time now);
-  double tend_s() const { return tend_s_; }
-  // The number goes into the question, and back with TendOver.
-  uint64_t TendAsked(Time sent);
-  void TendGranted(const std::string& peer, Time sent);
+  // alive. So a delegate by promises holds every other controller's promise not
+  // to seek, and a delegate holds the key; a leader by promises, of whom a
+  // delegate may not know, takes no session for over (Controller::Tick).
+  bool MayRenew(Time now);
+  double delegation_s() const { return delegation_s_; }
+  // The number goes into the question, and back with DelegationOver.
+  uint64_t DelegationAsked(Time sent);
+  void DelegationGranted(const std::string& peer, Time sent);
   // Relies on no promise any more; the number up to which. 0: did not.
-  uint64_t TendOver(Time now);
+  uint64_t DelegationOver(Time now);
   // As the one who promises. `life`: the asker's incarnation.
-  bool AskedToTend(const std::string& peer, const std::string& life,
-                   uint64_t number, bool state_fails, Time now);
+  bool AskedToDelegate(const std::string& peer, const std::string& life,
+                       uint64_t number, bool state_fails, Time now);
   // A release that was held back on its way may be older than the promise.
-  void TendReleased(const std::string& peer, const std::string& life,
-                    uint64_t number);
+  void DelegationReleased(const std::string& peer, const std::string& life,
+                          uint64_t number);
 
  private:
   void Change(LeaderState next);
   Time PromisedUntil() const;
   bool Bound(Time now) const;
-  bool AllIdle(bool tends_are_over) const;
-  bool TendsAreOver(Time now) const;
+  bool AllIdle(bool delegations_are_over) const;
+  bool DelegationsAreOver(Time now) const;
 
   LeaderState state_ = LeaderState::kFollower;
   std::vector<std::string> peers_;
@@ -137,20 +138,21 @@
   std::map<std::string, Time> granted_until_;
   Time promised_until_ = -1e9;
   std::set<std::string> known_idle_;  // rely on nothing forgotten here
-  std::set<std::string> tending_;     // at the most for tend_s_ from the start
-  std::set<std::string> leading_;     // when last asked
-  // Tending.
-  struct TendPromise {
+  std::set<std::string>
+      delegates_;  // at the most for delegation_s_ from the start
+  std::set<std::string> leading_;  // when last asked
+  // Delegation.
+  struct DelegationPromise {
     std::string life;
     uint64_t number = 0;
     Time until = -1e9;
   };
-  double tend_s_;
-  uint64_t tend_number_ = 0;
-  Time tend_asked_ = -1e9;  // the last question
-  Time tend_over_ = -1e9;   // what was granted to questions before is void
-  std::map<std::string, Time> tend_granted_;
-  std::map<std::string, TendPromise> tend_promised_;
+  double delegation_s_;
+  uint64_t delegation_number_ = 0;
+  Time delegation_asked_ = -1e9;  // the last question
+  Time delegation_over_ = -1e9;  // what was granted to questions before is void
+  std::map<std::string, Time> delegation_granted_;
+  std::map<std::string, DelegationPromise> delegation_promised_;
 };
 
 }  // namespace oxbow
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -113,10 +113,10 @@
   // How long the others promise one who keeps workers alive in an outage of
   // the state service not to seek, as a share of the workers' lease; 0: nobody
   // keeps workers alive without leading.
-  double keeper_ratio = 0;
+  double delegation_ratio = 0;
   // Whether controllers ask for the right to keep the workers of their zone
   // when it is cut off; 0: no.
-  double keep_zones = 0;
+  double delegate_to_zones = 0;
   // A machine that has not reported for this share of its lease gets nothing
   // new; after the second share it is given up.
   double suspect_ratio = 0.3;
--- a/tests/zone_keeping_test.cc
+++ b/tests/delegated_lease_test.cc
@@ -1,11 +1,11 @@
 // Each test names the failure that it prevents.
 
-#include "core/lease/zone_keeping.h"
+#include "core/lease/delegated_lease.h"
 
 #include <gtest/gtest.h>
 
 #include "core/lease/cut_signs.h"
-#include "core/lease/zone_record.h"
+#include "core/lease/delegated_lease_record.h"
 #include "core/model/state_machine.h"
 
 namespace oxbow {
@@ -18,105 +18,106 @@
   return s;
 }
 
-ZoneKeeper Ready(Time now) {
-  ZoneKeeper keeper(Deployment().workers);
-  keeper.RecordedAnew(now, now);
-  keeper.Granted(now);
-  return keeper;
+DelegatedLease Ready(Time now) {
+  DelegatedLease lease(Deployment().workers);
+  lease.RecordedAnew(now, now);
+  lease.Granted(now);
+  return lease;
 }
 
-TEST(ZoneKeeping, TasksOutliveTheTimeThatACancellationHas) {
+TEST(DelegatedZoneLease, TasksOutliveTheTimeThatACancellationHas) {
   WorkerSettings w;
-  EXPECT_DOUBLE_EQ(ZoneRight(w) + w.lease_s + ZoneMargin(w), w.cancel_s);
+  EXPECT_DOUBLE_EQ(DelegatedLeaseTerm(w) + w.lease_s + CancellationMargin(w),
+                   w.cancel_s);
   w.cancel_s = w.lease_s;
-  EXPECT_EQ(ZoneRight(w), 0);
+  EXPECT_EQ(DelegatedLeaseTerm(w), 0);
 }
 
-TEST(ZoneKeeping, KeepsBeyondTheRight) {
-  ZoneKeeper keeper = Ready(0);
-  EXPECT_TRUE(keeper.Keep(29));
-  EXPECT_FALSE(keeper.Keep(29.5));
+TEST(DelegatedZoneLease, KeepsBeyondTheRight) {
+  DelegatedLease lease = Ready(0);
+  EXPECT_TRUE(lease.Renew(29));
+  EXPECT_FALSE(lease.Renew(29.5));
 }
 
-TEST(ZoneKeeping, KeepsWhatANewLeaderWasToldItMayNot) {
+TEST(DelegatedZoneLease, KeepsWhatANewLeaderWasToldItMayNot) {
   // The record ended, a new leader found none, and it is written again: what
   // the old leader granted is void.
-  ZoneKeeper keeper = Ready(0);
-  keeper.RecordedAnew(5, 5.1);
-  EXPECT_FALSE(keeper.Keep(6));
-  keeper.Granted(5);  // asked before
-  EXPECT_FALSE(keeper.Keep(6));
-  keeper.Granted(5.2);
-  EXPECT_TRUE(keeper.Keep(6));
-}
-
-TEST(ZoneKeeping, KeepsAlthoughItStandsBack) {
-  ZoneKeeper keeper = Ready(0);
-  EXPECT_TRUE(keeper.AskedToStandBack(1));
-  EXPECT_FALSE(keeper.Keep(1.9));
-  EXPECT_TRUE(keeper.Keep(2.1));
-  EXPECT_FALSE(keeper.AskedToStandBack(2.5));  // it has just kept
-  EXPECT_NEAR(keeper.KeptAgo(2.5), 0.4, 1e-9);
-}
-
-TEST(ZoneKeeping, SessionIsOverWhileItsKeeperIsOutOfReach) {
-  ZoneRights rights(Deployment(), 100, std::set<std::string>{"b"});
-  EXPECT_TRUE(rights.MayBeKept("z", 139));
+  DelegatedLease lease = Ready(0);
+  lease.RecordedAnew(5, 5.1);
+  EXPECT_FALSE(lease.Renew(6));
+  lease.Granted(5);  // asked before
+  EXPECT_FALSE(lease.Renew(6));
+  lease.Granted(5.2);
+  EXPECT_TRUE(lease.Renew(6));
+}
+
+TEST(DelegatedZoneLease, KeepsAlthoughItStandsBack) {
+  DelegatedLease lease = Ready(0);
+  EXPECT_TRUE(lease.AskedToStandBack(1));
+  EXPECT_FALSE(lease.Renew(1.9));
+  EXPECT_TRUE(lease.Renew(2.1));
+  EXPECT_FALSE(lease.AskedToStandBack(2.5));  // it has just kept
+  EXPECT_NEAR(lease.RenewedAgo(2.5), 0.4, 1e-9);
+}
+
+TEST(DelegatedZoneLease, SessionIsOverWhileItsDelegateIsOutOfReach) {
+  DelegatedLeases rights(Deployment(), 100, std::set<std::string>{"b"});
+  EXPECT_TRUE(rights.MayBeRenewed("z", 139));
   // The right, and a lease after it.
-  EXPECT_FALSE(rights.MayBeKept("z", 100 + 29.5 + 10.2));
+  EXPECT_FALSE(rights.MayBeRenewed("z", 100 + 29.5 + 10.2));
   // Nobody's record is there for the other zone.
-  EXPECT_FALSE(rights.MayBeKept("y", 110.2));
+  EXPECT_FALSE(rights.MayBeRenewed("y", 110.2));
 }
 
-TEST(ZoneKeeping, WhatIsNotKnownIsTakenForARight) {
-  ZoneRights rights(Deployment(), 100, std::nullopt);
-  EXPECT_TRUE(rights.MayBeKept("y", 139));
+TEST(DelegatedZoneLease, WhatIsNotKnownIsTakenForARight) {
+  DelegatedLeases rights(Deployment(), 100, std::nullopt);
+  EXPECT_TRUE(rights.MayBeRenewed("y", 139));
 }
 
-TEST(ZoneKeeping, DeadMachinesWaitForTheWholeRight) {
+TEST(DelegatedZoneLease, DeadMachinesWaitForTheWholeRight) {
   // One that can be asked stands back, and has not kept for a lease.
-  ZoneRights rights(Deployment(), 100, std::set<std::string>{"b"});
+  DelegatedLeases rights(Deployment(), 100, std::set<std::string>{"b"});
   rights.Grant("b", "life", 50, 150);
   rights.StoodBack("b", "life", 60, -1, 160, 160.1);
-  EXPECT_FALSE(rights.MayBeKept("z", 160.5));
-  EXPECT_TRUE(rights.MayBeKept("z", 161.1));  // its word is over
+  EXPECT_FALSE(rights.MayBeRenewed("z", 160.5));
+  EXPECT_TRUE(rights.MayBeRenewed("z", 161.1));  // its word is over
   rights.StoodBack("b", "life", 62, 3, 162, 162.1);
-  EXPECT_TRUE(rights.MayBeKept("z", 162.5));  // kept three seconds ago
+  EXPECT_TRUE(rights.MayBeRenewed("z", 162.5));  // kept three seconds ago
 }
 
-TEST(ZoneKeeping, StartedAgainItHasForgottenThatItStoodBack) {
-  ZoneRights rights(Deployment(), 100, std::set<std::string>{});
+TEST(DelegatedZoneLease, StartedAgainItHasForgottenThatItStoodBack) {
+  DelegatedLeases rights(Deployment(), 100, std::set<std::string>{});
   rights.Grant("b", "one", 50, 150);
   rights.StoodBack("b", "one", 60, -1, 160, 160.1);
   rights.Grant("b", "two", 0.1, 160.3);
-  EXPECT_TRUE(rights.MayBeKept("z", 160.5));
+  EXPECT_TRUE(rights.MayBeRenewed("z", 160.5));
   // The word of its former life was held back on the way.
   rights.StoodBack("b", "one", 60, -1, 160.2, 160.6);
-  EXPECT_TRUE(rights.MayBeKept("z", 160.7));
+  EXPECT_TRUE(rights.MayBeRenewed("z", 160.7));
   // The new life has not kept; the former may have, until just before it.
   rights.StoodBack("b", "two", 0.5, -1, 160.6, 160.7);
-  EXPECT_TRUE(rights.MayBeKept("z", 160.8));
+  EXPECT_TRUE(rights.MayBeRenewed("z", 160.8));
   rights.StoodBack("b", "two", 12, -1, 172, 172.1);
-  EXPECT_FALSE(rights.MayBeKept("z", 172.2));
+  EXPECT_FALSE(rights.MayBeRenewed("z", 172.2));
 }
 
-TEST(ZoneKeeping, RecordReadBeforeAGrantEndsIt) {
-  ZoneRights rights(Deployment(), 100, std::set<std::string>{"b"});
+TEST(DelegatedZoneLease, RecordReadBeforeAGrantEndsIt) {
+  DelegatedLeases rights(Deployment(), 100, std::set<std::string>{"b"});
   rights.Grant("b", "life", 50, 150);
   rights.RecordsRead({}, 149.9, 150.1);
-  EXPECT_TRUE(rights.MayBeKept("z", 165));
+  EXPECT_TRUE(rights.MayBeRenewed("z", 165));
   rights.RecordsRead({}, 151, 151.1);
-  EXPECT_TRUE(rights.MayBeKept("z", 161));
-  EXPECT_FALSE(rights.MayBeKept("z", 161.3));
+  EXPECT_TRUE(rights.MayBeRenewed("z", 161));
+  EXPECT_FALSE(rights.MayBeRenewed("z", 161.3));
 }
 
 // --- the record, and what a former life has left under way
 
-TEST(ZoneRecord, KeyOnALeaseThatNobodyRenews) {
+TEST(DelegatedLeaseRecord, KeyOnALeaseThatNobodyRenews) {
   // The write was not answered: it may yet come. The next one is made under
   // what the key shows then, so only one of the two can succeed.
-  ZoneKeeper keeper(Deployment().workers);
-  ZoneRecord record(keeper);
+  DelegatedLease lease(Deployment().workers);
+  DelegatedLeaseRecord record(lease);
   record.WasRead(0);
   record.LeaseGranted(7, 1);
   record.NotWritten();
@@ -130,21 +131,21 @@
   EXPECT_THROW(record.WasRead(41), IllegalTransition);
 }
 
-TEST(ZoneRecord, KeepsBeyondItsRecord) {
-  ZoneKeeper keeper(Deployment().workers);
-  ZoneRecord record(keeper);
-  keeper.Granted(0);  // before there is one
+TEST(DelegatedLeaseRecord, KeepsBeyondItsRecord) {
+  DelegatedLease lease(Deployment().workers);
+  DelegatedLeaseRecord record(lease);
+  lease.Granted(0);  // before there is one
   record.WasRead(0);
   record.LeaseGranted(7, 0);
   record.Written(0.5);
-  EXPECT_FALSE(keeper.Keep(1));
-  keeper.Granted(1);
-  EXPECT_TRUE(keeper.Keep(1.5));
+  EXPECT_FALSE(lease.Renew(1));
+  lease.Granted(1);
+  EXPECT_TRUE(lease.Renew(1.5));
   record.LeaseEnded();
   record.WasRead(0);
   record.LeaseGranted(9, 2);
   record.Written(2.5);
-  EXPECT_FALSE(keeper.Keep(3));  // granted before the new record
+  EXPECT_FALSE(lease.Renew(3));  // granted before the new record
 }
 
 // --- a zone that is cut off, or a controller that alone is
--- a/tests/election_walk_test.cc
+++ b/tests/election_walk_test.cc
@@ -1,7 +1,8 @@
 // Every controller ends at every step of a search, a take-over, a hand-over, an
-// outage bridged by promises, by tenders or by a keeper, and is back within a
-// fraction of a second; then a second one ends as well, before, while and after
-// the first is back. All of them are played, not drawn: a plan names them.
+// outage bridged by promises, by delegates by promises or by a delegate, and is
+// back within a fraction of a second; then a second one ends as well, before,
+// while and after the first is back. All of them are played, not drawn: a plan
+// names them.
 //
 // What must hold: never two leaders at once, no leader takes a session for over
 // that somebody keeps alive, and a while after the last trouble somebody leads.
@@ -13,9 +14,9 @@
 #include <map>
 #include <set>
 
-#include "tests/keeper_world.h"
+#include "tests/leadership_world.h"
 
-namespace oxbow::test::keepers {
+namespace oxbow::test::leadership {
 namespace {
 
 constexpr double kFrom = 12;   // when the event begins, s
@@ -28,8 +29,8 @@
   kLeaderGone,      // the leader ends for ten seconds
   kHandOver,        // the leader lets go of the key
   kOutage,          // bridged by promises
-  kOutageNoLeader,  // the leader ends in it: tenders
-  kAllGone,         // all end and are back one after the other: a keeper
+  kOutageNoLeader,  // the leader ends in it: delegates by promises
+  kAllGone,         // all end and are back one after the other: a delegate
   kLeaderRefused,   // by the state service alone
   kLeaderApart,     // from state service and peers, not from workers
   kFollowersApart,
@@ -180,4 +181,4 @@
 INSTANTIATE_TEST_SUITE_P(Events, ElectionWalk, testing::ValuesIn(kEvents));
 
 }  // namespace
-}  // namespace oxbow::test::keepers
+}  // namespace oxbow::test::leadership
--- a/tests/keeper_storm_test.cc
+++ b/tests/leadership_storm_test.cc
@@ -10,16 +10,16 @@
 
 #include <cstdlib>
 
-#include "tests/keeper_world.h"
+#include "tests/leadership_world.h"
 
-namespace oxbow::test::keepers {
+namespace oxbow::test::leadership {
 namespace {
 
-class KeeperStorms : public testing::TestWithParam<int> {};
+class LeadershipStorms : public testing::TestWithParam<int> {};
 
 constexpr int kParts = 8;
 
-TEST_P(KeeperStorms, NoTwoLeadersAndNothingKeptIsTakenForOver) {
+TEST_P(LeadershipStorms, NoTwoLeadersAndNothingKeptIsTakenForOver) {
   const char* text = std::getenv("OXBOW_STORM_SEEDS");
   const char* only = std::getenv("OXBOW_STORM_SEED");
   const int seeds = text == nullptr ? 300 : std::atoi(text);
@@ -41,7 +41,7 @@
   EXPECT_GT(led, 3 * seeds);
 }
 
-INSTANTIATE_TEST_SUITE_P(Parts, KeeperStorms, testing::Range(0, kParts));
+INSTANTIATE_TEST_SUITE_P(Parts, LeadershipStorms, testing::Range(0, kParts));
 
 }  // namespace
-}  // namespace oxbow::test::keepers
+}  // namespace oxbow::test::leadership
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -127,22 +127,23 @@
 
 // --- keeping workers alive without leading
 
-constexpr double kTend = 1.5;
+constexpr double kDelegation = 1.5;
 
 Leadership Started(Time now) {
-  return Leadership({"b", "c"}, kLease, kPromise, kTend, now);
+  return Leadership({"b", "c"}, kLease, kPromise, kDelegation, now);
 }
 
-TEST(Keeper, AllWorkersLostThoughTheFirstOneIsBackBeforeTheirLeaseEnds) {
+TEST(DelegatedLease,
+     AllWorkersLostThoughTheFirstOneIsBackBeforeTheirLeaseEnds) {
   // Nobody else is there to say that nobody rests on a promise of its former
   // life, so it may not lead: it keeps, and leads once they are.
   Leadership l = Started(30);
   EXPECT_FALSE(l.MaySeek(30.5));
-  EXPECT_TRUE(l.MayKeep(30.5));
+  EXPECT_TRUE(l.MayTakeKey(30.5));
   l.SeekStarted(0);
   l.Won(42, 7, 30.5, /*leads=*/false);
   EXPECT_FALSE(l.Valid(30.6));
-  EXPECT_TRUE(l.Keeps(30.6));
+  EXPECT_TRUE(l.MayRenew(30.6));
   l.PeerDoesNotLead("b");
   EXPECT_FALSE(l.Promote(31));
   l.PeerDoesNotLead("c");
@@ -150,89 +151,89 @@
   EXPECT_TRUE(l.Valid(31));
 }
 
-TEST(Keeper, KeepsOnBeyondItsLease) {
+TEST(DelegatedLease, KeepsOnBeyondItsLease) {
   Leadership l = Started(30);
   l.SeekStarted(0);
   l.Won(42, 7, 30.5, /*leads=*/false);
-  EXPECT_FALSE(l.Keeps(30.5 + kLease));
+  EXPECT_FALSE(l.MayRenew(30.5 + kLease));
   EXPECT_EQ(l.state(), LeaderState::kLapsed);
 }
 
-TEST(Keeper, TendsWithoutEverybodysPromise) {
+TEST(DelegatedLease, TendsWithoutEverybodysPromise) {
   Leadership l = Started(30);
-  l.TendAsked(31);
-  l.TendGranted("b", 31);
-  EXPECT_FALSE(l.Keeps(31.1));
-  l.TendGranted("c", 31);
-  EXPECT_TRUE(l.Keeps(31.1));
-  EXPECT_FALSE(l.Keeps(31 + kTend));
+  l.DelegationAsked(31);
+  l.DelegationGranted("b", 31);
+  EXPECT_FALSE(l.MayRenew(31.1));
+  l.DelegationGranted("c", 31);
+  EXPECT_TRUE(l.MayRenew(31.1));
+  EXPECT_FALSE(l.MayRenew(31 + kDelegation));
 }
 
-TEST(Keeper, PromisesLeftOverFromBeforeItHeldTheKey) {
+TEST(DelegatedLease, PromisesLeftOverFromBeforeItHeldTheKey) {
   // Whoever was told that it holds the key counts with none of them.
   Leadership l = Started(30);
-  l.TendAsked(31);
-  l.TendGranted("b", 31);
-  l.TendGranted("c", 31);
+  l.DelegationAsked(31);
+  l.DelegationGranted("b", 31);
+  l.DelegationGranted("c", 31);
   l.SeekStarted(0);
   l.Won(42, 7, 31.1, /*leads=*/false);
   l.Lost();
   l.Retire();
-  EXPECT_FALSE(l.Keeps(31.2));
-  l.TendGranted("b", 31);  // late
-  l.TendGranted("c", 31);
-  EXPECT_FALSE(l.Keeps(31.2));
-}
-
-TEST(Keeper, PromiserIsBackWithinAFractionOfASecond) {
-  // It asks who relies on what it may have promised. A tender says so from its
-  // question on: the answer may still be under way.
-  Leadership tender = Started(0);
-  tender.TendAsked(31);
-  EXPECT_EQ(tender.Role(31.2), LeaderRole::kTends);
+  EXPECT_FALSE(l.MayRenew(31.2));
+  l.DelegationGranted("b", 31);  // late
+  l.DelegationGranted("c", 31);
+  EXPECT_FALSE(l.MayRenew(31.2));
+}
+
+TEST(DelegatedLease, PromiserIsBackWithinAFractionOfASecond) {
+  // It asks who relies on what it may have promised. A delegate by promises
+  // says so from its question on: the answer may still be under way.
+  Leadership delegate = Started(0);
+  delegate.DelegationAsked(31);
+  EXPECT_EQ(delegate.Role(31.2), LeaderRole::kRenewsByPromises);
   Leadership back = Started(31.1);
-  back.PeerIs("b", tender.Role(31.2));
+  back.PeerIs("b", delegate.Role(31.2));
   back.PeerIs("c", LeaderRole::kNone);
   EXPECT_FALSE(back.MaySeek(31.3));
-  EXPECT_TRUE(back.MaySeek(31.1 + kTend * (1 + 2 * kDrift)));
-  EXPECT_EQ(tender.Role(31 + kTend), LeaderRole::kNone);
+  EXPECT_TRUE(back.MaySeek(31.1 + kDelegation * (1 + 2 * kDrift)));
+  EXPECT_EQ(delegate.Role(31 + kDelegation), LeaderRole::kNone);
 }
 
-TEST(Keeper, LeaderTakesItsOwnKeyAgainWhileATenderRestsOnItsPromise) {
+TEST(DelegatedLease, LeaderTakesItsOwnKeyAgainWhileADelegateRestsOnItsPromise) {
   // Between two lives it led in, one that only started may have promised.
   Leadership back = Started(31);
-  back.PeerIs("b", LeaderRole::kTends);
+  back.PeerIs("b", LeaderRole::kRenewsByPromises);
   EXPECT_FALSE(back.OwnProven(31.2));
-  EXPECT_TRUE(back.OwnProven(31 + kTend * (1 + 2 * kDrift)));
+  EXPECT_TRUE(back.OwnProven(31 + kDelegation * (1 + 2 * kDrift)));
   Leadership told = Started(31);
   told.PeerIs("b", LeaderRole::kLeads);
   EXPECT_FALSE(told.OwnProven(40));
 }
 
-TEST(Keeper, SeeksAlthoughItPromisedATender) {
+TEST(DelegatedLease, SeeksAlthoughItPromisedADelegate) {
   Leadership l = Started(0);
-  EXPECT_TRUE(l.AskedToTend("b", "life-1", 3, /*state_fails=*/true, 20));
+  EXPECT_TRUE(l.AskedToDelegate("b", "life-1", 3, /*state_fails=*/true, 20));
   EXPECT_FALSE(l.MaySeek(20.1));
-  EXPECT_FALSE(l.MayKeep(20.1));
-  l.TendReleased("b", "life-1", 3);
+  EXPECT_FALSE(l.MayTakeKey(20.1));
+  l.DelegationReleased("b", "life-1", 3);
   EXPECT_TRUE(l.MaySeek(20.1));
 }
 
-TEST(Keeper, ReleaseThatWasHeldBackFreesALaterPromise) {
+TEST(DelegatedLease, ReleaseThatWasHeldBackFreesALaterPromise) {
   Leadership l = Started(0);
-  EXPECT_TRUE(l.AskedToTend("b", "life-1", 5, /*state_fails=*/true, 20));
-  l.TendReleased("b", "life-1", 4);
+  EXPECT_TRUE(l.AskedToDelegate("b", "life-1", 5, /*state_fails=*/true, 20));
+  l.DelegationReleased("b", "life-1", 4);
   EXPECT_FALSE(l.MaySeek(20.1));
   // Of a former life, which had counted further.
-  l.TendReleased("b", "life-0", 50);
+  l.DelegationReleased("b", "life-0", 50);
   EXPECT_FALSE(l.MaySeek(20.1));
 }
 
-TEST(Keeper, OneThatReachesTheStateServicePromisesATender) {
+TEST(DelegatedLease, OneThatReachesTheStateServicePromisesADelegate) {
   Leadership l = Started(0);
-  EXPECT_FALSE(l.AskedToTend("b", "life-1", 1, /*state_fails=*/false, 20));
+  EXPECT_FALSE(l.AskedToDelegate("b", "life-1", 1, /*state_fails=*/false, 20));
   l.SeekStarted(0);
-  EXPECT_FALSE(l.AskedToTend("b", "life-1", 2, /*state_fails=*/true, 20));
+  EXPECT_FALSE(l.AskedToDelegate("b", "life-1", 2, /*state_fails=*/true, 20));
 }
 
 }  // namespace
--- a/tests/keeper_world.h
+++ b/tests/leadership_world.h
@@ -14,14 +14,14 @@
 
 #include "core/lease/leadership.h"
 
-namespace oxbow::test::keepers {
+namespace oxbow::test::leadership {
 
 inline constexpr double kStep = 0.05;  // s
 inline constexpr double kLength = 120;
 inline constexpr double kWorkerLease = 10;
 inline constexpr double kLeaderLease = 2.5;
 inline constexpr double kPromise = 6;
-inline constexpr double kTend = 1.5;
+inline constexpr double kDelegation = 1.5;
 inline constexpr int kNodes = 3;
 inline constexpr int kWorkers = 4;
 
@@ -30,7 +30,7 @@
   uint64_t life = 0;
   uint64_t revision = 0;
   uint64_t lease = 0;
-  bool keeping = false;
+  bool renews_only = false;
   Time ends = 0;
 };
 
@@ -51,7 +51,7 @@
   Time next_renewal = 0;
   Time next_hello = 0;
   Time next_promise = 0;
-  Time next_tend = 0;
+  Time next_delegation = 0;
   Time next_look = 0;
   Time free_since = 1e18;
   Time wanted_until = 0;
@@ -123,8 +123,8 @@
     n.refused_until = refused;
     n.apart_until = apart;
     n.life = ++lives_;
-    n.right = std::make_unique<Leadership>(peers, kLeaderLease, kPromise, kTend,
-                                           now_);
+    n.right = std::make_unique<Leadership>(peers, kLeaderLease, kPromise,
+                                           kDelegation, now_);
   }
   void End(int i) {
     End(i, Happens(quick_) ? Between(0.05, 0.5) : Between(1, 10));
@@ -212,7 +212,7 @@
       if (!n.right) continue;
       by_lease = by_lease || (n.right->Valid(now_) &&
                               n.right->state() == LeaderState::kLeading);
-      keeps = keeps || n.right->Keeps(now_);
+      keeps = keeps || n.right->MayRenew(now_);
     }
     if (by_lease && keeps) Wrong("kept while somebody leads by its lease");
     for (int w = 0; w < kWorkers; ++w) Work(w);
@@ -250,13 +250,13 @@
         n.next_promise = now_ + 0.5;
         AskPromises(i);
       }
-    } else if (r.state() == LeaderState::kKeeping) {
+    } else if (r.state() == LeaderState::kRenewing) {
       r.Promote(now_);
     } else if (r.state() == LeaderState::kFollower) {
       if (!n.fails) Seek(i);
-      if (r.state() == LeaderState::kFollower) Tend(i);
+      if (r.state() == LeaderState::kFollower) AskForDelegation(i);
     }
-    if ((valid || r.state() == LeaderState::kKeeping) &&
+    if ((valid || r.state() == LeaderState::kRenewing) &&
         now_ >= n.next_renewal) {
       n.next_renewal = now_ + 0.2;
       if (Call(n)) {
@@ -293,9 +293,9 @@
     Node& n = nodes_[i];
     Leadership& r = *n.right;
     const bool proven = r.MaySeek(now_);
-    if (!proven && !r.MayKeep(now_)) return;
+    if (!proven && !r.MayTakeKey(now_)) return;
     const bool mine = n.seen.holder == i && n.seen.life != n.life;
-    const bool own = mine && !n.seen.keeping && r.OwnProven(now_);
+    const bool own = mine && !n.seen.renews_only && r.OwnProven(now_);
     const bool first = proven || now_ >= n.free_since + 0.25 || mine;
     if (!first || (!mine && n.seen.holder >= 0)) return;
     r.SeekStarted(n.seen.revision);
@@ -316,33 +316,33 @@
          }});
   }
 
-  void Tend(int i) {
+  void AskForDelegation(int i) {
     Node& n = nodes_[i];
     Leadership& r = *n.right;
     if (!n.fails) {
-      const uint64_t number = r.TendOver(now_);
+      const uint64_t number = r.DelegationOver(now_);
       if (number == 0) return;
       for (int other = 0; other < kNodes; ++other) {
         if (other == i) continue;
         Send(other, [this, i, other, number, life = Life(i)] {
-          nodes_[other].right->TendReleased(Name(i), life, number);
+          nodes_[other].right->DelegationReleased(Name(i), life, number);
         });
       }
       return;
     }
-    if (now_ >= n.wanted_until || now_ < n.next_tend) return;
-    n.next_tend = now_ + kTend / 4;
-    const uint64_t number = r.TendAsked(now_);
+    if (now_ >= n.wanted_until || now_ < n.next_delegation) return;
+    n.next_delegation = now_ + kDelegation / 4;
+    const uint64_t number = r.DelegationAsked(now_);
     for (int other = 0; other < kNodes; ++other) {
       if (other == i) continue;
       Ask(
           i, other,
           [this, i, number, life = Life(i)](Node& to) {
-            return to.right->AskedToTend(Name(i), life, number, !Call(to),
-                                         now_);
+            return to.right->AskedToDelegate(Name(i), life, number, !Call(to),
+                                             now_);
           },
           [other, sent = now_](Node& me, bool yes) {
-            if (yes) me.right->TendGranted(Name(other), sent);
+            if (yes) me.right->DelegationGranted(Name(other), sent);
           });
     }
   }
@@ -392,7 +392,7 @@
           answered = true;
         }
       } else {
-        answered = n.right->Keeps(now_);
+        answered = n.right->MayRenew(now_);
         kept_ += answered;
         n.wanted_until = now_ + 1;
       }
@@ -425,4 +425,4 @@
   int led_ = 0;
 };
 
-}  // namespace oxbow::test::keepers
+}  // namespace oxbow::test::leadership
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -57,24 +57,24 @@
 void Sim::AskForZones() {
   for (auto& [name, c] : controllers_) {
     if (c.zone.empty() || c.gone) continue;
-    if (!c.keeper) {
-      c.keeper.emplace(settings.workers);
-      c.keeper->RecordedAnew(now_, now_);
+    if (!c.lease) {
+      c.lease.emplace(settings.workers);
+      c.lease->RecordedAnew(now_, now_);
     }
     if (state_down) {
-      c.recorded_until = now_ + ZoneRecordLease(settings.workers);
+      c.recorded_until = now_ + DelegatedLeaseRecordTerm(settings.workers);
     } else if (!c.no_state) {
-      if (now_ > c.recorded_until) c.keeper->RecordedAnew(now_, now_);
-      c.keeper->Recorded(now_);
-      c.recorded_until = now_ + ZoneRecordLease(settings.workers);
+      if (now_ > c.recorded_until) c.lease->RecordedAnew(now_, now_);
+      c.lease->Recorded(now_);
+      c.recorded_until = now_ + DelegatedLeaseRecordTerm(settings.workers);
     }
     if (name == leading_ || c.refused || !leader_ || now_ < stalled_until_ ||
         now_ < c.next_ask) {
       continue;
     }
     c.next_ask = now_ + StandBackFor(settings.workers);
-    if (leader_->OnKeepAsked(name, "life", now_, now_)) {
-      c.keeper->Granted(now_);
+    if (leader_->OnDelegationAsked(name, "life", now_, now_)) {
+      c.lease->Granted(now_);
     }
   }
 }
@@ -82,14 +82,14 @@
 bool Sim::KeptInZone(const SimWorker& w) {
   for (auto& [name, c] : controllers_) {
     if (name != leading_ && !c.gone && c.refused && c.zone == w.zone &&
-        c.keeper && c.keeper->Keep(now_)) {
+        c.lease && c.lease->Renew(now_)) {
       return true;
     }
   }
   return false;
 }
 
-std::set<std::string> Sim::RecordedKeepers() const {
+std::set<std::string> Sim::RecordedDelegates() const {
   std::set<std::string> names;
   for (const auto& [name, c] : controllers_) {
     if (now_ < c.recorded_until) names.insert(name);
@@ -129,7 +129,7 @@
   }
   leader_ =
       std::make_unique<Controller>(settings, tuning, catalog_, revision_, now_,
-                                   kEpochOffset, 7, RecordedKeepers());
+                                   kEpochOffset, 7, RecordedDelegates());
   if (rebuilds) leader_->OnEndsOwed({}, /*whole=*/true);
   FollowTiers();
   leader_->UseTiers(tiers_in_force_[leading_].set());
@@ -619,7 +619,7 @@
   if (storm->copied > 0 && storm->Happens(storm->copied)) {
     Copy(report, storm->Between(0.5, storm->latest_copy_s));
   }
-  if (!leader_ && state_down && tended && there && back) {
+  if (!leader_ && state_down && delegated && there && back) {
     w.waits_until = 0;
     w.lease_from = now_;
     return;
@@ -1065,24 +1065,25 @@
       } else if (const auto* back = std::get_if<AskStandBack>(&action)) {
         for (const std::string& name : back->peers) {
           SimController& c = controllers_[name];
-          if (c.gone || c.refused || !c.keeper ||
-              !c.keeper->AskedToStandBack(now_)) {
+          if (c.gone || c.refused || !c.lease ||
+              !c.lease->AskedToStandBack(now_)) {
             continue;
           }
           After(kLatency, [this, leader, name, sent = now_,
-                           ago = c.keeper->KeptAgo(now_)] {
+                           ago = c.lease->RenewedAgo(now_)] {
             OnLeader(leader, [this, name, ago, sent] {
               leader_->OnStoodBack(name, "life", now_, ago, sent, now_);
             });
           });
         }
-      } else if (std::holds_alternative<ReadZoneKeepers>(action)) {
+      } else if (std::holds_alternative<ReadDelegates>(action)) {
         if (state_down) continue;
-        After(kLatency, [this, leader, sent = now_, read = RecordedKeepers()] {
-          OnLeader(leader, [this, read, sent] {
-            leader_->OnKeepersRead(read, sent, now_);
-          });
-        });
+        After(kLatency,
+              [this, leader, sent = now_, read = RecordedDelegates()] {
+                OnLeader(leader, [this, read, sent] {
+                  leader_->OnDelegatesRead(read, sent, now_);
+                });
+              });
       } else if (const auto* offer = std::get_if<OfferLead>(&action)) {
         AnswerOffer(*offer);
       } else if (const auto* job = std::get_if<AskJob>(&action)) {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -96,7 +96,7 @@
 // One controller's place in the network. The leader is one of them.
 struct SimController {
   std::string zone;  // its own; empty: none
-  std::optional<ZoneKeeper> keeper;
+  std::optional<DelegatedLease> lease;
   Time next_ask = 0;              // for the right to keep its zone's workers
   Time recorded_until = 0;        // that right, in the state service
   bool gone = false;              // its process is not there
@@ -142,7 +142,7 @@
   bool by_promises = false;  // what the right to lead rests on
   // In a storm: without a leader in an outage, the other controllers answer
   // whatever worker reaches them, without orders and knowing nothing.
-  bool tended = false;
+  bool delegated = false;
   std::optional<Storm> storm;
   std::optional<LateWrites> late_writes;
   Fate next_write = Fate::kNormal;
@@ -295,7 +295,7 @@
   void AskForZones();
   // Whether a controller inside answers a worker that nobody else hears.
   bool KeptInZone(const SimWorker& w);
-  std::set<std::string> RecordedKeepers() const;
+  std::set<std::string> RecordedDelegates() const;
   // Runs on the leader once it has the processor, if it still leads then.
   void OnLeader(uint64_t revision, std::function<void()> what);
   // Runs on the worker once it does not hang any more, if it is still there.
--- a/tests/storm_test.cc
+++ b/tests/storm_test.cc
@@ -78,7 +78,7 @@
       // Those inside a zone may keep its workers when they are cut off.
       if (Happens(0.7)) sim_.controller(name).zone = Happens(0.5) ? "a" : "b";
     }
-    sim_.tended = kind_ == Kind::kOutages;
+    sim_.delegated = kind_ == Kind::kOutages;
     sim_.Lead();
   }
 
@@ -152,8 +152,9 @@
     if (submitted_ > 0 && Every(15)) {
       sim_.CancelJob(Name(1 + static_cast<int>(Between(0, submitted_))));
     }
-    if (Every(20))
+    if (Every(20)) {
       sim_.next_write = Happens(0.5) ? Fate::kLate : Fate::kLostAnswer;
+    }
     if (Every(30)) state_until_ = now + Between(1, 12);
     if (kind_ == Kind::kOutages) LongOutage();
     sim_.state_down = now < state_until_;
--- a/tests/zone_storm_test.cc
+++ b/tests/zone_storm_test.cc
@@ -79,7 +79,8 @@
     n.office = std::make_unique<Office>();
     n.office->revision = n.revision;
     n.office->since = now_;
-    n.office->rights = std::make_unique<ZoneRights>(settings_, now_, recorded);
+    n.office->rights =
+        std::make_unique<DelegatedLeases>(settings_, now_, recorded);
     ++led_;
     for (int w = 0; w < kWorkers; ++w) {
       View& v = n.office->views[w];
@@ -102,7 +103,7 @@
     n.next_ask = now_ + 0.3;
     if (Leads(i)) {
       n.met = now_;
-      if (Settled(i, kZoneOf[i])) n.keeper->Granted(now_);
+      if (Settled(i, kZoneOf[i])) n.lease->Granted(now_);
       return;
     }
     const int leader = n.leader;
@@ -119,7 +120,7 @@
         },
         [sent](Node& me, int said) {
           if (said > 0) me.met = std::max(me.met, sent + 0.3);
-          if (said == 2) me.keeper->Granted(sent);
+          if (said == 2) me.lease->Granted(sent);
         });
   }
   bool CutOff(int i) const {
@@ -194,7 +195,7 @@
       if (workers_[w].zone != zone) continue;
       if (!v.reported) return false;
       if (v.task && now_ - workers_[w].task_cancelled >=
-                        ZoneMargin(settings_.workers) / 2) {
+                        CancellationMargin(settings_.workers) / 2) {
         return false;
       }
     }
@@ -221,7 +222,7 @@
         AskToStandBack(i, name[0] - 'a');
       }
       if (now_ <= v.session.MayLiveUntil(lease) ||
-          office.rights->MayBeKept(zone, now_)) {
+          office.rights->MayBeRenewed(zone, now_)) {
         continue;
       }
       v.session.Change(SessionEvent::kRanOut, 0, now_);
@@ -249,9 +250,9 @@
         i, to,
         [this, to](Node& there) {
           there.met = now_ + 0.3;
-          const bool yes = there.keeper->AskedToStandBack(now_);
+          const bool yes = there.lease->AskedToStandBack(now_);
           return std::tuple{yes, Life(to), Age(to),
-                            there.keeper->KeptAgo(now_)};
+                            there.lease->RenewedAgo(now_)};
         },
         [this, i, to, sent = now_](Node& me, const auto& said) {
           if (!std::get<0>(said) || !Leads(i)) return;
@@ -373,7 +374,7 @@
       if (r.token > 0 && kZoneOf[i] == workers_[w].zone && CutOff(i)) {
         if (me.signs->SentOn(r, now_)) {
           ++sent_on_;
-        } else if (me.keeper->Keep(now_)) {
+        } else if (me.lease->Renew(now_)) {
           me.signs->Kept(r, now_);
           keeps = true;
           ++kept_;
@@ -422,11 +423,11 @@
         me.task = true;  // started again
         me.task_cancelled = 1e18;
       }
-      NoteWhoKeeps(w, from, raised);
+      NoteWhoRenews(w, from, raised);
     });
   }
-  // For how long a worker is held by a keeper whom a leader waits for.
-  void NoteWhoKeeps(int w, int from, bool raised) {
+  // For how long a worker is held by a delegate whom a leader waits for.
+  void NoteWhoRenews(int w, int from, bool raised) {
     Worker& me = workers_[w];
     const int leader = holder_;
     const bool waits = leader >= 0 && leader != from && Leads(leader) &&
--- a/tests/zone_world.h
+++ b/tests/zone_world.h
@@ -15,8 +15,8 @@
 #include <vector>
 
 #include "core/lease/cut_signs.h"
-#include "core/lease/zone_keeping.h"
-#include "core/lease/zone_record.h"
+#include "core/lease/delegated_lease.h"
+#include "core/lease/delegated_lease_record.h"
 #include "core/model/session.h"
 
 namespace oxbow::test::zones {
@@ -56,7 +56,7 @@
   uint64_t asked = 0;  // the report under way
   bool task = false;
   Time task_cancelled = 1e18;  // its user was told so
-  Time kept_since = 1e18;      // by a zone's keeper, while a leader leads
+  Time kept_since = 1e18;      // by a zone's delegate, while a leader leads
   Time kept_last = -1e9;
   uint64_t kept_from = 0;  // that leader's revision
 };
@@ -74,7 +74,7 @@
 struct Office {
   uint64_t revision = 0;
   Time since = 0;
-  std::unique_ptr<ZoneRights> rights;
+  std::unique_ptr<DelegatedLeases> rights;
   std::vector<View> views{kWorkers};
 };
 
@@ -83,8 +83,8 @@
   Time started = 0;
   Time back_at = 0;
   Time apart_until = 0;  // no state service, no peers; its workers reach it
-  std::unique_ptr<ZoneKeeper> keeper;
-  std::unique_ptr<ZoneRecord> record;
+  std::unique_ptr<DelegatedLease> lease;
+  std::unique_ptr<DelegatedLeaseRecord> record;
   std::unique_ptr<CutSigns> signs;
   bool record_asked = false;
   Time next_record = 0;
@@ -158,8 +158,8 @@
     n.apart_until = apart;
     n.life = ++lives_;
     n.started = now_;
-    n.keeper = std::make_unique<ZoneKeeper>(settings_.workers);
-    n.record = std::make_unique<ZoneRecord>(*n.keeper);
+    n.lease = std::make_unique<DelegatedLease>(settings_.workers);
+    n.record = std::make_unique<DelegatedLeaseRecord>(*n.lease);
     n.signs = std::make_unique<CutSigns>(settings_.workers);
   }
   void End(int i) {
@@ -236,7 +236,9 @@
     }
     for (int w = 0; w < kWorkers; ++w) Work(w);
   }
-  double RecordTtl() const { return ZoneRecordLease(settings_.workers); }
+  double RecordTtl() const {
+    return DelegatedLeaseRecordTerm(settings_.workers);
+  }
 
   void Trouble() {
     if (Every(50)) {
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -21,7 +21,7 @@
   void operator()(const LeaderRecord& r) const {
     Field(w, "node", r.node);
     Field(w, "incarnation", r.incarnation);
-    if (r.keeping) {
+    if (r.renews_only) {
       Key(w, "keeping");
       w.Bool(true);
     }
