Rename: storms, walks and worlds of the tests are simulations and explorations

Seeds are given as OXBOW_SEED, OXBOW_SEEDS and OXBOW_MOVE_SEEDS, the long exploration as OXBOW_EXPLORE. No check has changed.

--- a/tests/calendar_storm_test.cc
+++ b/tests/calendar_simulation_test.cc
@@ -1,7 +1,7 @@
-// Storms round the edges of windows and peaks: leaders die, stall and are cut
-// from the state service there, their wall clocks off by up to the bound,
-// messages late and lost, bookings made, cancelled and lost. An account of its
-// own, by true time, is asked at every start.
+// Randomized simulations round the edges of windows and peaks: leaders die,
+// stall and are cut from the state service there, their wall clocks off by up
+// to the bound, messages late and lost, bookings made, cancelled and lost. An
+// account of its own, by true time, is asked at every start.
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -21,12 +21,12 @@
  public:
   BookedDay(uint64_t seed, int machines, double length)
       : random_(seed), machines_(machines), length_(length) {
-    sim_.storm.emplace();
-    Storm& storm = *sim_.storm;
-    storm.random.seed(seed ^ 0x9e3779b97f4a7c15);
-    storm.lost = Happens(0.5) ? 0 : Between(0, 0.05);
-    storm.held = Happens(0.3) ? 0 : Between(0, 0.1);
-    storm.longest_s = Between(2, 30);
+    sim_.faults.emplace();
+    RandomFaults& faults = *sim_.faults;
+    faults.random.seed(seed ^ 0x9e3779b97f4a7c15);
+    faults.lost = Happens(0.5) ? 0 : Between(0, 0.05);
+    faults.held = Happens(0.3) ? 0 : Between(0, 0.1);
+    faults.longest_s = Between(2, 30);
     sim_.tuning.calendar_on = 1;
     bound_ = Happens(0.5) ? 0.025 : Between(0.1, 0.7);
     sim_.settings.clock_off_ms = 1000 * bound_;
@@ -290,12 +290,12 @@
   return text == nullptr ? fallback : std::atoi(text);
 }
 
-class BookedStorms : public testing::TestWithParam<int> {};
+class BookedSimulations : public testing::TestWithParam<int> {};
 
 constexpr int kParts = 4;
 
 // OXBOW_CALENDAR_SEEDS, OXBOW_CALENDAR_LENGTH (s), OXBOW_CALENDAR_MACHINES.
-TEST_P(BookedStorms, NoHeavyTaskStartsInAPeak) {
+TEST_P(BookedSimulations, NoHeavyTaskStartsInAPeak) {
   const int seeds = FromEnvironment("OXBOW_CALENDAR_SEEDS", 6);
   const int only = FromEnvironment("OXBOW_CALENDAR_SEED", -1);
   const int machines = FromEnvironment("OXBOW_CALENDAR_MACHINES", 6);
@@ -317,7 +317,7 @@
     latest = std::max(latest, day.latest_end());
   }
   if (only >= 0) return;
-  // A storm in which nothing runs would show nothing.
+  // A simulation in which nothing runs would show nothing.
   EXPECT_GT(heavy, 20 * seeds);
   EXPECT_GT(leaders, 2 * seeds);
   std::printf(
@@ -326,7 +326,7 @@
       heavy, leaders, used / seeds, latest);
 }
 
-INSTANTIATE_TEST_SUITE_P(Parts, BookedStorms, testing::Range(0, kParts));
+INSTANTIATE_TEST_SUITE_P(Parts, BookedSimulations, testing::Range(0, kParts));
 
 }  // namespace
 }  // namespace oxbow::test
--- a/tests/election_walk_test.cc
+++ b/tests/election_exploration_test.cc
@@ -14,7 +14,7 @@
 #include <map>
 #include <set>
 
-#include "tests/leadership_world.h"
+#include "tests/leadership_simulation.h"
 
 namespace oxbow::test::leadership {
 namespace {
@@ -49,10 +49,12 @@
   double away = 0;
 };
 
-class Walk : public World {
+class Exploration : public Simulation {
  public:
-  Walk(Event event, std::vector<Ending> endings)
-      : World(1, /*calm=*/true), event_(event), endings_(std::move(endings)) {
+  Exploration(Event event, std::vector<Ending> endings)
+      : Simulation(1, /*calm=*/true),
+        event_(event),
+        endings_(std::move(endings)) {
     begins_ = event == Event::kStart ? 0 : kFrom;
   }
   double begins() const { return begins_; }
@@ -136,26 +138,27 @@
   std::set<LeaderState> met_;
 };
 
-class ElectionWalk : public testing::TestWithParam<Event> {};
+class ElectionExploration : public testing::TestWithParam<Event> {};
 
-// One ends, at every step, and in the long form (OXBOW_WALK) a second as well.
-TEST_P(ElectionWalk, EveryStepOfEveryController) {
-  const bool all = std::getenv("OXBOW_WALK") != nullptr;
+// One ends, at every step, and in the long form (OXBOW_EXPLORE) a second as
+// well.
+TEST_P(ElectionExploration, EveryStepOfEveryController) {
+  const bool all = std::getenv("OXBOW_EXPLORE") != nullptr;
   const double step = all ? kStep : 0.25;
   const double begins = GetParam() == Event::kStart ? 0 : kFrom;
   int played = 0;
   std::set<LeaderState> met;
   const auto play = [&](std::vector<Ending> endings) {
-    Walk walk(GetParam(), endings);
-    const std::string wrong = walk.Play(kUntil);
+    Exploration exploration(GetParam(), endings);
+    const std::string wrong = exploration.Play(kUntil);
     ++played;
-    met.insert(walk.met().begin(), walk.met().end());
+    met.insert(exploration.met().begin(), exploration.met().end());
     std::string names;
     for (const Ending& e : endings) {
       names += fmt::format(" {} at {:.2f} for {:.2f}", e.node, e.at, e.away);
     }
     ASSERT_EQ(wrong, "") << "ended:" << names;
-    ASSERT_TRUE(walk.led_at_last()) << "ended:" << names;
+    ASSERT_TRUE(exploration.led_at_last()) << "ended:" << names;
   };
   for (double at = begins; at <= begins + kWindow; at += step) {
     for (int node = 0; node < kNodes; ++node) {
@@ -178,7 +181,8 @@
   EXPECT_GT(played, 300);
 }
 
-INSTANTIATE_TEST_SUITE_P(Events, ElectionWalk, testing::ValuesIn(kEvents));
+INSTANTIATE_TEST_SUITE_P(Events, ElectionExploration,
+                         testing::ValuesIn(kEvents));
 
 }  // namespace
 }  // namespace oxbow::test::leadership
--- a/tests/leader_health_test.cc
+++ b/tests/leader_health_test.cc
@@ -84,7 +84,7 @@
 }
 
 // A leader in doubt for long over one dead machine asked seldom, and found out
-// late that it had grown deaf meanwhile (storm seed 1256).
+// late that it had grown deaf meanwhile (seed 1256).
 TEST(LeaderHealth, GrowingDeafEndsALongPause) {
   LeaderHealth health(SomeLimits(), 0);
   const std::string none(20, '0');
--- a/tests/leadership_world.h
+++ b/tests/leadership_simulation.h
@@ -1,4 +1,4 @@
-// The world of the storms round the right to lead: three controllers, the state
+// The simulation round the right to lead: three controllers, the state
 // service, and workers that report to any of them.
 #pragma once
 
@@ -62,10 +62,10 @@
   std::vector<bool> over = std::vector<bool>(kWorkers, false);
 };
 
-class World {
+class Simulation {
  public:
   // `calm`: nothing goes wrong by itself, no message is lost or held.
-  explicit World(uint64_t seed, bool calm = false)
+  explicit Simulation(uint64_t seed, bool calm = false)
       : random_(seed), calm_(calm) {
     lost_ = calm || Happens(0.4) ? 0 : Between(0, 0.15);
     held_ = calm || Happens(0.4) ? 0 : Between(0, 0.15);
@@ -75,9 +75,9 @@
     for (int i = 0; i < kNodes; ++i) Launch(i);
   }
 
-  virtual ~World() = default;
-  World(const World&) = delete;
-  World& operator=(const World&) = delete;
+  virtual ~Simulation() = default;
+  Simulation(const Simulation&) = delete;
+  Simulation& operator=(const Simulation&) = delete;
 
   // What went wrong first; empty if nothing did.
   std::string Play(double length = kLength) {
--- a/tests/moves_storm_test.cc
+++ b/tests/moves_simulation_test.cc
@@ -1,8 +1,8 @@
-// Random storms round the moves: orders and reports late, lost and refused,
-// leaders killed and stalled, the state service out, demands that vanish. But
-// for a lease that runs out, no trouble in them takes a replica away by itself,
-// so whatever is missing of a service was stopped by a move, and that is one at
-// the most.
+// Randomized simulations round the moves: orders and reports late, lost and
+// refused, leaders killed and stalled, the state service out, demands that
+// vanish. But for a lease that runs out, no trouble in them takes a replica
+// away by itself, so whatever is missing of a service was stopped by a move,
+// and that is one at the most.
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -20,13 +20,13 @@
 class MovingDay {
  public:
   explicit MovingDay(uint64_t seed) : random_(seed) {
-    sim_.storm.emplace();
-    Storm& storm = *sim_.storm;
-    storm.random.seed(seed ^ 0x9e3779b97f4a7c15);
-    storm.lost = Between(0, 0.02);
-    storm.held = Between(0, 0.05);
-    storm.refused = Between(0, 0.05);
-    storm.longest_s = Between(1, 30);
+    sim_.faults.emplace();
+    RandomFaults& faults = *sim_.faults;
+    faults.random.seed(seed ^ 0x9e3779b97f4a7c15);
+    faults.lost = Between(0, 0.02);
+    faults.held = Between(0, 0.05);
+    faults.refused = Between(0, 0.05);
+    faults.longest_s = Between(1, 30);
     sim_.tuning.fragmentation_weight = 2;
     sim_.tuning.moves_at_once = 4;
     sim_.tuning.moves_cool_leases = 2;
@@ -176,10 +176,10 @@
   int stopped_ = 0;
 };
 
-TEST(MovesStorm, NoServiceBelowItsFloorByAMove) {
-  const char* text = std::getenv("OXBOW_MOVE_STORMS");
+TEST(MovesSimulation, NoServiceBelowItsFloorByAMove) {
+  const char* text = std::getenv("OXBOW_MOVE_SEEDS");
   const int seeds = text == nullptr ? 16 : std::atoi(text);
-  const char* only = std::getenv("OXBOW_STORM_SEED");
+  const char* only = std::getenv("OXBOW_SEED");
   int settled = 0;
   int stopped = 0;
   for (int seed = 0; seed < seeds; ++seed) {
@@ -191,7 +191,7 @@
   }
   fmt::print("{} seeds: {} legs stopped by moves, {} settled\n", seeds, stopped,
              settled);
-  // A storm in which nothing is moved would show nothing.
+  // A simulation in which nothing is moved would show nothing.
   if (only == nullptr) {
     EXPECT_GT(settled, seeds / 8);
   }
--- a/tests/moves_test.cc
+++ b/tests/moves_test.cc
@@ -44,7 +44,7 @@
   int leader = 0;
 };
 
-struct World {
+struct Simulation {
   int now = 0;
   int leader = 0;
   bool wanted = true;
@@ -136,8 +136,8 @@
 
   // The first bad state's description; empty for none.
   std::string Run(bool mid_move = false) {
-    World start;
-    start.mover = Mover(World::Limits());
+    Simulation start;
+    start.mover = Mover(Simulation::Limits());
     // s0: 0 and 1; s1: 1 and 2.
     start.there = start.belief = start.seen = {1, 2, 2, 4};
     start.heard.fill(true);
@@ -156,12 +156,12 @@
     }
     Add(start);
     while (!open_.empty() && bad_.empty()) {
-      const World world = std::move(open_.front());
+      const Simulation simulation = std::move(open_.front());
       open_.pop_front();
-      if (world.now == ticks_) continue;
+      if (simulation.now == ticks_) continue;
       Choices choices;
       do {
-        World next = world;
+        Simulation next = simulation;
         if (Step(next, choices)) Add(std::move(next));
       } while (choices.Next());
     }
@@ -172,12 +172,14 @@
   size_t given_up() const { return given_up_; }
 
  private:
-  void Add(World world) {
-    Check(world);
-    if (seen_.insert(world.Key()).second) open_.push_back(std::move(world));
+  void Add(Simulation simulation) {
+    Check(simulation);
+    if (seen_.insert(simulation.Key()).second) {
+      open_.push_back(std::move(simulation));
+    }
   }
 
-  void Check(const World& w) {
+  void Check(const Simulation& w) {
     for (int l = 0; l < kLegs; ++l) {
       if (std::popcount(w.there[l]) > 1) bad_ = "a leg on two machines";
     }
@@ -196,19 +198,19 @@
     }
   }
 
-  bool Outstanding(const World& w, int machine, int leader) const {
+  bool Outstanding(const Simulation& w, int machine, int leader) const {
     return std::any_of(w.orders.begin(), w.orders.end(), [&](const Order& o) {
       return o.machine == machine && o.leader == leader;
     });
   }
-  bool Good(const World& w, int machine) const {
+  bool Good(const Simulation& w, int machine) const {
     return w.heard[machine] &&
            (w.token[machine] == w.leader || without_.token) &&
            !Outstanding(w, machine, w.leader);
   }
 
   // A leg's replica runs and nothing that is under way can stop it.
-  bool RunsSurely(const World& w, int leg) const {
+  bool RunsSurely(const Simulation& w, int leg) const {
     if (std::popcount(w.belief[leg]) != 1 || w.stopped[leg] != 0 ||
         w.seen[leg] != w.belief[leg]) {
       return false;
@@ -216,7 +218,7 @@
     return Good(w, std::countr_zero(w.belief[leg]));
   }
 
-  MoveSight SightOf(const World& w, const Mover::Move& move) const {
+  MoveSight SightOf(const Simulation& w, const Mover::Move& move) const {
     MoveSight sight;
     const int leg = LegOf(move.claim);
     const int from = move.claim.from[0] - '0';
@@ -243,7 +245,7 @@
 
   // A move stops a leg: as far as the leader can know, the service keeps its
   // floor without it.
-  void Stopped(const World& w, int leg) {
+  void Stopped(const Simulation& w, int leg) {
     int left = 0;
     const int first = leg / kReplicas * kReplicas;
     for (int l = first; l < first + kReplicas; ++l) {
@@ -252,14 +254,14 @@
     if (left < 1) bad_ = "the last replica stopped by a move";
   }
 
-  void Send(World& w, bool start, int leg, int machine) {
+  void Send(Simulation& w, bool start, int leg, int machine) {
     w.orders.push_back({start, leg, machine, w.leader});
     if (start) w.belief[leg] |= 1 << machine;
     if (!start) w.stopped[leg] |= 1 << machine;
     w.seen[leg] = 0;
   }
 
-  void Tick(World& w) {
+  void Tick(Simulation& w) {
     ++w.now;
     for (const auto& [id, move] : std::map(w.mover.moves())) {
       if (w.mover.Step(id, SightOf(w, move), w.now) == MoveAct::kStop) {
@@ -294,7 +296,7 @@
   // One report's time: what happens to each message, to the leader and to the
   // machines, each way of it; then the leader's turn. False: the same as one
   // with other choices.
-  bool Step(World& w, Choices& choose) {
+  bool Step(Simulation& w, Choices& choose) {
     std::vector<Order> orders = std::move(w.orders);
     w.orders.clear();
     for (const Order& o : orders) {
@@ -355,7 +357,7 @@
     return true;
   }
 
-  static void Execute(World& w, const Order& o) {
+  static void Execute(Simulation& w, const Order& o) {
     w.token[o.machine] = o.leader;
     const auto bit = static_cast<uint8_t>(1 << o.machine);
     if (o.start) {
@@ -366,7 +368,7 @@
   }
 
   // A message of the worker under the leader's token, newer than its orders.
-  void Report(World& w, int m) {
+  void Report(Simulation& w, int m) {
     if (!without_.token) w.token[m] = w.leader;
     w.heard[m] = true;
     const auto bit = static_cast<uint8_t>(1 << m);
@@ -382,7 +384,7 @@
     }
   }
 
-  void ChangeLeader(World& w) {
+  void ChangeLeader(Simulation& w) {
     ++w.leader;
     w.writes.clear();  // conditioned on the leader key: they fail from here on
     w.heard.fill(false);
@@ -391,13 +393,13 @@
     // Nothing is known: each leg may be wherever it ever was.
     for (int l = 0; l < kLegs; ++l) w.belief[l] = (1 << kMachines) - 1;
     if (w.dead >= 0) Bury(w);
-    w.mover = Mover(World::Limits());
+    w.mover = Mover(Simulation::Limits());
     if (!without_.cool_off) {
       for (const auto& [id, claim] : w.stored) w.mover.Restore(claim, 0, w.now);
     }
   }
 
-  static void Bury(World& w) {
+  static void Bury(Simulation& w) {
     const auto left = static_cast<uint8_t>(~(1 << w.dead));
     for (int l = 0; l < kLegs; ++l) {
       w.there[l] &= left;
@@ -407,7 +409,7 @@
     }
   }
 
-  bool Differs(const World& w, int m) const {
+  bool Differs(const Simulation& w, int m) const {
     const auto bit = static_cast<uint8_t>(1 << m);
     for (int l = 0; l < kLegs; ++l) {
       if ((w.there[l] & bit) != (w.belief[l] & bit)) return true;
@@ -416,7 +418,7 @@
   }
 
   // Any leg that runs surely, to any machine: wider than what a plan chooses.
-  void Begin(World& w, Choices& choose) {
+  void Begin(Simulation& w, Choices& choose) {
     if (!w.wanted) return;
     std::vector<std::pair<int, int>> options;
     for (int l = 0; l < kLegs; ++l) {
@@ -444,7 +446,7 @@
 
   const Without without_;
   const int ticks_;  // of a report each; a lease is two
-  std::deque<World> open_;
+  std::deque<Simulation> open_;
   std::unordered_set<std::string> seen_;
   std::string bad_;
   size_t settled_ = 0;
--- a/tests/storm_test.cc
+++ b/tests/random_simulation_test.cc
@@ -1,8 +1,9 @@
-// Random storms round the core: messages between a leader, its successors and
-// the workers late, held, lost and out of order, connections refused, processes
-// stalled, workers hanging, reports cut while orders get through. After every
-// step, what the leader takes for gone is compared with what is there, and the
-// rules of the protocol are checked. A seed makes a run; it repeats exactly.
+// Randomized simulations round the core: messages between a leader, its
+// successors and the workers late, held, lost and out of order, connections
+// refused, processes stalled, workers hanging, reports cut while orders get
+// through. After every step, what the leader takes for gone is compared with
+// what is there, and the rules of the protocol are checked. A seed makes a run;
+// it repeats exactly.
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -29,17 +30,17 @@
 // cancellation has, mostly after a leader's end; the others keep the workers.
 enum class Kind { kPlain, kDeaf, kCopies, kLateWrites, kOutages };
 
-class StormyDay {
+class RandomDay {
  public:
-  explicit StormyDay(uint64_t seed, Kind kind = Kind::kPlain)
+  explicit RandomDay(uint64_t seed, Kind kind = Kind::kPlain)
       : kind_(kind), random_(seed) {
-    sim_.storm.emplace();
-    Storm& storm = *sim_.storm;
-    storm.random.seed(seed ^ 0x9e3779b97f4a7c15);
-    storm.lost = Share(0.08);
-    storm.held = Share(0.10);
-    storm.refused = Share(0.10);
-    storm.longest_s = Between(2, 30);
+    sim_.faults.emplace();
+    RandomFaults& faults = *sim_.faults;
+    faults.random.seed(seed ^ 0x9e3779b97f4a7c15);
+    faults.lost = Share(0.08);
+    faults.held = Share(0.10);
+    faults.refused = Share(0.10);
+    faults.longest_s = Between(2, 30);
     // A deletion that is confirmed ends a doubt sooner than a lease does, so in
     // half of the runs nothing but leases ends any.
     if (Happens(0.5)) sim_.tuning.give_up_ratio = 50;
@@ -61,9 +62,9 @@
     // In half of the runs there are others to ask, and to hand over to.
     if (Happens(0.5)) names_ = {"a", "b", "c"};
     if (kind_ == Kind::kCopies) {
-      storm.copied = Between(0.05, 0.4);
-      storm.latest_copy_s = kLatestCopy;
-      storm.lost = storm.held = 0;
+      faults.copied = Between(0.05, 0.4);
+      faults.latest_copy_s = kLatestCopy;
+      faults.lost = faults.held = 0;
       // Nobody inside a zone keeps anything, so that the bound is the leader's.
       names_.clear();
     }
@@ -280,47 +281,47 @@
 };
 
 int SeedsFromEnvironment(int fallback) {
-  const char* text = std::getenv("OXBOW_STORM_SEEDS");
+  const char* text = std::getenv("OXBOW_SEEDS");
   return text == nullptr ? fallback : std::atoi(text);
 }
 
 // In parts, so that they run side by side.
-class Storms : public testing::TestWithParam<int> {};
+class RandomSimulations : public testing::TestWithParam<int> {};
 
 constexpr int kParts = 8;
 
-TEST_P(Storms, NothingIsTakenForGoneThatIsThere) {
+TEST_P(RandomSimulations, NothingIsTakenForGoneThatIsThere) {
   const int seeds = SeedsFromEnvironment(250);
-  const char* only = std::getenv("OXBOW_STORM_SEED");  // to look at one
+  const char* only = std::getenv("OXBOW_SEED");  // to look at one
   int starts = 0;
   int hand_overs = 0;
   for (int i = 0; i < seeds; ++i) {
     const auto seed = static_cast<uint64_t>(GetParam() + kParts * i);
     if (only != nullptr && std::to_string(seed) != only) continue;
-    StormyDay day(seed);
+    RandomDay day(seed);
     const std::string wrong = day.Play();
     ASSERT_EQ(wrong, "") << "seed " << seed << ", after " << i << " others";
     starts += day.starts();
     hand_overs += day.hand_overs();
   }
-  // A storm in which nothing runs would show nothing.
+  // A simulation in which nothing runs would show nothing.
   EXPECT_GT(starts, seeds);
   EXPECT_GT(hand_overs, seeds / 8);
 }
 
-class DeafStorms : public testing::TestWithParam<int> {};
-class OutageStorms : public testing::TestWithParam<int> {};
-class CopyStorms : public testing::TestWithParam<int> {};
-class LateWriteStorms : public testing::TestWithParam<int> {};
+class DeafSimulations : public testing::TestWithParam<int> {};
+class OutageSimulations : public testing::TestWithParam<int> {};
+class CopySimulations : public testing::TestWithParam<int> {};
+class LateWriteSimulations : public testing::TestWithParam<int> {};
 
 void PlayAll(Kind kind, int part, int seeds) {
-  const char* only = std::getenv("OXBOW_STORM_SEED");
+  const char* only = std::getenv("OXBOW_SEED");
   int starts = 0;
   int late_writes = 0;
   for (int i = 0; i < seeds; ++i) {
     const auto seed = static_cast<uint64_t>(part + kParts * i);
     if (only != nullptr && std::to_string(seed) != only) continue;
-    StormyDay day(seed, kind);
+    RandomDay day(seed, kind);
     const std::string wrong = day.Play();
     ASSERT_EQ(wrong, "") << "seed " << seed << ", after " << i << " others";
     starts += day.starts();
@@ -332,28 +333,29 @@
   }
 }
 
-TEST_P(DeafStorms, AnswersAreLostWhileReportsArrive) {
+TEST_P(DeafSimulations, AnswersAreLostWhileReportsArrive) {
   PlayAll(Kind::kDeaf, GetParam(), SeedsFromEnvironment(60));
 }
 
-TEST_P(CopyStorms, ReportsComeAgain) {
+TEST_P(CopySimulations, ReportsComeAgain) {
   PlayAll(Kind::kCopies, GetParam(), SeedsFromEnvironment(60));
 }
 
-TEST_P(OutageStorms, WhatIsToldAsCancelledIsGoneThroughAnyOutage) {
+TEST_P(OutageSimulations, WhatIsToldAsCancelledIsGoneThroughAnyOutage) {
   PlayAll(Kind::kOutages, GetParam(), SeedsFromEnvironment(40));
 }
 
-INSTANTIATE_TEST_SUITE_P(Parts, OutageStorms, testing::Range(0, kParts));
+INSTANTIATE_TEST_SUITE_P(Parts, OutageSimulations, testing::Range(0, kParts));
 
-TEST_P(LateWriteStorms, TransactionsAreCarriedOutLateOrTwice) {
+TEST_P(LateWriteSimulations, TransactionsAreCarriedOutLateOrTwice) {
   PlayAll(Kind::kLateWrites, GetParam(), SeedsFromEnvironment(25));
 }
 
-INSTANTIATE_TEST_SUITE_P(Parts, LateWriteStorms, testing::Range(0, kParts));
-INSTANTIATE_TEST_SUITE_P(Parts, DeafStorms, testing::Range(0, kParts));
-INSTANTIATE_TEST_SUITE_P(Parts, CopyStorms, testing::Range(0, kParts));
-INSTANTIATE_TEST_SUITE_P(Parts, Storms, testing::Range(0, kParts));
+INSTANTIATE_TEST_SUITE_P(Parts, LateWriteSimulations,
+                         testing::Range(0, kParts));
+INSTANTIATE_TEST_SUITE_P(Parts, DeafSimulations, testing::Range(0, kParts));
+INSTANTIATE_TEST_SUITE_P(Parts, CopySimulations, testing::Range(0, kParts));
+INSTANTIATE_TEST_SUITE_P(Parts, RandomSimulations, testing::Range(0, kParts));
 
 }  // namespace
 }  // namespace oxbow::test
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-std::optional<double> Storm::Travel() {
+std::optional<double> RandomFaults::Travel() {
   if (Happens(lost)) return std::nullopt;
   if (Happens(held)) return Between(0.5, longest_s);
   return Between(0.0, 0.1);
@@ -511,7 +511,7 @@
 
 void Sim::SendReport(SimWorker& w) {
   w.next_report = now_ + settings.workers.report_s;
-  if (storm) return ReportInStorm(w);
+  if (faults) return ReportWithFaults(w);
   // One report in flight.
   if (now_ < w.waits_until) {
     w.next_report = w.waits_until;
@@ -604,7 +604,7 @@
 }
 
 // One report in flight; an answer is good for 4 s after its report was sent.
-void Sim::ReportInStorm(SimWorker& w) {
+void Sim::ReportWithFaults(SimWorker& w) {
   constexpr double kReportLifetime_s = 4.0;
   if (now_ < w.waits_until) {
     w.next_report = w.waits_until;
@@ -613,11 +613,11 @@
   const uint64_t number = ++w.reports;
   const WorkerReport report = ReportOf(w);
   w.waits_until = now_ + kReportLifetime_s;
-  const std::optional<double> there = storm->Travel();
-  std::optional<double> back = storm->Travel();
+  const std::optional<double> there = faults->Travel();
+  std::optional<double> back = faults->Travel();
   if (w.answers_cut) back.reset();
-  if (storm->copied > 0 && storm->Happens(storm->copied)) {
-    Copy(report, storm->Between(0.5, storm->latest_copy_s));
+  if (faults->copied > 0 && faults->Happens(faults->copied)) {
+    Copy(report, faults->Between(0.5, faults->latest_copy_s));
   }
   if (!leader_ && state_down && delegated && there && back) {
     w.waits_until = 0;
@@ -662,7 +662,7 @@
   });
 }
 
-void Sim::DoInStorm(const SendOrders& orders) {
+void Sim::DoWithFaults(const SendOrders& orders) {
   constexpr double kTimeout = 1.5;
   const uint64_t revision = leader_->revision();
   auto answered = std::make_shared<bool>(false);
@@ -679,13 +679,13 @@
   const auto it = workers_.find(orders.host);
   const bool cut = it == workers_.end() || it->second.orders_cut ||
                    !LeaderNode().Sends(orders.host);
-  if (storm->Happens(storm->refused)) {
+  if (faults->Happens(faults->refused)) {
     After(kLatency, [answer] { answer(OrderOutcome::kNotSent, {}); });
     return;
   }
   After(kTimeout, [answer] { answer(OrderOutcome::kUnknown, {}); });
-  const std::optional<double> there = storm->Travel();
-  const std::optional<double> back = storm->Travel();
+  const std::optional<double> there = faults->Travel();
+  const std::optional<double> back = faults->Travel();
   if (cut || !there) return;
   After(*there, [this, orders, answer, back] {
     OnWorker(orders.host, [this, orders, answer, back](SimWorker& w) {
@@ -791,7 +791,7 @@
 }
 
 void Sim::Do(const SendOrders& orders) {
-  if (storm) return DoInStorm(orders);
+  if (faults) return DoWithFaults(orders);
   auto [fate, late] = fates_.contains(orders.host)
                           ? fates_[orders.host]
                           : std::pair{Fate::kNormal, 0.0};
@@ -993,9 +993,9 @@
       if (const auto* send = std::get_if<SendOrders>(&action)) {
         Do(*send);
       } else if (const auto* probe = std::get_if<Probe>(&action);
-                 probe != nullptr && storm) {
-        const std::optional<double> there = storm->Travel();
-        const std::optional<double> back = storm->Travel();
+                 probe != nullptr && faults) {
+        const std::optional<double> there = faults->Travel();
+        const std::optional<double> back = faults->Travel();
         if (!there || !back || !LeaderNode().Sends(probe->host)) continue;
         After(*there, [this, leader, host = probe->host, back] {
           OnWorker(host, [this, leader, back](SimWorker& w) {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -66,7 +66,7 @@
 // Messages between the leader and the workers take their time, overtake each
 // other, are held for long or lost, all from a seed; a stalled leader finds
 // them later. Shares are of all messages.
-struct Storm {
+struct RandomFaults {
   std::mt19937_64 random;
   double lost = 0;
   double held = 0;
@@ -140,10 +140,10 @@
   bool never_boot = false;
   bool state_down = false;
   bool by_promises = false;  // what the right to lead rests on
-  // In a storm: without a leader in an outage, the other controllers answer
-  // whatever worker reaches them, without orders and knowing nothing.
+  // With random faults: without a leader in an outage, the other controllers
+  // answer whatever worker reaches them, without orders and knowing nothing.
   bool delegated = false;
-  std::optional<Storm> storm;
+  std::optional<RandomFaults> faults;
   std::optional<LateWrites> late_writes;
   Fate next_write = Fate::kNormal;
   double next_write_late_s = 30;  // if its fate is kLate
@@ -287,8 +287,8 @@
   void Step();
   void Perform();
   void Do(const SendOrders& orders);
-  void DoInStorm(const SendOrders& orders);
-  void ReportInStorm(SimWorker& w);
+  void DoWithFaults(const SendOrders& orders);
+  void ReportWithFaults(SimWorker& w);
   void AcceptReply(SimWorker& w, const ReportReply& reply, uint64_t session,
                    Time sent);
   // Controllers in zones ask for the right to keep their workers.
--- a/tests/state_loss_test.cc
+++ b/tests/state_loss_test.cc
@@ -17,7 +17,7 @@
 constexpr int kServices = 7;
 constexpr int kReplicas = 3;
 constexpr int kAll = kServices * kReplicas;
-constexpr int kShort = 4;  // losses of a storm's short form
+constexpr int kShort = 4;  // losses of a simulation's short form
 
 struct Loss {
   const char* name;
@@ -243,9 +243,9 @@
 // Losses of every kind in a row, together with what else fails: a controller
 // killed before, at or in the middle of the rebuild, an outage, a second loss,
 // a zone cut. Two of the three controllers live through each.
-class Storm {
+class RandomSimulation {
  public:
-  Storm(Cluster& cluster, int losses)
+  RandomSimulation(Cluster& cluster, int losses)
       : c_(cluster),
         losses_(losses),
         watcher_(cluster, kWatched),
@@ -439,20 +439,20 @@
 };
 
 // A short form, without kills; OXBOW_LOSSES asks for more, and for all.
-TEST(StateLossStorm, NothingIsForgottenAndNothingComesBack) {
+TEST(StateLossSimulation, NothingIsForgottenAndNothingComesBack) {
   const char* text = std::getenv("OXBOW_LOSSES");
   const char* seed = std::getenv("OXBOW_SEED");
   const int losses = text == nullptr ? kShort : std::atoi(text);
   Cluster cluster(seed == nullptr ? 1 : std::strtoull(seed, nullptr, 10),
                   "recovery.conf");
-  Storm storm(cluster, losses);
-  net::Spawn(storm.Run());
+  RandomSimulation simulation(cluster, losses);
+  net::Spawn(simulation.Run());
   cluster.loop.At(cluster.loop.Now() + 60 + 40 * losses, [&] {
     ADD_FAILURE() << "timed out";
     cluster.loop.Stop();
   });
   cluster.loop.Run();
-  EXPECT_TRUE(storm.done);
+  EXPECT_TRUE(simulation.done);
 }
 
 // The leader ends in an outage, is back at once, and hears from the others that
--- a/tests/verdict_test.sh
+++ b/tests/verdict_test.sh
@@ -42,8 +42,8 @@
   fi
 }
 
-all_pass() { tests 'Wall.Stands=true' 'Parts/Storms.Calm/0=true'; }
-one_fails() { tests 'Wall.Stands=true' 'Parts/Storms.Calm/0=false' 'Roof.Holds=true'; }
+all_pass() { tests 'Wall.Stands=true' 'Parts/RandomSimulations.Calm/0=true'; }
+one_fails() { tests 'Wall.Stands=true' 'Parts/RandomSimulations.Calm/0=false' 'Roof.Holds=true'; }
 
 all_pass
 expect passes '' <<<none
@@ -53,34 +53,34 @@
 expect fails 'does not exist: Wall.Falls' <<<'Wall.Falls | cracks | 40'
 
 one_fails
-expect fails 'failed: Parts/Storms.Calm/0' <<<none
-expect fails 'failed: Parts/Storms.Calm/0' </dev/null
-expect passes 'known red: Parts/Storms.Calm/0: wind (#40)' \
-  <<<'Parts/Storms.Calm/0 | wind | #40'
-expect passes 'known red: Parts/Storms.Calm/0: wind (40)' \
-  < <(printf '\n  Parts/Storms.Calm/0|wind|40')  # no newline at the end
+expect fails 'failed: Parts/RandomSimulations.Calm/0' <<<none
+expect fails 'failed: Parts/RandomSimulations.Calm/0' </dev/null
+expect passes 'known red: Parts/RandomSimulations.Calm/0: wind (#40)' \
+  <<<'Parts/RandomSimulations.Calm/0 | wind | #40'
+expect passes 'known red: Parts/RandomSimulations.Calm/0: wind (40)' \
+  < <(printf '\n  Parts/RandomSimulations.Calm/0|wind|40')  # no newline at the end
 # A part of a name, or a pattern, names no test.
-expect fails 'failed: Parts/Storms.Calm/0' <<<'Parts/Storms.Calm | wind | 40'
-expect fails 'failed: Parts/Storms.Calm/0' <<<'Parts/Storms.Calm/. | wind | 40'
+expect fails 'failed: Parts/RandomSimulations.Calm/0' <<<'Parts/RandomSimulations.Calm | wind | 40'
+expect fails 'failed: Parts/RandomSimulations.Calm/0' <<<'Parts/RandomSimulations.Calm/. | wind | 40'
 expect fails 'does not exist: Wall.Stands' <<'LIST'
-Parts/Storms.Calm/0 | wind | 40
+Parts/RandomSimulations.Calm/0 | wind | 40
 Wall.Stands | cracks | 40
 LIST
 expect fails 'does not exist: Wall.Falls' <<'LIST'
-Parts/Storms.Calm/0 | wind | 40
+Parts/RandomSimulations.Calm/0 | wind | 40
 Wall.Falls | cracks | 40
 LIST
 
 # Only the whole line names a test, its cause and an issue.
-expect fails 'not ' <<<'Parts/Storms.Calm/0'
-expect fails 'not ' <<<'Parts/Storms.Calm/0 | wind'
-expect fails 'not ' <<<'Parts/Storms.Calm/0 | | 40'
-expect fails 'not ' <<<'Parts/Storms.Calm/0 | wind | later'
-expect fails 'not ' <<<'Parts/Storms.Calm/0 | wind | 40 | more'
+expect fails 'not ' <<<'Parts/RandomSimulations.Calm/0'
+expect fails 'not ' <<<'Parts/RandomSimulations.Calm/0 | wind'
+expect fails 'not ' <<<'Parts/RandomSimulations.Calm/0 | | 40'
+expect fails 'not ' <<<'Parts/RandomSimulations.Calm/0 | wind | later'
+expect fails 'not ' <<<'Parts/RandomSimulations.Calm/0 | wind | 40 | more'
 expect fails 'not ' <<<'| wind | 40'
 expect fails 'listed twice' <<'LIST'
-Parts/Storms.Calm/0 | wind | 40
-Parts/Storms.Calm/0 | rain | 41
+Parts/RandomSimulations.Calm/0 | wind | 40
+Parts/RandomSimulations.Calm/0 | rain | 41
 LIST
 
 tests 'a=false' 'b=false' 'c=false' 'd=true'
@@ -140,9 +140,9 @@
 expect fails 'ended with status 8' <<<none
 one_fails
 status=0
-expect fails 'ended with status 0' <<<'Parts/Storms.Calm/0 | wind | 40'
+expect fails 'ended with status 0' <<<'Parts/RandomSimulations.Calm/0 | wind | 40'
 status=8
 sed -i '/^The following tests FAILED:$/d' "$work/output"
-expect fails '1 tests failed, 0 of them are named' <<<'Parts/Storms.Calm/0 | wind | 40'
+expect fails '1 tests failed, 0 of them are named' <<<'Parts/RandomSimulations.Calm/0 | wind | 40'
 
 exit $wrong
--- a/tests/zone_world.h
+++ b/tests/zone_simulation.h
@@ -1,4 +1,4 @@
-// The world of the zones' storms: controllers in zones, the network between
+// The simulation of zones: controllers in zones, the network between
 // them and the workers, the state service, and what goes wrong.
 #pragma once
 
@@ -100,9 +100,9 @@
   std::unique_ptr<Office> office;
 };
 
-class World {
+class Simulation {
  public:
-  explicit World(uint64_t seed) : random_(seed), settings_(Deployment()) {
+  explicit Simulation(uint64_t seed) : random_(seed), settings_(Deployment()) {
     lost_ = Happens(0.4) ? 0 : Between(0, 0.1);
     held_ = Happens(0.4) ? 0 : Between(0, 0.1);
     nodes_.resize(kNodes);
@@ -115,9 +115,9 @@
     }
   }
 
-  virtual ~World() = default;
-  World(const World&) = delete;
-  World& operator=(const World&) = delete;
+  virtual ~Simulation() = default;
+  Simulation(const Simulation&) = delete;
+  Simulation& operator=(const Simulation&) = delete;
 
   // What went wrong first; empty if nothing did.
   std::string Play() {
--- a/tests/zone_storm_test.cc
+++ b/tests/zone_simulation_test.cc
@@ -1,6 +1,6 @@
-// Random storms round zones that are cut off and controllers that are out of
-// reach: zones cut, controllers without state service and peers but with their
-// workers (one, several, all), outages, controllers that end and are back
+// Randomized simulations round zones that are cut off and controllers that are
+// out of reach: zones cut, controllers without state service and peers but with
+// their workers (one, several, all), outages, controllers that end and are back
 // within a fraction of a second, messages late and lost, writes to the state
 // service that arrive long after they were given up. A seed makes a run.
 //
@@ -8,20 +8,20 @@
 // task is gone within `cancel_s`, and where a leader leads that reaches a
 // worker both ways, nobody else keeps that worker for long.
 
+#include "tests/zone_simulation.h"
+
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <cstdlib>
 #include <tuple>
 
-#include "tests/zone_world.h"
-
 namespace oxbow::test::zones {
 namespace {
 
-class Storm : public World {
+class RandomSimulation : public Simulation {
  public:
-  using World::World;
+  using Simulation::Simulation;
 
   int over() const { return over_; }
   int kept() const { return kept_; }
@@ -456,15 +456,15 @@
   double longest_kept_ = 0;
 };
 
-class ZoneStorms : public testing::TestWithParam<int> {};
+class ZoneSimulations : public testing::TestWithParam<int> {};
 
 constexpr int kParts = 8;
 // Leases. A right alone would keep them for three.
 constexpr double kLongest = 2;
 
-TEST_P(ZoneStorms, NothingKeptIsTakenForOverAndNoneIsKeptFromALeader) {
-  const char* text = std::getenv("OXBOW_STORM_SEEDS");
-  const char* only = std::getenv("OXBOW_STORM_SEED");
+TEST_P(ZoneSimulations, NothingKeptIsTakenForOverAndNoneIsKeptFromALeader) {
+  const char* text = std::getenv("OXBOW_SEEDS");
+  const char* only = std::getenv("OXBOW_SEED");
   const int seeds = text == nullptr ? 30 : std::atoi(text);
   int over = 0;
   int kept = 0;
@@ -474,14 +474,15 @@
   for (int i = 0; i < seeds; ++i) {
     const auto seed = static_cast<uint64_t>(GetParam() + kParts * i);
     if (only != nullptr && std::to_string(seed) != only) continue;
-    Storm storm(seed);
-    ASSERT_EQ(storm.Play(), "") << "seed " << seed << ", after " << i;
-    over += storm.over();
-    kept += storm.kept();
-    led += storm.led();
-    sent_on += storm.sent_on();
-    longest = std::max(longest, storm.longest_kept());
-    ASSERT_LT(storm.longest_kept(), kLongest * Deployment().workers.lease_s)
+    RandomSimulation simulation(seed);
+    ASSERT_EQ(simulation.Play(), "") << "seed " << seed << ", after " << i;
+    over += simulation.over();
+    kept += simulation.kept();
+    led += simulation.led();
+    sent_on += simulation.sent_on();
+    longest = std::max(longest, simulation.longest_kept());
+    ASSERT_LT(simulation.longest_kept(),
+              kLongest * Deployment().workers.lease_s)
         << "seed " << seed << ", after " << i;
   }
   std::printf(
@@ -495,7 +496,7 @@
   EXPECT_GT(led, 3 * seeds);
 }
 
-INSTANTIATE_TEST_SUITE_P(Parts, ZoneStorms, testing::Range(0, kParts));
+INSTANTIATE_TEST_SUITE_P(Parts, ZoneSimulations, testing::Range(0, kParts));
 
 }  // namespace
 }  // namespace oxbow::test::zones
