--- a/app/election.h
+++ b/app/election.h
@@ -64,10 +64,10 @@
     leadership_.DelegationReleased(over.node, over.text, over.stamp);
   }
 
-  // --- keeping workers alive while nobody leads
+  // --- renewing workers' leases while nobody leads
   // Whether a report of a worker that has seen a token of that term may be
-  // answered here, without orders. Its asking is what delegates by promises
-  // begin for.
+  // answered here, without orders. Being asked is what makes a controller seek
+  // the others' promises.
   bool MayRenew(uint64_t term);
   // Whether the right to lead rests on the lease of the key, not on promises.
   bool ByLease() {
--- a/app/leader_service.h
+++ b/app/leader_service.h
@@ -1,6 +1,6 @@
-// Carries out what the leader decides: owns the core while this controller
-// leads, hands events to it, and carries out the actions that come of them:
-// orders, writes, rentals, deletions, checks. Does nothing without a look at
+// The leader's service: owns the core while this controller leads, hands events
+// to it, and carries out the actions that come of them: orders, writes,
+// rentals, deletions, checks. Does nothing without a look at
 // the right to lead.
 #pragma once
 
--- a/app/recovery_coordinator.cc
+++ b/app/recovery_coordinator.cc
@@ -935,7 +935,7 @@
     message.running = static_cast<uint32_t>(verification_.sign());
     message.job_id = sign_key_;
     // Found in its place is only what is as new: one that knows but the older
-    // copy would stand by it, and the doubt of the one that remembers more
+    // copy would stand by it, and the suspicion of the one that remembers more
     // would never end.
     if (!sign_key_.empty()) {
       message.stamp = catalog_.VersionOf(sign_key_).stamp;
@@ -1005,8 +1005,8 @@
       TermSeen(message.term);
       CheckSays says = CheckSays::kNoAnswer;
       if (number > 0) says = co_await Check();
-      // One who doubts asks for more than a revision, which may have grown past
-      // what was lost.
+      // One who suspects a loss asks for more than a revision, which may have
+      // grown past what was lost.
       if (says == CheckSays::kStands && sign != LossSign::kNone) {
         says = co_await LookForNewest();
       }
--- a/app/recovery_coordinator.h
+++ b/app/recovery_coordinator.h
@@ -141,7 +141,7 @@
   net::Task<void> AuditLoop();
   net::Task<void> AuditLive(std::string* after);
   net::Task<void> AuditEnded(std::string* after);
-  // Settles a doubt, one round after the other.
+  // Settles a suspicion, one round after the other.
   net::Task<void> Settle();
   net::Task<void> SpreadWord();
   // Looks again at what the sign was.
@@ -210,7 +210,7 @@
   net::Time founded_ = -1e9;  // when a first epoch was seen to be young
   uint64_t gathered_ = 0;     // for the leader of that term
   uint64_t gathering_ = 0;
-  // What is being sent to each of the others, as it was when the first piece
+  // What is being sent to each of the others, as it was when the first page
   // was asked for. Several ask at once after a crash of many: with one for all,
   // the second took the end of the first one's pages for the end of its own.
   struct Sending {
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -433,8 +433,8 @@
   std::map<std::string, Rental> rentals_;
   std::map<SupplyKey, Time> refused_until_;
   DelegatedLeases zones_;
-  bool sessions_unsettled_ =
-      false;  // a silent session may be kept, in this tick
+  // In this tick: a delegate may have renewed a silent session.
+  bool sessions_unsettled_ = false;
   Time next_delegates_read_ = 0;
   std::map<std::string, Rollout> rollouts_;                  // by id
   std::unordered_map<std::string, std::string> in_rollout_;  // by job id
--- a/core/controller/liveness_monitor.cc
+++ b/core/controller/liveness_monitor.cc
@@ -148,8 +148,8 @@
 
 bool LivenessMonitor::LossAllowed(const Machine& m, LossCause cause, Time now) {
   const auto index = static_cast<size_t>(cause);
-  // Whoever doubts its own reach takes nothing away for other reasons either:
-  // idle, listed and booted are read off what it hears.
+  // A leader that suspects its own network takes nothing away for other reasons
+  // either: idle, listed and booted are read off what it hears.
   if (cause != LossCause::kSilent && !leader_health_.healthy()) return false;
   int fleet = 0;
   int zone = 0;
--- a/core/controller/liveness_monitor.h
+++ b/core/controller/liveness_monitor.h
@@ -29,7 +29,7 @@
 
   // Once in each tick, before anything is decided on it.
   void Count(Time now);
-  // Asks the others, where something is in doubt.
+  // Asks the others about what is uncertain.
   void Ask(Time now);
   // What each controller reaches, this one's answer first. False: this
   // leadership is over.
--- a/core/controller/restore.cc
+++ b/core/controller/restore.cc
@@ -163,16 +163,16 @@
   // leads before it has handed in what it remembers.
   if (catalog_.epoch().rebuilt && catalog_.owed().empty()) return;
   // What is going on comes first; this fills the rest of the transactions.
-  const auto piece = static_cast<size_t>(settings_.state.txn_ops);
-  if (writes_.waiting() >= piece) return;
+  const auto batch = static_cast<size_t>(settings_.state.txn_ops);
+  if (writes_.waiting() >= batch) return;
   if (restore_.empty()) restore_ = RestoreOrder();
   size_t queued = 0;
-  while (!restore_.empty() && queued < piece) {
+  while (!restore_.empty() && queued < batch) {
     writes_.Queue({WriteKind::kRestore, restore_.back()}, /*lazy=*/true);
     restore_.pop_back();
     ++queued;
   }
-  while (restore_.empty() && !ends_owed_.empty() && queued < piece) {
+  while (restore_.empty() && !ends_owed_.empty() && queued < batch) {
     auto& [id, state] = ends_owed_.back();
     writes_.Queue({WriteKind::kRestoreTerminalState, id, state}, /*lazy=*/true);
     ends_owed_.pop_back();
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -230,7 +230,7 @@
   for (Machine* m : usable) {
     // In a calm replicas gather where they spoil nothing any more. Two beside
     // every gang's room had kept sixty machines rented after the last gang.
-    // Nor does it break a whole machine while there is room in pieces.
+    // Nor does it break a whole machine while there is fragmented room.
     if ((calm ? Gathers(*m) : !Spoils(spec, *m, accelerator_shape_)) &&
         !placer_.Breaks(spec, *m, queue_order_.WaitAim(spec)) &&
         !DrainedByMove(*m)) {
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -51,8 +51,9 @@
                      const double gpus = types_.at(a.kind.type).total.gpus;
                      const double other = types_.at(b.kind.type).total.gpus;
                      if (gpus != other) return gpus < other;
-                     // Pieces first: a small task counted into a whole machine
-                     // would have another one rented for the next large one.
+                     // Fragments first: a small task counted into a whole
+                     // machine would have another one rented for the next large
+                     // one.
                      return tuning_.fragmentation_weight > 0 &&
                             a.free.gpus < b.free.gpus;
                    });
@@ -279,10 +280,10 @@
       break;
   }
   rental.Change(RentalState::kSettled);
-  // In pieces that fit a transaction with the removal of the record.
-  const auto piece =
+  // In batches that fit a transaction with the removal of the record.
+  const auto batch =
       static_cast<size_t>(std::max(1, settings_.state.txn_ops - 1));
-  if (hosts.size() <= piece) {
+  if (hosts.size() <= batch) {
     writes_.Queue(
         {WriteKind::kRentalSettle, name, TerminalState::kNone, hosts});
   } else {
@@ -290,7 +291,7 @@
     writes_.Queue({WriteKind::kRentalSettle,
                    name,
                    TerminalState::kNone,
-                   {hosts.begin(), hosts.begin() + static_cast<long>(piece)}});
+                   {hosts.begin(), hosts.begin() + static_cast<long>(batch)}});
   }
   next_supply_ = std::min(next_supply_, now + 0.1 * settings_.workers.report_s);
   writes_.Flush(now);
--- a/core/fair_queueing/fair_queueing.h
+++ b/core/fair_queueing/fair_queueing.h
@@ -1,5 +1,6 @@
-// How the turn is shared between the jobs that would each be quickest and those
-// that have waited for long, class by class. No I/O, no clock.
+// Fair queueing: how room is shared between the jobs that would each be
+// quickest and those that have waited for long, class by class. No I/O, no
+// clock.
 #pragma once
 
 #include <cstdint>
@@ -10,7 +11,7 @@
 
 namespace oxbow {
 
-// Whose turn a class's room goes to while there is more work than room.
+// What a class's room goes to while there is more work than room.
 enum class QueueSide : uint8_t {
   kQuickest,      // least work first: most jobs are served in time
   kMinimumShare,  // the longest waiting and the largest: nobody is left out
@@ -27,8 +28,8 @@
   FairQueueing(double minimum_share, double memory_s)
       : minimum_share_(minimum_share), memory_s_(memory_s) {}
 
-  // Whether the jobs of the minimum share of the class go before the quickest
-  // now.
+  // Whether the class's jobs that are owed a minimum share go before the
+  // quickest now.
   bool MinimumShareFirst(const std::string& job_class, Time now) const;
   // Work (core seconds) of the class has been placed.
   void Placed(const std::string& job_class, QueueSide side, double work,
--- a/core/leader_health/leader_health.cc
+++ b/core/leader_health/leader_health.cc
@@ -68,7 +68,7 @@
   deaf_since_ = Deaf() ? std::min(deaf_since_, now) : 1e18;
   if (Deaf() && !deaf_before) {
     // Worse than what the last rounds were about: asked as at first. A leader
-    // in doubt for long over one dead machine asked too late otherwise.
+    // suspect for long over one dead machine asked too late otherwise.
     pause_s_ = limits_.pause_s;
     next_round_ = std::min(next_round_, now + limits_.pause_s / 2);
   }
--- a/core/leader_health/leader_health.h
+++ b/core/leader_health/leader_health.h
@@ -1,6 +1,6 @@
 // Whether the leader is the right one to lead. It hears little: is that the
-// machines, the network of all, or only its own reach? No I/O, no clock; safety
-// never rests on what is decided here, only on the lease and the tokens.
+// machines, the network of all, or only its own network? No I/O, no clock;
+// safety never rests on what is decided here, only on the lease and the tokens.
 #pragma once
 
 #include <cstdint>
@@ -14,8 +14,8 @@
 namespace oxbow {
 
 enum class LeaderHealthState : uint8_t {
-  kHealthy,   // hears as many machines as it should
-  kSuspect,   // hears too few: the others are to be asked
+  kHealthy,   // as many machines report as should
+  kSuspect,   // too few do: the others are to be asked
   kAsking,    // a question is under way
   kOffering,  // another is surely better placed, and is asked to take over
   kYielding,  // it has agreed; this leadership ends
@@ -44,7 +44,7 @@
 class LeaderHealth {
  public:
   struct Limits {
-    double troubled_share = 0;  // troubled machines that make it doubt
+    double troubled_share = 0;  // troubled machines that make it suspect
     double deaf_share = 0;      // heard so few, it can't lead whoever else can
     double pause_s = 0;         // between two rounds, at first
     double longest_pause_s = 0;
--- a/core/lease/delegated_lease.h
+++ b/core/lease/delegated_lease.h
@@ -1,7 +1,8 @@
-// A zone that is cut off: a controller inside may keep the workers of its zone
-// alive for a while, without orders, and the leader outside does not take for
-// over what may be kept. The right is a lease that the leader grants while
-// both can still talk. See docs/delegated-lease.md.
+// A delegated lease: a controller in a zone that is cut off may renew the
+// leases of the workers there for a while, without orders, and the leader
+// outside does not take for over what may have been renewed. The right is a
+// lease that the leader grants while both can still talk. See
+// docs/delegated-lease.md.
 #pragma once
 
 #include <map>
--- a/core/lease/delegated_lease_record.h
+++ b/core/lease/delegated_lease_record.h
@@ -1,4 +1,4 @@
-// The record of a right to keep a zone's workers, in the state service: by it a
+// The record of a delegated lease, in the state service: by it a
 // new leader tells whom it has to wait for. See docs/delegated-lease.md.
 #pragma once
 
--- a/core/lease/leadership.cc
+++ b/core/lease/leadership.cc
@@ -94,8 +94,8 @@
 void Leadership::SeekStarted(uint64_t seen) {
   Change(kSeeking);
   seen_ = seen;
-  // Somebody who is told that this one keeps, or leads, no longer counts with
-  // a promise to a delegate by promises; one left over must not count
+  // Somebody who is told that this one renews by the key, or leads, no longer
+  // counts with a promise to a delegate; one left over must not count
   // afterwards either.
   delegation_over_ = std::max(delegation_over_, delegation_asked_);
   delegation_granted_.clear();
--- a/core/lease/leadership.h
+++ b/core/lease/leadership.h
@@ -17,7 +17,7 @@
   kFollower,   // somebody else leads, or nobody
   kSeeking,    // a lease is asked for, the key is being written
   kRenewing,   // holds the key, but somebody may still lead by a promise that
-               // this process has forgotten: keeps workers alive, no orders
+               // this process has forgotten: renews workers' leases, no orders
   kLeading,    // the lease is known to be granted
   kProlonged,  // the service is out; every other controller has promised
   kLapsed,     // was leader, the right has run out; becomes follower again
@@ -33,8 +33,8 @@
 
 class Leadership {
  public:
-  // `delegation_s`: how long a promise to a delegate by promises lasts; 0:
-  // there are no delegates.
+  // `delegation_s`: how long a promise to a delegate lasts; 0: there are no
+  // delegates.
   Leadership(std::vector<std::string> peers, double lease_s, double promise_s,
              double delegation_s, Time started);
 
@@ -51,13 +51,14 @@
   // A starting controller has forgotten what it promised. It waits out the
   // longest promise, unless every other one says that it does not lead.
   bool MaySeek(Time now) const;
-  // Whether it may take a free key, at least as a delegate.
+  // Whether it may take a free key, at least to renew.
   bool MayTakeKey(Time now) const;
   // Whether nobody can rest on a promise that this process has forgotten.
   bool Proven(Time now) const;
   // The same where the key is this controller's own, from a life in which it
-  // led: nobody has led since, so only delegates by promises have to be waited
-  // for. Who leads by data that the state service has lost would have said so.
+  // led: nobody has led since, so only delegates by promises have to be
+  // waited for. Who leads by data that the state service has lost would have
+  // said so.
   bool OwnProven(Time now) const;
   // `seen` is the leader key's revision that the search was decided on. The
   // write has to be conditioned on it, not on what the watch brings meanwhile:
@@ -66,9 +67,10 @@
   uint64_t seen() const { return seen_; }
   void SeekFailed();
   // `sent` is when the request that the lease counts from was sent. `leads`:
-  // it was proven by then; else it keeps.
+  // it was proven by then; else it only renews.
   void Won(uint64_t revision, uint64_t lease_id, Time sent, bool leads = true);
-  // A delegate for whom it is proven by now leads. True if it does.
+  // One that renews by the key, and for whom it is proven by now, leads. True
+  // if it does.
   bool Promote(Time now);
   void RenewGranted(Time sent);
   // The key was written anew under a right that still stood: into a state
@@ -99,12 +101,13 @@
   double promise_s() const { return promise_s_; }
   LeaderRole Role(Time now) const;
 
-  // --- keeping: answering reports without orders, so that workers live on
-  // while nobody can lead. Any number of controllers may at the same time; what
-  // must not be is a leader who takes a session for over that another keeps
-  // alive. So a delegate by promises holds every other controller's promise not
-  // to seek, and a delegate holds the key; a leader by promises, of whom a
-  // delegate may not know, takes no session for over (Controller::Tick).
+  // --- renewing workers' leases without leading: reports are answered without
+  // orders while nobody can lead. Any number of controllers may at the same
+  // time; what must not be is a leader who takes a session for over that
+  // another renews. So a delegate by promises holds every other controller's
+  // promise not to seek, and a delegate by the key holds the key; a leader by
+  // promises, of whom a delegate may not know, takes no session for over
+  // (Controller::Tick).
   bool MayRenew(Time now);
   double delegation_s() const { return delegation_s_; }
   // The number goes into the question, and back with DelegationOver.
@@ -138,10 +141,8 @@
   std::map<std::string, Time> granted_until_;
   Time promised_until_ = -1e9;
   std::set<std::string> known_idle_;  // rely on nothing forgotten here
-  std::set<std::string>
-      delegates_;  // at the most for delegation_s_ from the start
-  std::set<std::string> leading_;  // when last asked
-  // Delegation.
+  std::set<std::string> delegates_;  // for delegation_s_ from the start at most
+  std::set<std::string> leading_;    // when last asked
   struct DelegationPromise {
     std::string life;
     uint64_t number = 0;
--- a/core/model/delivery.h
+++ b/core/model/delivery.h
@@ -32,8 +32,9 @@
 };
 
 // One for each machine, under one leader. What has to reach the machine is
-// the answers: only they renew its lease. So a doubt is settled by a question:
-// a token that goes out in answers alone, and that a later report must show.
+// the answers: only they renew its lease. So a suspicion is settled by a
+// question: a token that goes out in answers alone, and that a later report
+// must show.
 class Delivery {
  public:
   DeliveryState state() const { return state_; }
--- a/core/moves/plan.h
+++ b/core/moves/plan.h
@@ -41,10 +41,10 @@
 };
 
 // Machines that become able to take one more task of the waiting job, each with
-// all moves that this needs or none of them; the cheapest first. Targets are in
-// pieces already and stay of the same use to the mix, or gain; they are never
-// machines that are being drained. A job in one zone gets machines of one zone
-// only, and none where it can't become whole.
+// all moves that this needs or none of them; the cheapest first. Targets are
+// fragmented already and stay of the same use to the mix, or gain; they are
+// never machines that are being drained. A job in one zone gets machines of one
+// zone only, and none where it can't become whole.
 std::vector<PlannedMove> PlanMoves(const MovePlanInput& input);
 
 }  // namespace oxbow
--- a/core/recovery/store_verification.cc
+++ b/core/recovery/store_verification.cc
@@ -100,7 +100,7 @@
     }
     return;
   }
-  // A doubt about this epoch is for the checks to settle.
+  // A suspicion about this epoch is for the checks to settle.
   if (state_ == kRebuilding && rebuilt) {
     Change(StoreVerificationEvent::kRebuilt);
   }
--- a/core/recovery/store_verification.h
+++ b/core/recovery/store_verification.h
@@ -1,6 +1,7 @@
 // Whether this controller may believe what the state service says. A missing
-// record proves something only while it may. Signs of a loss lead to doubt;
-// doubt is settled by fresh checks, this controller's and the others'.
+// record proves something only while it may. Signs of a loss raise a
+// suspicion, which is settled by fresh checks, this controller's and the
+// others'.
 #pragma once
 
 #include <cstdint>
@@ -46,11 +47,11 @@
   StoreVerificationState state() const { return state_; }
   LossSign sign() const { return sign_; }
 
-  // A sign was seen. True when it is news: the doubt has to be settled.
+  // A sign was seen. True when it is news: the suspicion has to be settled.
   bool Note(LossSign sign);
-  // A round of checks is over, in doubt, or later while nobody has opened a new
-  // epoch. `others_stand`: another controller that looked
-  // at the same moment finds nothing wrong.
+  // A round of checks is over, while suspected, or later while nobody has
+  // opened a new epoch. `others_stand`: another controller that looked at the
+  // same moment finds nothing wrong.
   void OnRound(CheckSays mine, bool others_stand);
   // The epoch as recorded now.
   void OnEpoch(uint64_t number, bool rebuilt);
--- a/tests/election_exploration_test.cc
+++ b/tests/election_exploration_test.cc
@@ -1,5 +1,5 @@
 // Every controller ends at every step of a search, a take-over, a hand-over, an
-// outage bridged by promises, by delegates by promises or by a delegate, and is
+// outage bridged by promises or by delegates, and is
 // back within a fraction of a second; then a second one ends as well, before,
 // while and after the first is back. All of them are played, not drawn: a plan
 // names them.
@@ -30,9 +30,9 @@
   kHandOver,        // the leader lets go of the key
   kOutage,          // bridged by promises
   kOutageNoLeader,  // the leader ends in it: delegates by promises
-  kAllGone,         // all end and are back one after the other: a delegate
-  kLeaderRefused,   // by the state service alone
-  kLeaderApart,     // from state service and peers, not from workers
+  kAllGone,  // all end and are back one after the other: a delegate by key
+  kLeaderRefused,  // by the state service alone
+  kLeaderApart,    // from state service and peers, not from workers
   kFollowersApart,
   kLeaderLeftOut,  // after an outage the service is back, but not for it
   kOneLetIn,       // after one without a leader, for one of three alone
--- a/tests/leader_health_test.cc
+++ b/tests/leader_health_test.cc
@@ -83,7 +83,7 @@
   EXPECT_LE(rounds, 8);
 }
 
-// A leader in doubt for long over one dead machine asked seldom, and found out
+// A leader suspect for long over one dead machine asked seldom, and found out
 // late that it had grown deaf meanwhile (seed 1256).
 TEST(LeaderHealth, GrowingDeafEndsALongPause) {
   LeaderHealth health(SomeLimits(), 0);
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -125,7 +125,7 @@
   EXPECT_FALSE(l.Valid(12 + kLease));
 }
 
-// --- keeping workers alive without leading
+// --- renewing workers' leases without leading
 
 constexpr double kDelegation = 1.5;
 
--- a/tests/recovery_test.cc
+++ b/tests/recovery_test.cc
@@ -1,5 +1,5 @@
-// Epochs, the trust in the state service, what is remembered against what it
-// holds, and how jobs ended: each by itself.
+// Epochs, the verification of the state service, what is remembered against
+// what it holds, and how jobs ended: each by itself.
 
 #include <gtest/gtest.h>
 
@@ -66,7 +66,7 @@
   EXPECT_EQ(token >> kTokenBits, NextBase(0, 1e12));
 }
 
-// --- trust
+// --- store verification
 
 class SuspectedDataLoss : public testing::Test {
  public:
