--- a/app/record_client.cc
+++ b/app/record_client.cc
@@ -1,9 +1,9 @@
 #include "app/record_client.h"
 
-#include <algorithm>
 #include <cstdio>
 
 #include "api/record_routes.h"
+#include "app/retries.h"
 #include "net/http_client.h"
 #include "net/loop.h"
 #include "wire/json.h"
@@ -11,22 +11,12 @@
 namespace oxbow::app {
 namespace {
 
-constexpr net::Time kTimeout = 5;
-constexpr net::Time kPause = 1;
-constexpr int kTries = 30;
 constexpr size_t kLimit = 16 * 1024 * 1024;
 
-net::Task<void> AskWithRetries(net::Loop& loop, net::HttpClient& http,
-                               std::string method, std::string path,
-                               std::string body, net::ClientResult* out) {
-  for (int i = 0; i < kTries; ++i) {
-    *out = co_await http.Request(method, path, body, kTimeout);
-    const bool later = out->outcome != net::Outcome::kAnswered ||
-                       out->status == 503 || out->status == 429;
-    if (!later) break;
-    const net::Time pause = std::max<net::Time>(kPause, out->retry_after_s);
-    co_await loop.Sleep(pause);
-  }
+net::Task<void> AskAndStop(net::Loop& loop, net::HttpClient& http,
+                           std::string method, std::string path,
+                           std::string body, net::ClientResult* out) {
+  *out = co_await AskWithRetries(loop, http, method, path, body);
   loop.Stop();
 }
 
@@ -82,7 +72,7 @@
   net::Loop loop;
   net::HttpClient http(loop, address, kLimit);
   net::ClientResult result;
-  net::Spawn(AskWithRetries(loop, http, method, path, body, &result));
+  net::Spawn(AskAndStop(loop, http, method, path, body, &result));
   loop.Run();
   if (result.outcome != net::Outcome::kAnswered) return 0;
   *answer = std::move(result.body);
--- a/app/rollout_cli.cc
+++ b/app/rollout_cli.cc
@@ -7,6 +7,7 @@
 #include <iterator>
 
 #include "api/rollout_routes.h"
+#include "app/retries.h"
 #include "net/http_client.h"
 #include "net/loop.h"
 #include "wire/json.h"
@@ -14,10 +15,8 @@
 namespace oxbow::app {
 namespace {
 
-constexpr net::Time kTimeout = 5;
-constexpr net::Time kPause = 1;  // between two tries or two looks
-constexpr int kTries = 30;
 constexpr size_t kLimit = 1024 * 1024;
+constexpr net::Time kWatchPause = 1;  // s, between two looks
 
 unsigned Count(const rapidjson::Value& value, const char* key) {
   return static_cast<unsigned>(json::GetUint(value, key));
@@ -88,24 +87,9 @@
         "POST", base + "/" + command_.subject + "/" + command_.verb, "");
   }
 
-  // Repeats what could not be taken, as a user of the protocol does.
-  net::Task<net::ClientResult> AskWithRetries(std::string method,
-                                              std::string path,
-                                              std::string body) {
-    net::ClientResult answer;
-    for (int i = 0; i < kTries; ++i) {
-      answer = co_await http_.Request(method, path, body, kTimeout);
-      const bool later = answer.outcome != net::Outcome::kAnswered ||
-                         answer.status == 503 || answer.status == 429;
-      if (!later) break;
-      co_await loop_.Sleep(std::max<net::Time>(kPause, answer.retry_after_s));
-    }
-    co_return answer;
-  }
-
   net::Task<int> Ask(std::string method, std::string path, std::string body) {
     const net::ClientResult answer =
-        co_await AskWithRetries(method, path, body);
+        co_await AskWithRetries(loop_, http_, method, path, body);
     if (answer.outcome != net::Outcome::kAnswered) {
       std::fprintf(stderr, "%s: no answer\n", command_.address.c_str());
       co_return kRolloutRefused;
@@ -126,7 +110,8 @@
         std::string(api::RolloutRoutes::kPath) + "/" + command_.subject;
     std::string last;
     for (;;) {
-      const net::ClientResult answer = co_await AskWithRetries("GET", path, "");
+      const net::ClientResult answer =
+          co_await AskWithRetries(loop_, http_, "GET", path, "");
       if (!answer.ok()) {
         std::fprintf(stderr, "%s: no answer\n", command_.address.c_str());
         co_return kRolloutRefused;
@@ -139,7 +124,7 @@
       const std::string step = json::GetString(doc, "step");
       if (step == "done") co_return kRolloutOk;
       if (step == "rolled_back" || step == "failed") co_return kRolloutNotDone;
-      co_await loop_.Sleep(kPause);
+      co_await loop_.Sleep(kWatchPause);
     }
   }
 
--- a/core/lease/cut_signs.cc
+++ b/core/lease/cut_signs.cc
@@ -1,13 +1,11 @@
 #include "core/lease/cut_signs.h"
 
+#include "core/model/delivery.h"
 #include "core/model/timeouts.h"
 
 namespace oxbow {
 namespace {
 
-// A worker tries the next controller a second after it has failed with one
-// (protocol): whoever is back within less has been nowhere else.
-constexpr double kRetryPause_s = 1;
 // Of a lease.
 constexpr double kHolds = 0.5;
 constexpr double kRound = 1;
@@ -16,6 +14,8 @@
 
 }  // namespace
 
+// A worker tries the next controller kRetryPause_s after it has failed with
+// one: whoever is back within less has been nowhere else.
 CutSigns::CutSigns(const WorkerSettings& workers)
     : next_s_(SilenceTimeouts::kLatest * workers.report_s + kRetryPause_s),
       holds_s_(kHolds * workers.lease_s),
