--- a/app/users.h
+++ b/app/users.h
@@ -7,13 +7,13 @@
 #include <string>
 
 #include "api/api.h"
-#include "app/dealings.h"
 #include "app/election.h"
-#include "app/fitness_desk.h"
 #include "app/follower.h"
-#include "app/recovery_desk.h"
+#include "app/leader_health_coordinator.h"
+#include "app/leader_service.h"
+#include "app/recovery_coordinator.h"
 #include "app/relays.h"
-#include "app/zone_desk.h"
+#include "app/zone_coordinator.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/catalog.h"
@@ -24,8 +24,9 @@
  public:
   Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
         clients::StateClient& state, Follower& follower, Election& election,
-        Dealings& dealings, const FitnessDesk::Peers& peers,
-        ZoneDesk& zone_desk, RecoveryDesk& recovery);
+        LeaderService& leader_service,
+        const LeaderHealthCoordinator::Peers& peers,
+        ZoneCoordinator& zone_coordinator, RecoveryCoordinator& recovery);
 
   // api::Service
   bool Ready() override;
@@ -77,7 +78,7 @@
   net::Task<api::Status> NotFound(std::string id, bool unseen);
   // The leader's core takes the report; false if this is not the leader.
   bool TakeReport(const WorkerReport& report, ReportReply* reply);
-  bool FinalKnown(const std::string& id, api::Status* out) const;
+  bool TerminalStateKnown(const std::string& id, api::Status* out) const;
   // Its end, of which only the kind may be known.
   bool EndTold(const std::string& id, api::Status* out) const;
   bool ViewHere(const std::string& id, api::Status* out);
@@ -90,9 +91,9 @@
   clients::StateClient& state_;
   Follower& follower_;
   Election& election_;
-  Dealings& dealings_;
-  ZoneDesk& zone_desk_;
-  RecoveryDesk& recovery_;
+  LeaderService& leader_service_;
+  ZoneCoordinator& zone_coordinator_;
+  RecoveryCoordinator& recovery_;
   Relays relays_;
   size_t under_way_ = 0;  // users' requests
   bool probing_ = false;  // the state service, on nobody's behalf
