Answers: a job whose end may have been written is not told as living

Cause: the leader's write of an end (the record of done, the move of a cancelled job to the final states) stays unanswered and is carried out. Other controllers read it and tell it; the leader, which can read nothing, told the job from its picture as pending or running: went_back.

Change: core/answers/answer_gate decides what may be told, for every controller and kind of answer. From the moment a write of a job's end leaves until the end stands, the write is refused, or the record it rests on has changed, the leader's picture tells nothing of that job; a read that began after the question decides, else 503. Such a job is not unseen, so no denial follows. A job seen by its tasks alone is read first as well. A question and a cancellation, one function with other limits, are merged (Users::Answer).

--- a/app/users.cc
+++ b/app/users.cc
@@ -117,23 +117,54 @@
   JobView view;
   const Controller* leading = dealings_.Leading();
   return leading != nullptr && leading->AllAccounted() &&
-         !leading->View(id, &view);
+         leading->View(id, &view) == JobSight::kUnseen;
 }
 
-bool Users::ViewHere(const std::string& id, api::Status* out) {
-  JobView view;
+JobSight Users::SightOf(const std::string& id, JobView* out) {
   const Controller* leading = dealings_.Leading();
-  if (leading == nullptr || !leading->View(id, &view)) return false;
-  out->found = api::Status::Found::kYes;
-  out->status = view.status;
-  out->done = view.done;
-  out->running = view.running;
-  return true;
+  return leading == nullptr ? JobSight::kUnseen : leading->View(id, out);
 }
 
-net::Task<api::Status> Users::FreshRead(std::string id, bool unseen) {
+bool Users::SeenUnrecorded(const std::string& id) {
+  JobView view;
+  return SightOf(id, &view) == JobSight::kUnrecorded;
+}
+
+Telling Users::Tell(const std::string& id, RecordRead read, api::Status* out) {
+  JobView view{.status = "pending"};
+  const JobSight sight = SightOf(id, &view);
+  const Telling telling = Decide({catalog_.FindFinal(id), sight, read});
+  switch (telling) {
+    case Telling::kEnd:
+      if (FinalKnown(id, out)) break;
+      // How many tasks it had is read, if it can be.
+      if (read == RecordRead::kNone) return Telling::kReadFirst;
+      EndTold(id, out);
+      break;
+    case Telling::kLive:
+      out->found = api::Status::Found::kYes;
+      out->status = view.status;
+      out->done = view.done;
+      out->running = view.running;
+      break;
+    case Telling::kDenial:
+      out->found = api::Status::Found::kNo;
+      break;
+    case Telling::kReadFirst:
+    case Telling::kNothing:
+      break;
+  }
+  return telling;
+}
+
+api::Status Users::ToldBy(const std::string& id, RecordRead read) {
   api::Status status;
-  if (!StateAnswers()) co_return status;
+  Tell(id, read, &status);
+  return status;
+}
+
+net::Task<api::Status> Users::FreshRead(std::string id, bool unseen) {
+  if (!StateAnswers()) co_return ToldBy(id, RecordRead::kUnclear);
   const StateResult live =
       co_await state_.Get(keys::Of(keys::kJob, id), Urgency::kUser);
   if (live.ok()) {
@@ -141,20 +172,21 @@
                     live.items[0].stamp);
     dealings_.Perform();
     const auto* job = std::get_if<JobRecord>(&live.items[0].record);
-    if (job == nullptr) co_return status;
+    if (job == nullptr) co_return ToldBy(id, RecordRead::kUnclear);
     // The end of this record, or one that beats it.
-    if (FinalKnown(id, &status) || EndTold(id, &status)) co_return status;
-    if (recovery_.on() && catalog_.FindJob(id) == nullptr) {
-      // The watch has passed it, and it was deleted: an older copy is back.
-      recovery_.Sign(LossSign::kStepBack);
-      co_return status;
+    if (catalog_.FindFinal(id) == FinalState::kNone) {
+      if (recovery_.on() && catalog_.FindJob(id) == nullptr) {
+        // The watch has passed it, and it was deleted: an older copy is back.
+        recovery_.Sign(LossSign::kStepBack);
+        co_return api::Status{};
+      }
+      if (!recovery_.MayTellLive(live.items[0].stamp)) co_return api::Status{};
     }
-    if (!recovery_.MayTellLive(live.items[0].stamp)) co_return status;
-    status.found = api::Status::Found::kYes;
-    status.status = "pending";
-    co_return status;
+    co_return ToldBy(id, RecordRead::kLive);
+  }
+  if (live.status != StateStatus::kNotFound) {
+    co_return ToldBy(id, RecordRead::kUnclear);
   }
-  if (live.status != StateStatus::kNotFound) co_return status;
   // A job moves to the final states in one step, so one that is missing in
   // both, read in this order, was not accepted when the first was read.
   const StateResult ended =
@@ -162,12 +194,11 @@
   if (ended.ok()) {
     if (const auto* end = std::get_if<FinalRecord>(&ended.items[0].record)) {
       catalog_.RememberEnd(id, *end);
-      FinalKnown(id, &status);
     }
   } else if (ended.status == StateStatus::kNotFound) {
     co_return co_await NotFound(std::move(id), unseen);
   }
-  co_return status;
+  co_return ToldBy(id, RecordRead::kUnclear);
 }
 
 // A record that is missing proves nothing once the state service may have lost
@@ -175,11 +206,9 @@
 // epoch, looked at after the reads, is a reason to deny.
 net::Task<api::Status> Users::NotFound(std::string id, bool unseen) {
   api::Status status;
-  if (!recovery_.on()) {
-    status.found = api::Status::Found::kNo;
-    co_return status;
-  }
-  if (EndTold(id, &status)) co_return status;
+  const Telling telling = Tell(id, RecordRead::kMissing, &status);
+  if (!recovery_.on() || telling != Telling::kDenial) co_return status;
+  status = api::Status{};
   if (catalog_.FindJob(id) != nullptr || !recovery_.MayDeny()) {
     co_return status;
   }
@@ -196,8 +225,7 @@
       (!unseen || known != RecoveryDesk::Known::kNobody)) {
     co_return status;
   }
-  status.found = api::Status::Found::kNo;
-  co_return status;
+  co_return ToldBy(id, RecordRead::kMissing);
 }
 
 // One that answers nobody is asked on nobody's behalf, now and then: a user who
@@ -230,48 +258,44 @@
          kEach * static_cast<size_t>(settings_.limits.max_connections);
 }
 
+const Users::StatusRequest Users::kPollRequest{
+    &Users::PollHere, PeerKind::kRelayPoll, kPollWithin, kPollApart};
+const Users::StatusRequest Users::kCancelRequest{
+    &Users::CancelOrPass, PeerKind::kRelayCancel, kChangeWithin, kChangeApart};
+
 net::Task<api::Status> Users::Poll(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status) || ViewHere(id, &status)) co_return status;
-  if (!Takes()) co_return status;
-  auto awaited = std::make_shared<Awaited<api::Status>>(loop_);
-  net::Spawn(PollInto(std::move(id), awaited));
-  co_await awaited->done.Wait(kPollWithin);
-  co_return awaited->answer;
-}
-
-net::Task<void> Users::PollInto(std::string id, AwaitedStatus out) {
-  ++under_way_;
-  const double from = loop_.Now();
-  api::Status status = co_await PollHere(id);
-  // One whose user has gone is not handed on.
-  const double left = from + kPollWithin - loop_.Now();
-  if (status.found == api::Status::Found::kCannotTell && left > 0) {
-    status = StatusOf(co_await relays_.Ask(RelayOf(PeerKind::kRelayPoll, id),
-                                           kPollApart, left));
+  if (Tell(id, RecordRead::kNone, &status) != Telling::kReadFirst) {
+    co_return status;
   }
-  out->answer = status;
-  out->done.Set();
-  --under_way_;
+  co_return co_await Answer(kPollRequest, std::move(id));
 }
 
 net::Task<api::Status> Users::Cancel(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status) || !Takes()) co_return status;
+  if (FinalKnown(id, &status)) co_return status;
+  co_return co_await Answer(kCancelRequest, std::move(id));
+}
+
+net::Task<api::Status> Users::Answer(const StatusRequest& request,
+                                     std::string id) {
+  if (!Takes()) co_return api::Status{};
   auto awaited = std::make_shared<Awaited<api::Status>>(loop_);
-  net::Spawn(CancelInto(std::move(id), awaited));
-  co_await awaited->done.Wait(kChangeWithin);
+  net::Spawn(AnswerInto(request, std::move(id), awaited));
+  co_await awaited->done.Wait(request.within);
   co_return awaited->answer;
 }
 
-net::Task<void> Users::CancelInto(std::string id, AwaitedStatus out) {
+net::Task<void> Users::AnswerInto(const StatusRequest& request, std::string id,
+                                  AwaitedStatus out) {
   ++under_way_;
   const double from = loop_.Now();
-  api::Status status = co_await CancelOrPass(id);
-  const double left = from + kChangeWithin - loop_.Now();
+  api::Status status = co_await (this->*request.here)(id);
+  // One whose user has gone is not handed on.
+  const double left = from + request.within - loop_.Now();
   if (status.found == api::Status::Found::kCannotTell && left > 0) {
-    status = StatusOf(co_await relays_.Ask(RelayOf(PeerKind::kRelayCancel, id),
-                                           kChangeApart, left));
+    status = StatusOf(
+        co_await relays_.Ask(RelayOf(request.relay, id), request.apart, left));
   }
   out->answer = status;
   out->done.Set();
@@ -325,12 +349,11 @@
 
 net::Task<api::Status> Users::PollHere(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status) || ViewHere(id, &status)) co_return status;
-  // Nobody can be asked: said at once, so that the user asks another.
-  if (zone_desk_.Apart()) {
-    EndTold(id, &status);
+  if (Tell(id, RecordRead::kNone, &status) != Telling::kReadFirst) {
     co_return status;
   }
+  // Nobody can be asked: said at once, so that the user asks another.
+  if (zone_desk_.Apart()) co_return ToldBy(id, RecordRead::kUnclear);
   PeerMessage ask = RelayOf(PeerKind::kPoll, id);
   const auto answer = co_await relays_.AskLeader(
       std::move(ask),
@@ -344,9 +367,7 @@
   }
   const bool unseen =
       answer.ok && answer.message.answer == PeerAnswer::kUnknownJob;
-  status = co_await FreshRead(id, unseen || UnseenHere(id));
-  if (status.found == api::Status::Found::kCannotTell) EndTold(id, &status);
-  co_return status;
+  co_return co_await FreshRead(id, unseen || UnseenHere(id));
 }
 
 net::Task<api::Submitted> Users::SubmitHere(
--- a/app/users.h
+++ b/app/users.h
@@ -1,6 +1,7 @@
 // Users' and workers' requests: accepted by this controller's own conditional
 // write, denied by its own fresh read, answered from the leader's picture or
-// handed to another controller once. Owns no state of a job.
+// handed to another controller once. Owns no state of a job. What may be told
+// of one the answer gate decides (core/answers).
 #pragma once
 
 #include <memory>
@@ -16,6 +17,7 @@
 #include "app/zone_desk.h"
 #include "clients/peer.h"
 #include "clients/state.h"
+#include "core/answers/answer_gate.h"
 #include "core/controller/catalog.h"
 
 namespace oxbow::app {
@@ -57,10 +59,22 @@
   using AwaitedStatus = std::shared_ptr<Awaited<api::Status>>;
   using AwaitedSubmitted = std::shared_ptr<Awaited<api::Submitted>>;
 
+  // A request about a job that is answered by its status.
+  struct StatusRequest {
+    net::Task<api::Status> (Users::*here)(std::string id);
+    clients::PeerKind relay;  // what it is to a controller it is handed to
+    double within;            // s until its user is told to come again
+    double apart;             // s between the peers that are asked
+  };
+  static const StatusRequest kPollRequest;
+  static const StatusRequest kCancelRequest;
+
   // Whether one more request may be under way here.
   bool Takes() const;
-  net::Task<void> PollInto(std::string id, AwaitedStatus out);
-  net::Task<void> CancelInto(std::string id, AwaitedStatus out);
+  // Here, else at another controller, in time or not at all.
+  net::Task<api::Status> Answer(const StatusRequest& request, std::string id);
+  net::Task<void> AnswerInto(const StatusRequest& request, std::string id,
+                             AwaitedStatus out);
   net::Task<void> SubmitInto(std::shared_ptr<const JobSpec> spec,
                              AwaitedSubmitted out);
   net::Task<api::Submitted> SubmitAnywhere(std::shared_ptr<const JobSpec> spec);
@@ -73,6 +87,13 @@
   // Reads the job afresh; brings the catalog up to date. `unseen`: the leader
   // has just said that it knows nothing of it.
   net::Task<api::Status> FreshRead(std::string id, bool unseen = false);
+  // Fills in what may be told of the job, by what is known here and by a read
+  // that began after the question.
+  Telling Tell(const std::string& id, RecordRead read, api::Status* out);
+  api::Status ToldBy(const std::string& id, RecordRead read);
+  // The leader's own sight of the job; kUnseen where this is not the leader.
+  JobSight SightOf(const std::string& id, JobView* out);
+  bool SeenUnrecorded(const std::string& id);
   // What is said of a job that has no record.
   net::Task<api::Status> NotFound(std::string id, bool unseen);
   // The leader's core takes the report; false if this is not the leader.
@@ -80,7 +101,6 @@
   bool FinalKnown(const std::string& id, api::Status* out) const;
   // Its end, of which only the kind may be known.
   bool EndTold(const std::string& id, api::Status* out) const;
-  bool ViewHere(const std::string& id, api::Status* out);
   // Whether this one leads, has heard all machines, and knows nothing of it.
   bool UnseenHere(const std::string& id);
 
--- a/app/users_peer.cc
+++ b/app/users_peer.cc
@@ -63,14 +63,14 @@
   switch (message.kind) {
     case PeerKind::kPoll: {
       api::Status status;
-      if (FinalKnown(message.job_id, &status) ||
-          ViewHere(message.job_id, &status)) {
-        reply->answer = PeerAnswer::kYes;
-        reply->text = status.status;
-        reply->done = status.done;
-        reply->running = status.running;
+      const Telling telling = Tell(message.job_id, RecordRead::kNone, &status);
+      if (telling != Telling::kReadFirst) {
+        FillAnswer(status, reply);
       } else if (UnseenHere(message.job_id)) {
         reply->answer = PeerAnswer::kUnknownJob;
+      } else if (SeenUnrecorded(message.job_id)) {
+        // Nobody else sees its tasks.
+        FillAnswer(co_await FreshRead(message.job_id), reply);
       }
       break;
     }
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -212,24 +212,30 @@
          catalog_.FindFinal(job.id()) == FinalState::kAborted;
 }
 
-bool Controller::View(const std::string& id, JobView* out) const {
+JobSight Controller::View(const std::string& id, JobView* out) const {
   const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return ViewOrphans(id, out);
+  if (it == jobs_.end()) {
+    return ViewOrphans(id, out) ? JobSight::kUnrecorded : JobSight::kUnseen;
+  }
   const Job& job = *it->second;
   out->done = job.done();
   out->running = job.running();
-  switch (job.state()) {
-    case JobState::kDone:
-      out->status = "done";
-      out->done = job.size();
-      out->running = 0;
-      break;
-    default:
-      out->status = CancellationStands(job) ? "aborted"
-                    : job.running() > 0     ? "running"
-                                            : "pending";
+  if (job.state() == JobState::kDone) {
+    out->status = "done";
+    out->done = job.size();
+    out->running = 0;
+    return JobSight::kEnded;
   }
-  return true;
+  if (CancellationStands(job)) {
+    out->status = "aborted";
+    return JobSight::kEnded;
+  }
+  out->status = job.running() > 0 ? "running" : "pending";
+  // Another controller may have read the end by now, and told it: see
+  // went-back-done-told-elsewhere.txt.
+  const JobRecord* record = catalog_.FindJob(id);
+  const uint64_t stamp = record == nullptr ? 0 : record->stamp;
+  return answers_.InDoubt(id, stamp) ? JobSight::kInDoubt : JobSight::kLive;
 }
 
 bool Controller::AllAccounted() const {
@@ -317,8 +323,4 @@
   writes_.Flush(now);
 }
 
-std::vector<Action> Controller::TakeActions() {
-  return std::exchange(actions_, {});
-}
-
 }  // namespace oxbow
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -15,6 +15,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/answers/answer_gate.h"
 #include "core/calendar/calendar.h"
 #include "core/controller/actions.h"
 #include "core/controller/catalog.h"
@@ -129,7 +130,8 @@
   // Which leadership this is. Unlike the leader key's revision it never comes
   // again, even if the state service has lost data.
   uint64_t revision() const { return term_; }
-  bool View(const std::string& id, JobView* out) const;
+  // `out` is set unless the job is unseen.
+  JobSight View(const std::string& id, JobView* out) const;
   bool AllAccounted() const;
   const Rollout* FindRollout(const std::string& id) const;
   const TierPolicy& tiers() const { return tiers_; }
@@ -414,6 +416,7 @@
   bool resigned_ = false;
   std::vector<Action> actions_;
   WriteQueue writes_;
+  AnswerGate answers_;
   std::vector<std::unique_ptr<Machine>> machines_;
   Ears ears_;
 
--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -4,6 +4,35 @@
 #include "core/controller/controller.h"
 
 namespace oxbow {
+namespace {
+
+// The changes that end a job: its end is recorded, or moves to the final keys.
+std::vector<EndWrite> EndsIn(const WriteTransaction& txn) {
+  std::vector<EndWrite> ends;
+  for (const KeyChange& change : txn.changes) {
+    if (!change.key.starts_with(keys::kJob)) continue;
+    const auto* job = std::get_if<JobRecord>(&change.record);
+    if (job != nullptr && job->final_state == FinalState::kNone) continue;
+    uint64_t stamp = 0;
+    for (const Condition& c : txn.conditions) {
+      if (c.key == change.key) stamp = c.stamp;
+    }
+    ends.push_back({change.key.substr(keys::kJob.size()), stamp});
+  }
+  return ends;
+}
+
+}  // namespace
+
+std::vector<Action> Controller::TakeActions() {
+  for (const Action& action : actions_) {
+    const auto* txn = std::get_if<WriteTransaction>(&action);
+    // From here on it may be carried out.
+    if (txn != nullptr) answers_.Left(txn->id, EndsIn(*txn));
+  }
+  return std::exchange(actions_, {});
+}
+
 bool Controller::Build(const WriteOp& op, WriteTransaction* txn) const {
   switch (op.kind) {
     case WriteKind::kFinish: {
@@ -111,6 +140,26 @@
                                uint64_t revision,
                                const std::vector<std::string>& failed,
                                Time now) {
+  switch (outcome) {
+    case WriteOutcome::kApplied:
+      answers_.Applied(id);
+      break;
+    case WriteOutcome::kNotExecuted:
+      answers_.Refused(id);
+      break;
+    case WriteOutcome::kConflict: {
+      std::set<std::string> differing;
+      for (const std::string& key : failed) {
+        if (!key.starts_with(keys::kJob)) continue;
+        differing.insert(key.substr(keys::kJob.size()));
+      }
+      answers_.Refused(id, differing);
+      break;
+    }
+    case WriteOutcome::kUnknown:
+      answers_.Unanswered(id);
+      break;
+  }
   if (writes_.OnAnswer(id, outcome, revision, failed, now) || resigned_) return;
   actions_.push_back(Resign{"the leader key has changed"});
   resigned_ = true;
@@ -131,6 +180,7 @@
       const JobRecord* record = catalog_.FindJob(op.name);
       const FinalState state =
           record ? record->final_state : catalog_.FindFinal(op.name);
+      if (state != FinalState::kNone) answers_.Stands(op.name);
       if (state != FinalState::kNone) OnFinalRecorded(op.name, state, now);
       break;
     }
@@ -138,6 +188,7 @@
       if (revision > 0) {
         catalog_.Erase(keys::Of(keys::kJob, op.name), revision);
       }
+      if (catalog_.FindJob(op.name) == nullptr) answers_.Stands(op.name);
       if (catalog_.FindFinal(op.name) == FinalState::kAborted) {
         actions_.push_back(JobFinal{op.name, FinalState::kAborted});
       }
--- /dev/null
+++ b/tests/answer_gate_test.cc
@@ -0,0 +1,376 @@
+// What may be told of a job: the gate by itself, and every order of what two
+// controllers, the state service and a user can do about the end of one job.
+
+#include "core/answers/answer_gate.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace oxbow {
+namespace {
+
+using State = AnswerGate::State;
+
+const std::string kId = "job-000001";
+std::vector<EndWrite> End(uint64_t stamp) { return {{kId, stamp}}; }
+
+TEST(AnswerGate, AConflictOverAnotherKeyIsARefusal) {
+  AnswerGate gate;
+  gate.Left(1, End(7));
+  EXPECT_TRUE(gate.InDoubt(kId, 7));
+  gate.Refused(1, {"job-000002"});
+  EXPECT_EQ(gate.StateOf(kId), State::kClear);
+  gate.Left(2, End(7));
+  gate.Refused(2, {kId});
+  EXPECT_TRUE(gate.InDoubt(kId, 7));
+  EXPECT_FALSE(gate.InDoubt(kId, 8)) << "the record has been read since";
+}
+
+TEST(AnswerGate, ARefusalLeavesAnEarlierOneLoose) {
+  AnswerGate gate;
+  gate.Left(1, End(7));
+  gate.Unanswered(1);
+  EXPECT_EQ(gate.StateOf(kId), State::kLoose);
+  gate.Left(2, End(7));
+  EXPECT_EQ(gate.StateOf(kId), State::kSentAgain);
+  gate.Refused(2);
+  EXPECT_TRUE(gate.InDoubt(kId, 7));
+  gate.Left(3, End(7));
+  gate.Applied(3);
+  EXPECT_EQ(gate.StateOf(kId), State::kClear);
+}
+
+TEST(AnswerGate, WhatStandsOnAnotherStampIsVoid) {
+  AnswerGate gate;
+  gate.Left(1, End(7));
+  gate.Unanswered(1);
+  gate.Left(2, End(9));
+  gate.Refused(2);
+  EXPECT_EQ(gate.StateOf(kId), State::kClear);
+}
+
+// --- exploration
+
+// Guards that are taken out to see that the exploration finds it.
+enum class Without { kNothing, kDoubt, kDoubtAfterRead, kRead };
+
+struct Model {
+  // The state service: one job, the leader key.
+  bool exists = false;
+  bool ended = false;
+  uint64_t stamp = 0;
+  uint64_t mandate = 1;
+  uint64_t revision = 1;
+  // A write of the end that may be carried out late.
+  std::optional<std::pair<uint64_t, uint64_t>> late;  // stamp, mandate
+  std::optional<uint64_t> late_acceptance;            // stamp it rests on: 0
+
+  struct Node {
+    bool knows_job = false;
+    bool knows_end = false;
+    uint64_t stamp = 0;  // of the record as it is known
+    bool leads = false;
+    uint64_t mandate = 0;
+    AnswerGate gate;
+    uint64_t txn = 0;
+    bool answer_due = false;  // of the write under way
+    bool carried_out = false;
+    bool must_read = false;  // before anything is written again
+  };
+  std::array<Node, 2> nodes;
+
+  // What the user has been told by any controller.
+  bool told_accepted = false;
+  bool told_end = false;
+  // What may still go wrong.
+  int lost = 1;
+  int refusals = 1;
+  int restarts = 1;
+  int changes = 1;
+
+  auto Key() const {
+    std::vector<uint64_t> key{exists,
+                              ended,
+                              stamp,
+                              mandate,
+                              revision,
+                              late ? late->first + 1 : 0,
+                              late ? late->second + 1 : 0,
+                              late_acceptance.has_value(),
+                              told_accepted,
+                              told_end,
+                              static_cast<uint64_t>(lost),
+                              static_cast<uint64_t>(refusals),
+                              static_cast<uint64_t>(restarts),
+                              static_cast<uint64_t>(changes)};
+    for (const Node& n : nodes) {
+      uint64_t rests_on = 0;  // the write in doubt
+      while (rests_on <= revision && !n.gate.InDoubt(kId, rests_on)) ++rests_on;
+      key.insert(key.end(),
+                 {n.knows_job, n.knows_end, n.stamp, n.leads, n.mandate,
+                  static_cast<uint64_t>(n.gate.StateOf(kId)), rests_on,
+                  n.answer_due, n.carried_out, n.must_read});
+    }
+    return key;
+  }
+};
+
+class Exploration {
+ public:
+  explicit Exploration(Without without) : without_(without) {}
+
+  // The states that were reached; `broken` is set to the first older answer.
+  size_t Run(std::string* broken) {
+    Model first;
+    first.nodes[0].leads = true;
+    first.nodes[0].mandate = first.mandate;
+    Add(first);
+    while (!open_.empty() && broken_.empty()) {
+      const Model m = open_.front();
+      open_.pop_front();
+      Accept(m);
+      Late(m);
+      for (size_t i = 0; i < m.nodes.size(); ++i) {
+        Poll(m, i);
+        Watch(m, i);
+        Restart(m, i);
+        Write(m, i);
+        Answer(m, i);
+        Read(m, i);
+        TakeOver(m, i);
+      }
+    }
+    *broken = broken_;
+    return seen_.size();
+  }
+
+ private:
+  void Add(Model m) {
+    if (seen_.insert(m.Key()).second) open_.push_back(std::move(m));
+  }
+
+  static void See(const Model& m, Model::Node* n) {
+    n->knows_job = m.exists;
+    n->knows_end = n->knows_end || m.ended;
+    n->stamp = m.stamp;
+    if (n->knows_end) n->gate.Stands(kId);
+  }
+
+  // A user submits: answered, lost, or to be carried out late.
+  void Accept(Model m) {
+    if (m.exists || m.late_acceptance) return;
+    if (m.lost > 0) {
+      Model late = m;
+      --late.lost;
+      late.late_acceptance = 0;
+      Add(late);
+    }
+    m.exists = true;
+    m.stamp = ++m.revision;
+    Add(m);  // nobody was told: the answer was lost
+    m.told_accepted = true;
+    Add(m);
+  }
+
+  void Late(const Model& before) {
+    if (before.late_acceptance) {
+      Model m = before;
+      m.late_acceptance.reset();
+      if (!m.exists) {
+        m.exists = true;
+        m.stamp = ++m.revision;
+      }
+      Add(m);
+    }
+    if (before.late) {
+      Model m = before;
+      CarryOut(&m, *m.late);
+      m.late.reset();
+      Add(m);
+    }
+  }
+
+  static bool CarryOut(Model* m, std::pair<uint64_t, uint64_t> write) {
+    if (!m->exists || write.first != m->stamp || write.second != m->mandate) {
+      return false;
+    }
+    m->ended = true;
+    m->stamp = ++m->revision;
+    return true;
+  }
+
+  // The leader writes the end; every way that can go.
+  void Write(Model m, size_t i) {
+    Model::Node& n = m.nodes[i];
+    if (!n.leads || !n.knows_job || n.knows_end || n.answer_due ||
+        n.must_read) {
+      return;
+    }
+    n.gate.Left(++n.txn, End(n.stamp));
+    const std::pair write{n.stamp, n.mandate};
+    n.answer_due = true;
+    if (m.refusals > 0) {
+      Model refused = m;
+      --refused.refusals;
+      Model::Node& r = refused.nodes[i];
+      r.answer_due = false;
+      r.gate.Refused(r.txn);
+      Add(refused);
+    }
+    if (m.lost > 0 && !m.late) {
+      Model late = m;
+      --late.lost;
+      late.late = write;
+      GiveUp(&late.nodes[i]);
+      Add(late);
+      Model lost = m;
+      --lost.lost;
+      CarryOut(&lost, write);
+      GiveUp(&lost.nodes[i]);
+      Add(lost);
+    }
+    n.carried_out = CarryOut(&m, write);
+    Add(m);
+  }
+
+  static void GiveUp(Model::Node* n) {
+    n->answer_due = false;
+    n->must_read = true;
+    n->gate.Unanswered(n->txn);
+  }
+
+  void Answer(Model m, size_t i) {
+    Model::Node& n = m.nodes[i];
+    if (!n.answer_due) return;
+    n.answer_due = false;
+    if (std::exchange(n.carried_out, false)) {
+      n.gate.Applied(n.txn);
+      See(m, &n);
+    } else {
+      n.gate.Refused(n.txn, {kId});
+      n.must_read = true;
+    }
+    Add(m);
+  }
+
+  // The read before the leader writes again.
+  void Read(Model m, size_t i) {
+    Model::Node& n = m.nodes[i];
+    if (!n.must_read) return;
+    n.must_read = false;
+    See(m, &n);
+    if (without_ == Without::kDoubtAfterRead) n.gate.Stands(kId);
+    Add(m);
+  }
+
+  void Watch(Model m, size_t i) {
+    See(m, &m.nodes[i]);
+    Add(m);
+  }
+
+  // A node that starts reads everything, and does not lead.
+  void Restart(Model m, size_t i) {
+    if (m.restarts == 0) return;
+    --m.restarts;
+    m.nodes[i] = {};
+    Add(m);
+  }
+
+  // The right of the one before has run out by its own clock.
+  void TakeOver(Model m, size_t i) {
+    if (m.nodes[i].leads || m.changes == 0) return;
+    --m.changes;
+    Model::Node& old = m.nodes[1 - i];
+    old.leads = old.answer_due = old.carried_out = old.must_read = false;
+    old.gate = {};
+    m.mandate = ++m.revision;
+    Model::Node& n = m.nodes[i];
+    n.leads = true;
+    n.mandate = m.mandate;
+    See(m, &n);  // it has followed up to its own key
+    Add(m);
+  }
+
+  JobSight SightOf(const Model::Node& n) const {
+    if (!n.leads || !n.knows_job) return JobSight::kUnseen;
+    if (n.knows_end) return JobSight::kEnded;
+    const bool doubt =
+        n.gate.InDoubt(kId, n.stamp) && without_ != Without::kDoubt;
+    return doubt ? JobSight::kInDoubt : JobSight::kLive;
+  }
+
+  // With the state service there for the node, and without it.
+  void Poll(const Model& before, size_t i) {
+    for (const bool reaches : {false, true}) {
+      Model m = before;
+      Model::Node& n = m.nodes[i];
+      Evidence evidence{n.knows_end ? FinalState::kDone : FinalState::kNone,
+                        SightOf(n), RecordRead::kNone};
+      Telling telling = Decide(evidence);
+      if (telling == Telling::kReadFirst) {
+        evidence.read = RecordRead::kUnclear;
+        // Not a fresh one: as the node knows it from before.
+        if (without_ == Without::kRead) {
+          evidence.read =
+              n.knows_job ? RecordRead::kLive : RecordRead::kMissing;
+        } else if (reaches) {
+          See(m, &n);
+          evidence.read = m.exists ? RecordRead::kLive : RecordRead::kMissing;
+        }
+        evidence.end = n.knows_end ? FinalState::kDone : FinalState::kNone;
+        evidence.sight = SightOf(n);
+        telling = Decide(evidence);
+      }
+      if (m.told_end &&
+          (telling == Telling::kLive || telling == Telling::kDenial)) {
+        broken_ = "an end was told, then something older";
+      }
+      if (m.told_accepted && telling == Telling::kDenial) {
+        broken_ = "accepted, then denied";
+      }
+      m.told_end = m.told_end || telling == Telling::kEnd;
+      m.told_accepted = m.told_accepted || telling == Telling::kLive;
+      if (telling == Telling::kEnd && !m.ended) broken_ = "invented end";
+      Add(m);
+    }
+  }
+
+  const Without without_;
+  std::string broken_;
+  std::deque<Model> open_;
+  std::set<std::vector<uint64_t>> seen_;
+};
+
+// Two controllers, one job, one write that is lost or late, one refusal, one
+// restart and one change of leader, in every order.
+TEST(AnswerGate, NoOrderOfEventsBringsAnOlderAnswer) {
+  std::string broken;
+  const size_t states = Exploration(Without::kNothing).Run(&broken);
+  EXPECT_EQ(broken, "");
+  std::printf("states explored: %zu\n", states);
+  EXPECT_GT(states, 1000U);
+}
+
+TEST(AnswerGate, WithoutAGuardTheExplorationFindsAnOlderAnswer) {
+  for (const Without without :
+       {Without::kDoubt, Without::kDoubtAfterRead, Without::kRead}) {
+    std::string broken;
+    const size_t states = Exploration(without).Run(&broken);
+    EXPECT_NE(broken, "") << static_cast<int>(without);
+    std::printf("guard %d removed: found after %zu states: %s\n",
+                static_cast<int>(without), states, broken.c_str());
+  }
+}
+
+}  // namespace
+}  // namespace oxbow
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -410,6 +410,7 @@
   if (!controllers_.empty()) WatchReach();
   NoteCancelled();
   CheckRules();
+  CheckAnswers();
   CheckIndices();
 }
 
@@ -882,6 +883,7 @@
         Break("went_back: " + job->spec->id);
       }
       told = job->final_state;
+      if (told == FinalState::kDone) ends_elsewhere_.insert(job->spec->id);
       if (told == FinalState::kDone &&
           completed_[job->spec->id].size() != job->spec->tasks) {
         Break("not_done: " + job->spec->id);
@@ -890,7 +892,9 @@
     // From here on any controller tells the job's user that it is cancelled.
     const auto* end = std::get_if<FinalRecord>(&change.record);
     if (end != nullptr && end->state == FinalState::kAborted) {
-      jobs_.at(change.key.substr(keys::kFinal.size())).nothing_left = true;
+      const std::string id = change.key.substr(keys::kFinal.size());
+      jobs_.at(id).nothing_left = true;
+      ends_elsewhere_.insert(id);
     }
     CheckChange(change);
     news_.emplace_back(change.key, revision_);
@@ -1405,8 +1409,24 @@
   if (state == FinalState::kDone) return "done";
   if (state == FinalState::kAborted) return "aborted";
   JobView view;
-  if (leader_ && leader_->View(id, &view)) return std::string(view.status);
-  return "unknown";
+  const JobSight sight = leader_ ? leader_->View(id, &view) : JobSight::kUnseen;
+  if (sight == JobSight::kUnseen) return "unknown";
+  if (sight == JobSight::kInDoubt) return "in-doubt";
+  return std::string(view.status);
+}
+
+// Whoever reads the state service tells an end as soon as it stands there; from
+// then on the leader must not tell anything older by its own picture.
+void Sim::CheckAnswers() {
+  if (!leader_ || now_ < stalled_until_) return;
+  for (auto it = ends_elsewhere_.begin(); it != ends_elsewhere_.end();) {
+    const std::string status = JobStatus(*it);
+    if (status == "pending" || status == "running") {
+      Break("went_back: " + *it + " is " + status + " to the leader");
+    }
+    const bool told = status == "done" || status == "aborted";
+    it = told ? ends_elsewhere_.erase(it) : std::next(it);
+  }
 }
 
 }  // namespace oxbow::test
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -254,7 +254,7 @@
   int CountPresent(const std::string& job) const;
   int CountOn(const std::string& host) const;
   int CountUp() const;
-  // "pending", "running", "done", "aborted" or "unknown".
+  // "pending", "running", "done", "aborted", "in-doubt" or "unknown".
   std::string JobStatus(const std::string& id);
   const std::vector<std::string>& broken() const { return broken_; }
   int starts() const { return starts_; }
@@ -331,6 +331,7 @@
   bool Well(const SimTask& t) const;
   void NoteCancelled();
   void CheckRules();
+  void CheckAnswers();
   // What the leader has seen of the workers' sessions.
   void NoteSessions();
   // The leader's indices against a fresh count of what they stand for.
@@ -365,6 +366,9 @@
   std::map<std::string, std::set<uint32_t>> completed_;
   std::map<std::string, FinalState> told_;
   std::set<std::string> cancel_asked_;
+  // Jobs whose end any other controller may have read in the state service and
+  // told, while the leader has not told it yet.
+  std::set<std::string> ends_elsewhere_;
   std::map<std::string, WorkerReport> sent_;  // the last of each worker
   std::vector<Later> later_;
   std::vector<std::string> broken_;
