--- a/core/controller/moves.cc
+++ b/core/controller/moves.cc
@@ -18,13 +18,13 @@
 // without a move; a replica that has just started is not worth another start.
 constexpr double kWaitsLeases = 0.5;
 constexpr double kSettledLeases = 1;
-// About how long a machine in pieces takes to empty by itself.
+// About how long a fragmented machine takes to empty by itself.
 constexpr double kHorizonLeases = 3;
 
 }  // namespace
 
 void Controller::UseMoves(const MoveCodec& codec, Time now) {
-  if (tuning_.moves_at_once < 1 || tuning_.piece_weight <= 0) return;
+  if (tuning_.moves_at_once < 1 || tuning_.fragmentation_weight <= 0) return;
   move_codec_ = codec;
   MoveLimits limits;
   limits.at_once = static_cast<int>(tuning_.moves_at_once);
@@ -125,7 +125,7 @@
   sight.allowed = sight.wanted && sight.runs && sight.target_good &&
                   sight.source_good && sight.whole &&
                   RolloutOf(job) == nullptr && FloorAllows(key, job, now) &&
-                  ears_.LossAllowed(*from, LossCause::kMoved, now);
+                  liveness_.LossAllowed(*from, LossCause::kMoved, now);
   return sight;
 }
 
@@ -160,7 +160,7 @@
   StepMoves(now);
   if (now < next_move_plan_ || !AllAccounted() ||
       mover_->under_way() >= static_cast<int>(tuning_.moves_at_once) ||
-      ears_.fitness() != FitnessState::kFit) {
+      liveness_.leader_health() != LeaderHealthState::kHealthy) {
     return;
   }
   next_move_plan_ = now + settings_.workers.report_s;
@@ -181,13 +181,13 @@
   std::vector<Machine*> usable;
   for (auto& m : machines_) {
     if (m->state() != MachineState::kGone && Usable(*m, now) &&
-        !EmptiedByMove(*m)) {
+        !DrainedByMove(*m)) {
       usable.push_back(m.get());
     }
   }
   const double lease = settings_.workers.lease_s;
   MovePlanInput input;
-  input.pieces = &pieces_;
+  input.fragmentation = &fragmentation_;
   input.usable = usable;
   input.waiting = &waiting.spec();
   input.missing = Wanted(waiting);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -66,7 +66,7 @@
 // Messages between the leader and the workers take their time, overtake each
 // other, are held for long or lost, all from a seed; a stalled leader finds
 // them later. Shares are of all messages.
-struct Storm {
+struct RandomFaults {
   std::mt19937_64 random;
   double lost = 0;
   double held = 0;
@@ -96,7 +96,7 @@
 // One controller's place in the network. The leader is one of them.
 struct SimController {
   std::string zone;  // its own; empty: none
-  std::optional<ZoneKeeper> keeper;
+  std::optional<DelegatedLease> lease;
   Time next_ask = 0;              // for the right to keep its zone's workers
   Time recorded_until = 0;        // that right, in the state service
   bool gone = false;              // its process is not there
@@ -140,10 +140,10 @@
   bool never_boot = false;
   bool state_down = false;
   bool by_promises = false;  // what the right to lead rests on
-  // In a storm: without a leader in an outage, the other controllers answer
-  // whatever worker reaches them, without orders and knowing nothing.
-  bool tended = false;
-  std::optional<Storm> storm;
+  // With random faults: without a leader in an outage, the other controllers
+  // answer whatever worker reaches them, without orders and knowing nothing.
+  bool delegated = false;
+  std::optional<RandomFaults> faults;
   std::optional<LateWrites> late_writes;
   Fate next_write = Fate::kNormal;
   double next_write_late_s = 30;  // if its fate is kLate
@@ -287,15 +287,15 @@
   void Step();
   void Perform();
   void Do(const SendOrders& orders);
-  void DoInStorm(const SendOrders& orders);
-  void ReportInStorm(SimWorker& w);
+  void DoWithFaults(const SendOrders& orders);
+  void ReportWithFaults(SimWorker& w);
   void AcceptReply(SimWorker& w, const ReportReply& reply, uint64_t session,
                    Time sent);
   // Controllers in zones ask for the right to keep their workers.
   void AskForZones();
   // Whether a controller inside answers a worker that nobody else hears.
   bool KeptInZone(const SimWorker& w);
-  std::set<std::string> RecordedKeepers() const;
+  std::set<std::string> RecordedDelegates() const;
   // Runs on the leader once it has the processor, if it still leads then.
   void OnLeader(uint64_t revision, std::function<void()> what);
   // Runs on the worker once it does not hang any more, if it is still there.
@@ -364,7 +364,7 @@
   std::map<std::string, std::vector<std::string>> rented_;
   std::map<std::string, StoredJob> jobs_;
   std::map<std::string, std::set<uint32_t>> completed_;
-  std::map<std::string, FinalState> told_;
+  std::map<std::string, TerminalState> told_;
   std::set<std::string> cancel_asked_;
   // Jobs whose end any other controller may have read in the state service and
   // told, while the leader has not told it yet.
