A leader's unanswered creation is fenced before it is read

Cause: the records of rentals and machines are created on the condition that their key is not there, which holds again once they have been deleted. A write of the leader without an answer, carried out after the record had been written anew, acted upon and deleted, wrote it again.

Change: every transaction of a leader is conditioned on the absence of the current fence key of its leadership; after an unanswered one that creates a key, that key is written first. Whatever was sent before is then carried out already or refused for good, so the read after it tells the outcome. One put per unanswered creation, none otherwise; the keys are attached to the leader's lease.

--- a/app/election.h
+++ b/app/election.h
@@ -39,6 +39,10 @@
 
   // Whether this controller may act as the leader at this moment.
   bool Valid() { return leadership_.Valid(loop_.Refresh()); }
+  // The lease of the leader key of that revision; 0 if it is not held any more.
+  uint64_t LeaseOf(uint64_t revision) const {
+    return leadership_.revision() == revision ? leadership_.lease_id() : 0;
+  }
   void StepDown(const std::string& why);
   // The state service has lost data: whoever leads by it has to be waited for.
   void StateLost();
--- a/clients/state.cc
+++ b/clients/state.cc
@@ -183,7 +183,8 @@
       const std::string value = wire::EncodeRecord(change.record);
       w.RawValue(value.data(), value.size(), rapidjson::kObjectType);
       if (lease_id != 0 && (change.key == keys::kLeader ||
-                            change.key.starts_with(keys::kZone))) {
+                            change.key.starts_with(keys::kZone) ||
+                            change.key.starts_with(keys::kFence))) {
         w.Key("permit");
         w.Uint64(lease_id);
       }
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -39,6 +39,8 @@
 inline constexpr std::string_view kOperator = "ob/live/p/";
 // Rights to keep a zone's workers, each under a lease; not followed.
 inline constexpr std::string_view kZone = "ob/zone/";
+// Written once each and never followed, see WriteFence.
+inline constexpr std::string_view kFence = "ob/fence/";
 inline constexpr std::string_view kFinal = "ob/final/";
 inline constexpr std::string_view kRolloutEnd = "ob/ended/o/";
 // Earlier versions of operators' records, NAME/VERSION.
@@ -65,11 +67,18 @@
   uint64_t stamp = 0;
 };
 
+// Settles a write whose answer is missing: the write is conditioned on the
+// absence of a key that holds one, so once the key is there it is either
+// carried out already or never will be.
+struct WriteFence {
+  uint64_t number = 0;
+};
+
 // monostate: the key does not exist.
 using Record =
     std::variant<std::monostate, LeaderRecord, JobRecord, MachineRecord,
                  RentalRecord, FinalRecord, RolloutRecord, EpochRecord,
-                 EpochMark, OperatorRecord>;
+                 EpochMark, OperatorRecord, WriteFence>;
 
 class Catalog {
  public:
--- a/core/controller/write_queue.cc
+++ b/core/controller/write_queue.cc
@@ -11,10 +11,10 @@
 using enum WritePhase;
 
 constexpr std::array kChanges = {
-    std::pair{kIdle, kWriting},
-    std::pair{kWriting, kIdle},
-    std::pair{kWriting, kReading},
-    std::pair{kReading, kIdle},
+    std::pair{kIdle, kWriting},     std::pair{kWriting, kIdle},
+    std::pair{kWriting, kDoubtful}, std::pair{kDoubtful, kFencing},
+    std::pair{kFencing, kDoubtful}, std::pair{kFencing, kReading},
+    std::pair{kWriting, kReading},  std::pair{kReading, kIdle},
 };
 
 size_t Weight(const WriteTransaction& txn) {
@@ -49,6 +49,11 @@
     case WriteEvent::kSent:
       return CheckedChange(phase_, kWriting, kChanges, "writes");
     case WriteEvent::kDoubt:
+    case WriteEvent::kFenceFailed:
+      return CheckedChange(phase_, kDoubtful, kChanges, "writes");
+    case WriteEvent::kFenceSent:
+      return CheckedChange(phase_, kFencing, kChanges, "writes");
+    case WriteEvent::kFixed:
       return CheckedChange(phase_, kReading, kChanges, "writes");
     case WriteEvent::kAnswered:
     case WriteEvent::kRead:
@@ -78,7 +83,9 @@
 }
 
 void WriteQueue::Flush(Time now) {
-  if (phase_ != kIdle || now < not_before_) return;
+  if (now < not_before_) return;
+  if (phase_ == kDoubtful) SendFence();
+  if (phase_ != kIdle) return;
   WriteTransaction txn;
   const auto limit = static_cast<size_t>(settings_.state.txn_ops);
   for (std::deque<WriteOp>* queue : {&urgent_, &lazy_}) {
@@ -108,12 +115,68 @@
       in_flight_keys_.push_back(change.key);
     }
   }
+  in_flight_creates_ =
+      std::any_of(txn.conditions.begin(), txn.conditions.end(),
+                  [](const Condition& c) { return c.stamp == 0; });
+  Change(WriteEvent::kSent);
+  Send(std::move(txn));
+}
+
+void WriteQueue::Send(WriteTransaction txn) {
   txn.id = ++id_;
+  txn.conditions.push_back({FenceKey(), 0});
   txn.conditions.insert(txn.conditions.end(), mandate_.begin(), mandate_.end());
-  Change(WriteEvent::kSent);
   actions_.push_back(std::move(txn));
 }
 
+// Without it, a record that was written anew, acted upon and deleted is there
+// again once the first write is carried out (`late-write-rental`).
+void WriteQueue::SendFence() {
+  WriteTransaction txn;
+  txn.changes.push_back({FenceKey(), WriteFence{fence_}});
+  Change(WriteEvent::kFenceSent);
+  Send(std::move(txn));
+}
+
+bool WriteQueue::OnFenceAnswer(WriteOutcome outcome,
+                               const std::vector<std::string>& failed,
+                               Time now) {
+  if (outcome == WriteOutcome::kApplied || FenceStands(failed)) {
+    ++fence_;
+    Change(WriteEvent::kFixed);
+    ReadInFlight();
+    return true;
+  }
+  Change(WriteEvent::kFenceFailed);
+  if (outcome != WriteOutcome::kUnknown) PauseFrom(now);
+  Flush(now);
+  return true;
+}
+
+void WriteQueue::ReadInFlight() {
+  actions_.push_back(ReadKeys{++id_, in_flight_keys_});
+}
+
+bool WriteQueue::MandateFailed(const std::vector<std::string>& failed) const {
+  return std::any_of(mandate_.begin(), mandate_.end(), [&](const Condition& c) {
+    return std::find(failed.begin(), failed.end(), c.key) != failed.end();
+  });
+}
+
+bool WriteQueue::FenceStands(const std::vector<std::string>& failed) const {
+  return std::find(failed.begin(), failed.end(), FenceKey()) != failed.end();
+}
+
+std::string WriteQueue::FenceKey() const {
+  return keys::Of(keys::kFence, std::to_string(mandate_.front().stamp) + "/" +
+                                    std::to_string(fence_));
+}
+
+void WriteQueue::PauseFrom(Time now) {
+  constexpr double kPause = 0.1;  // of a report interval
+  not_before_ = now + kPause * settings_.workers.report_s;
+}
+
 void WriteQueue::PutBack() {
   for (auto it = in_flight_.rbegin(); it != in_flight_.rend(); ++it) {
     urgent_.push_front(std::move(*it));
@@ -123,7 +186,9 @@
 
 bool WriteQueue::OnAnswer(uint64_t id, WriteOutcome outcome, uint64_t revision,
                           const std::vector<std::string>& failed, Time now) {
-  if (id != id_ || phase_ != kWriting) return true;
+  if (id != id_ || (phase_ != kWriting && phase_ != kFencing)) return true;
+  if (outcome == WriteOutcome::kConflict && MandateFailed(failed)) return false;
+  if (phase_ == kFencing) return OnFenceAnswer(outcome, failed, now);
   switch (outcome) {
     case WriteOutcome::kApplied: {
       Change(WriteEvent::kAnswered);
@@ -131,24 +196,21 @@
       for (const WriteOp& op : done) owner_.Done(op, revision, now);
       break;
     }
-    case WriteOutcome::kNotExecuted: {
-      constexpr double kPause = 0.1;  // of a report interval
+    case WriteOutcome::kNotExecuted:
       Change(WriteEvent::kAnswered);
-      not_before_ = now + kPause * settings_.workers.report_s;
+      PauseFrom(now);
       PutBack();
       break;
-    }
     case WriteOutcome::kConflict:
-      for (const Condition& c : mandate_) {
-        if (std::find(failed.begin(), failed.end(), c.key) != failed.end()) {
-          return false;
-        }
-      }
-      [[fallthrough]];
+      if (FenceStands(failed)) ++fence_;
+      Change(WriteEvent::kFixed);
+      ReadInFlight();
+      break;
     case WriteOutcome::kUnknown:
-      // It may have been applied, or may yet be: read before anything else.
-      Change(WriteEvent::kDoubt);
-      actions_.push_back(ReadKeys{++id_, in_flight_keys_});
+      // It may have been applied, or may yet be. What rests on stamps alone is
+      // refused by them after whatever is written next.
+      Change(in_flight_creates_ ? WriteEvent::kDoubt : WriteEvent::kFixed);
+      if (!in_flight_creates_) ReadInFlight();
       break;
   }
   Flush(now);
@@ -158,7 +220,7 @@
 void WriteQueue::OnRead(uint64_t id, bool ok, Time now) {
   if (id != id_ || phase_ != kReading) return;
   if (!ok) {
-    actions_.push_back(ReadKeys{++id_, in_flight_keys_});
+    ReadInFlight();
     return;
   }
   Change(WriteEvent::kRead);
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -2,8 +2,23 @@
 // into one transaction, and what an answer means. Knows nothing of jobs or
 // machines; what a write changes, and what follows once it stands, its owner
 // says. One transaction at a time, each conditioned on the mandate: one that
-// is applied late, after another leader or this one has gone on, fails instead
-// of undoing newer facts.
+// is applied late, after another leader has gone on, fails instead of undoing
+// newer facts.
+//
+// Nor may one be applied late after this leader has gone on. A condition on a
+// stamp sees to that by itself, for no stamp comes again. A condition that a
+// key is not there holds again once the key has been deleted, so every
+// transaction is conditioned on the absence of the current fence key too, and
+// after one that is not answered and creates a key, that fence key is written
+// before anything else:
+// - Each fence key is written by this leadership alone and lives as long as its
+//   leader key (the same lease), so once it is there, whatever was sent before
+//   fails for good: by the fence, or by the leader key.
+// - What is read after the fence stands is therefore the outcome of the
+//   unanswered transaction, not a state before it.
+// - A fence that is not answered is sent again. That it stands already is what
+//   the next one is told as a conflict, and just as good.
+// A transaction that was answered is not carried out again.
 #pragma once
 
 #include <cstdint>
@@ -49,11 +64,21 @@
 
 enum class WritePhase : uint8_t {
   kIdle,
-  kWriting,  // a transaction is under way
-  kReading,  // its outcome is not known: what it changes is read afresh
+  kWriting,   // a transaction is under way
+  kDoubtful,  // its outcome is not known: the fence has to be written
+  kFencing,   // the fence is under way
+  kReading,   // the outcome is fixed: what it changes is read afresh
 };
 
-enum class WriteEvent : uint8_t { kSent, kAnswered, kDoubt, kRead };
+enum class WriteEvent : uint8_t {
+  kSent,
+  kAnswered,
+  kDoubt,  // a transaction that creates keys is not answered
+  kFenceSent,
+  kFenceFailed,  // or not answered
+  kFixed,        // whatever was under way is carried out, or never will be
+  kRead,
+};
 
 class WriteQueue {
  public:
@@ -80,7 +105,7 @@
 
   // A lazy one goes when there is room beside the others.
   void Queue(WriteOp op, bool lazy = false);
-  // Sends what waits, if nothing is under way.
+  // Sends what waits, if nothing is under way; a fence before all else.
   void Flush(Time now);
   // False when the mandate does not stand: this leadership is over.
   [[nodiscard]] bool OnAnswer(uint64_t id, WriteOutcome outcome,
@@ -97,6 +122,16 @@
   void Change(WriteEvent event);
   // What was under way waits again, in front.
   void PutBack();
+  void Send(WriteTransaction txn);
+  void SendFence();
+  // False as OnAnswer.
+  bool OnFenceAnswer(WriteOutcome outcome,
+                     const std::vector<std::string>& failed, Time now);
+  void ReadInFlight();
+  void PauseFrom(Time now);
+  bool MandateFailed(const std::vector<std::string>& failed) const;
+  std::string FenceKey() const;
+  bool FenceStands(const std::vector<std::string>& failed) const;
 
   const Settings& settings_;
   const std::vector<Condition> mandate_;
@@ -106,6 +141,8 @@
   std::deque<WriteOp> lazy_;
   std::vector<WriteOp> in_flight_;
   std::vector<std::string> in_flight_keys_;
+  bool in_flight_creates_ = false;
+  uint64_t fence_ = 0;  // the number of the current fence key
   WritePhase phase_ = WritePhase::kIdle;
   uint64_t id_ = 0;  // of the transaction or the read under way
   Time not_before_ = 0;
--- a/tests/write_queue_test.cc
+++ b/tests/write_queue_test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace oxbow {
@@ -16,6 +17,9 @@
 
   bool Build(const WriteOp& op, WriteTransaction* txn) const override {
     if (already_so_.contains(op.name)) return false;
+    if (creates_) {
+      txn->conditions.push_back({keys::Of(keys::kMachine, op.name + "0"), 0});
+    }
     for (int i = 0; i < changes_each_; ++i) {
       txn->changes.push_back(
           {keys::Of(keys::kMachine, op.name + std::to_string(i)), {}});
@@ -39,6 +43,7 @@
   std::vector<Action> actions_;
   std::set<std::string> already_so_;
   int changes_each_ = 1;
+  bool creates_ = false;
   std::vector<std::pair<std::string, uint64_t>> done_;
   WriteQueue queue_{
       settings_, {{std::string(keys::kLeader), 77}}, *this, actions_};
@@ -80,6 +85,58 @@
             keys::Of(keys::kMachine, "b0"));
 }
 
+// That a key is not there holds again once it is deleted: the unanswered write
+// would be carried out then, were it not for the fence.
+TEST_F(Writes, AnUnansweredCreationIsFencedBeforeItIsRead) {
+  const auto fence = [](int number) {
+    return Condition{keys::Of(keys::kFence, "77/" + std::to_string(number)), 0};
+  };
+  const auto rests_on = [](const WriteTransaction& txn, const Condition& on) {
+    return std::any_of(
+        txn.conditions.begin(), txn.conditions.end(),
+        [&](const Condition& c) { return c.key == on.key && c.stamp == 0; });
+  };
+  creates_ = true;
+  Ask("a");
+  queue_.Flush(0);
+  const auto first = Last<WriteTransaction>();
+  EXPECT_TRUE(rests_on(first, fence(0)));
+  EXPECT_TRUE(queue_.OnAnswer(first.id, WriteOutcome::kUnknown, 0, {}, 1));
+  // The fence is refused, then not answered; the third finds that it stands.
+  auto second = Last<WriteTransaction>();
+  EXPECT_EQ(second.changes.at(0).key, fence(0).key);
+  EXPECT_TRUE(rests_on(second, fence(0)));
+  EXPECT_TRUE(queue_.OnAnswer(second.id, WriteOutcome::kNotExecuted, 0, {}, 1));
+  const size_t before = actions_.size();
+  queue_.Flush(1);
+  EXPECT_EQ(actions_.size(), before);  // not at once
+  queue_.Flush(1 + settings_.workers.report_s);
+  second = Last<WriteTransaction>();
+  EXPECT_TRUE(queue_.OnAnswer(second.id, WriteOutcome::kUnknown, 0, {}, 9));
+  const auto third = Last<WriteTransaction>();
+  EXPECT_EQ(third.changes.at(0).key, fence(0).key);
+  EXPECT_NE(third.id, second.id);
+  EXPECT_TRUE(
+      queue_.OnAnswer(third.id, WriteOutcome::kConflict, 0, {fence(0).key}, 9));
+  const auto read = Last<ReadKeys>();
+  EXPECT_EQ(read.keys,
+            std::vector<std::string>{keys::Of(keys::kMachine, "a0")});
+  queue_.OnRead(read.id, true, 9);
+  EXPECT_TRUE(rests_on(Last<WriteTransaction>(), fence(1)));
+  EXPECT_EQ(queue_.phase(), WritePhase::kWriting);
+}
+
+TEST_F(Writes, AFenceThatMissesTheLeaderKeyEndsTheLeadership) {
+  creates_ = true;
+  Ask("a");
+  queue_.Flush(0);
+  EXPECT_TRUE(queue_.OnAnswer(Last<WriteTransaction>().id,
+                              WriteOutcome::kUnknown, 0, {}, 1));
+  EXPECT_FALSE(queue_.OnAnswer(Last<WriteTransaction>().id,
+                               WriteOutcome::kConflict, 0,
+                               {std::string(keys::kLeader)}, 1));
+}
+
 TEST_F(Writes, ALateAnswerToAnEarlierOneIsNoNews) {
   Ask("a");
   queue_.Flush(0);
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -87,6 +87,10 @@
     w.Uint64(r.number);
   }
   void operator()(const OperatorRecord& r) const { WriteOperator(w, r); }
+  void operator()(const WriteFence& r) const {
+    Key(w, "number");
+    w.Uint64(r.number);
+  }
 };
 
 }  // namespace
