--- a/app/recovery_desk.h
+++ b/app/recovery_coordinator.h
@@ -1,8 +1,8 @@
 // What happens when the state service has lost data: finds out, keeps everybody
 // from acting on records that are missing, and puts together what all
-// controllers remember for the one that opens a new epoch. Owns the trust in
-// the state service; who may open an epoch the election says, what is written
-// back the leader's core.
+// controllers remember for the one that opens a new epoch. Owns the
+// verification of the state service; who may open an epoch the election says,
+// what is written back the leader's core.
 #pragma once
 
 #include <functional>
@@ -13,17 +13,17 @@
 #include <utility>
 #include <vector>
 
-#include "app/fitness_desk.h"
 #include "app/follower.h"
+#include "app/leader_health_coordinator.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/controller.h"
-#include "core/recovery/trust.h"
+#include "core/recovery/store_verification.h"
 #include "net/loop.h"
 
 namespace oxbow::app {
 
-class RecoveryDesk {
+class RecoveryCoordinator {
  public:
   struct Seams {
     // The loss is certain.
@@ -37,16 +37,18 @@
                        const std::function<void(Controller&)>&)>
         tell;
   };
-  RecoveryDesk(net::Loop& loop, const Settings& settings, const Tuning& tuning,
-               Catalog& catalog, clients::StateClient& state,
-               Follower& follower, const FitnessDesk::Peers& peers,
-               Seams seams);
+  RecoveryCoordinator(net::Loop& loop, const Settings& settings,
+                      const Tuning& tuning, Catalog& catalog,
+                      clients::StateClient& state, Follower& follower,
+                      const LeaderHealthCoordinator::Peers& peers, Seams seams);
   void Start();
 
   bool on() const { return tuning_.recovery_checks > 0; }
-  const Trust& trust() const { return trust_; }
+  const StoreVerification& verification() const { return verification_; }
   // Whether a leader key that is free, or not there, means that nobody leads.
-  bool MaySeek() const { return !on() || (introduced_ && trust_.MaySeek()); }
+  bool MaySeek() const {
+    return !on() || (introduced_ && verification_.MaySeek());
+  }
   // Whether any controller knows of the job. For one who is about to deny it.
   enum class Known { kYes, kNobodyHeard, kNobody };
   net::Task<Known> AnybodyKnows(std::string id);
@@ -63,12 +65,15 @@
   // is remembered elsewhere.
   bool MayTellLive(uint64_t stamp) const {
     if (!on()) return true;
-    return introduced_ && (trust_.state() == TrustState::kSound ||
-                           (trust_.state() == TrustState::kRebuilding &&
-                            stamp > catalog_.opened()));
+    return introduced_ &&
+           (verification_.state() == StoreVerificationState::kVerified ||
+            (verification_.state() == StoreVerificationState::kRebuilding &&
+             stamp > catalog_.opened()));
   }
   // Whether a submission may be accepted here.
-  bool MayAccept() const { return !on() || trust_.MayAccept(seams_.leading()); }
+  bool MayAccept() const {
+    return !on() || verification_.MayAccept(seams_.leading());
+  }
 
   // Makes a write one of the epoch that is known.
   void AddGuard(std::vector<Condition>* conditions) const;
@@ -94,7 +99,7 @@
   struct Opening {
     std::vector<Condition> conditions;
     std::vector<KeyChange> changes;
-    EpochRecord epoch;
+    StoreEpoch epoch;
   };
   // The first epoch of a deployment.
   Opening Found() const;
@@ -160,7 +165,8 @@
   clients::PeerMessage Ledger() const;
   net::Task<void> Gather(uint64_t term);
   // From every other controller at once; true if all of them have told all.
-  using Gatherer = net::Task<bool> (RecoveryDesk::*)(clients::PeerClient*);
+  using Gatherer =
+      net::Task<bool> (RecoveryCoordinator::*)(clients::PeerClient*);
   net::Task<bool> GatherFromAll(Gatherer what);
   net::Task<void> GatherOne(std::shared_ptr<Ask> ask, Gatherer what,
                             clients::PeerClient* peer, bool* whole);
@@ -183,9 +189,9 @@
   Catalog& catalog_;
   clients::StateClient& state_;
   Follower& follower_;
-  const FitnessDesk::Peers& peers_;
+  const LeaderHealthCoordinator::Peers& peers_;
   Seams seams_;
-  Trust trust_;
+  StoreVerification verification_;
   std::string sign_key_;       // what the sign is about
   uint64_t other_number_ = 0;  // of the epoch that another remembers
   std::string other_id_;
@@ -215,9 +221,9 @@
   std::set<std::string> silent_;  // peers that gave no answer the last time
   uint64_t rebuilt_epoch_ = 0;    // seen to be rebuilt, and since when
   net::Time rebuilt_since_ = 0;
-  uint64_t handing_in_ = 0;  // for that epoch
-  FinalsIndex present_;      // ends that the state service holds, in a round
-  FinalsIndex known_;        // those that were known when the round began
+  uint64_t handing_in_ = 0;     // for that epoch
+  TerminalStateIndex present_;  // ends that the state service holds, in a round
+  TerminalStateIndex known_;    // those that were known when the round began
 };
 
 }  // namespace oxbow::app
