--- a/app/options.cc
+++ b/app/options.cc
@@ -27,17 +27,17 @@
           100},
     Entry{"placement", "price_weight", &Tuning::price_weight, 0, 100},
     Entry{"queue", "begin_within_s", &Tuning::begin_within_s, 0, 1e6},
-    Entry{"queue", "floor_share", &Tuning::floor_share, 0, 1},
-    Entry{"placement", "piece_weight", &Tuning::piece_weight, 0, 100},
+    Entry{"queue", "floor_share", &Tuning::minimum_share, 0, 1},
+    Entry{"placement", "piece_weight", &Tuning::fragmentation_weight, 0, 100},
     Entry{"leadership", "lease_ratio", &Tuning::leader_lease_ratio, 0.05, 0.8},
     Entry{"machines", "suspect_ratio", &Tuning::suspect_ratio, 0.1, 1},
     Entry{"machines", "give_up_ratio", &Tuning::give_up_ratio, 0.2, 1},
     Entry{"machines", "idle_return_leases", &Tuning::idle_return_leases, 1,
           1e6},
-    Entry{"machines", "boot_patience", &Tuning::boot_patience, 1, 100},
-    Entry{"leadership", "keeper_ratio", &Tuning::keeper_ratio, 0, 0.3},
-    Entry{"leadership", "keep_zones", &Tuning::keep_zones, 0, 1},
-    Entry{"leadership", "doubt_share", &Tuning::doubt_share, 0.01, 1},
+    Entry{"machines", "boot_patience", &Tuning::boot_timeout_ratio, 1, 100},
+    Entry{"leadership", "keeper_ratio", &Tuning::delegation_ratio, 0, 0.3},
+    Entry{"leadership", "keep_zones", &Tuning::delegate_to_zones, 0, 1},
+    Entry{"leadership", "doubt_share", &Tuning::troubled_share, 0.01, 1},
     Entry{"leadership", "deaf_share", &Tuning::deaf_share, 0, 0.9},
     Entry{"leadership", "most_hand_overs", &Tuning::most_hand_overs, 0, 100},
     Entry{"limits", "window_leases", &Tuning::limit_window_leases, 0.1, 100},
@@ -107,8 +107,9 @@
   const int result = cfg_parse(cfg.get(), path.c_str());
   g_error = nullptr;
   if (result == CFG_FILE_ERROR) return "cannot read " + path;
-  if (result != CFG_SUCCESS)
+  if (result != CFG_SUCCESS) {
     return error.empty() ? path + ": bad syntax" : error;
+  }
   for (const Entry& e : kEntries) {
     const double value = cfg_getfloat(cfg_getsec(cfg.get(), e.block), e.name);
     if (!(value >= e.least && value <= e.most)) {
