Chains: the record of a job that waits for others

A submission may name jobs that have to be done before it (waits_on). Such a job stands under ob/live/w/, a key of its own that the version in production passes over (its decoder knows no such key, and a record that it can't decode is set aside by its follower), so no old leader can ever start it. A job that was released carries the time of its release, which an old version passes over too.

The catalog keeps waiting jobs as a kind like the others: watch, rebuild after a loss of data and owed records carry them. What was released or has ended does not wait again, whichever older copy comes back, and a record that is written back late is conditioned on that.

Nothing writes the record yet.

--- a/core/controller/catalog.cc
+++ b/core/controller/catalog.cc
@@ -191,6 +191,13 @@
       ended_.Find(id) != FinalState::kNone) {
     return false;
   }
+  if (std::holds_alternative<WaitingRecord>(record)) {
+    // What was released or has ended since does not wait again.
+    const std::string waits = key.substr(keys::kWaiting.size());
+    if (FindJob(waits) != nullptr || FindFinal(waits) != FinalState::kNone) {
+      return false;
+    }
+  }
   const Record mine = RecordOf(key);
   uint64_t there = 0;  // what the state service holds of it
   if (!std::holds_alternative<std::monostate>(mine)) {
@@ -234,6 +241,7 @@
     }
   };
   collect(jobs_, keys::kJob);
+  collect(waiting_, keys::kWaiting);
   collect(machines_, keys::kMachine);
   const size_t kept = std::min(count, all.size());
   std::partial_sort(all.begin(), all.begin() + static_cast<long>(kept),
@@ -309,6 +317,15 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
+const WaitingRecord* Catalog::FindWaiting(const std::string& id) const {
+  const auto it = waiting_.find(id);
+  if (it == waiting_.end() || FindJob(id) != nullptr ||
+      FindFinal(id) != FinalState::kNone) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
 FinalRecord Catalog::FindEnd(const std::string& id) const {
   const auto it = finals_.find(id);
   return it == finals_.end() ? FinalRecord{} : it->second;
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -33,6 +33,9 @@
 inline constexpr std::string_view kEpochMark = "ob/live/e/";
 inline constexpr std::string_view kEpoch = "ob/live/epoch";
 inline constexpr std::string_view kJob = "ob/live/j/";
+// Jobs that wait for others. A release moves one to kJob, a cancellation to
+// kFinal, each in one transaction.
+inline constexpr std::string_view kWaiting = "ob/live/w/";
 inline constexpr std::string_view kMachine = "ob/live/m/";
 inline constexpr std::string_view kRental = "ob/live/r/";
 inline constexpr std::string_view kRollout = "ob/live/o/";
@@ -69,7 +72,7 @@
 using Record =
     std::variant<std::monostate, LeaderRecord, JobRecord, MachineRecord,
                  RentalRecord, FinalRecord, RolloutRecord, EpochRecord,
-                 EpochMark, OperatorRecord>;
+                 EpochMark, OperatorRecord, WaitingRecord>;
 
 class Catalog {
  public:
@@ -119,6 +122,11 @@
   const std::unordered_map<std::string, JobRecord>& jobs() const {
     return jobs_;
   }
+  // Jobs that wait for others. One that is also among jobs(), or known to have
+  // ended, waits no more: its record is an older copy that has come back.
+  const std::unordered_map<std::string, WaitingRecord>& waiting() const {
+    return waiting_;
+  }
   const std::unordered_map<std::string, MachineRecord>& machines() const {
     return machines_;
   }
@@ -139,6 +147,8 @@
   }
   const LeaderRecord& leader() const { return leader_; }
   const JobRecord* FindJob(const std::string& id) const;
+  // Null too for one that does not wait any more; see waiting().
+  const WaitingRecord* FindWaiting(const std::string& id) const;
   // How a job ended, as far as a user may be told; kNone if that is not known.
   // `done` counts from its record on. A cancellation counts once the record has
   // moved to the final states, where it goes when no task of the job can be on
@@ -156,6 +166,7 @@
   template <typename Self, typename Visit>
   static void VisitKinds(Self& self, const Visit& visit) {
     visit(self.jobs_, keys::kJob);
+    visit(self.waiting_, keys::kWaiting);
     visit(self.machines_, keys::kMachine);
     visit(self.rentals_, keys::kRental);
     visit(self.rollouts_, keys::kRollout);
@@ -172,6 +183,7 @@
   void Rebase();
 
   std::unordered_map<std::string, JobRecord> jobs_;
+  std::unordered_map<std::string, WaitingRecord> waiting_;
   std::unordered_map<std::string, MachineRecord> machines_;
   std::unordered_map<std::string, RentalRecord> rentals_;
   std::unordered_map<std::string, RolloutRecord> rollouts_;
--- a/core/controller/restore.cc
+++ b/core/controller/restore.cc
@@ -211,6 +211,13 @@
         txn->conditions.push_back(
             {keys::Of(keys::kFinal, op.name.substr(keys::kJob.size())), 0});
       }
+      // Likewise, after the job was released or cancelled, it would wait again.
+      if (std::holds_alternative<WaitingRecord>(record)) {
+        const std::string id = op.name.substr(keys::kWaiting.size());
+        if (catalog_.FindWaiting(id) == nullptr) return false;
+        txn->conditions.push_back({keys::Of(keys::kJob, id), 0});
+        txn->conditions.push_back({keys::Of(keys::kFinal, id), 0});
+      }
       txn->changes.push_back({op.name, record});
       return true;
     }
--- a/core/controller/write_queue.cc
+++ b/core/controller/write_queue.cc
@@ -19,6 +19,14 @@
 
 size_t Weight(const WriteTransaction& txn) {
   // Only specs are of any size; their variable parts decide.
+  const auto weight_of = [](const JobSpec& spec) {
+    size_t weight = spec.image.size() * 2;
+    if (spec.types) {
+      for (const std::string& t : *spec.types) weight += t.size() + 4;
+    }
+    for (const std::string& id : spec.waits_on) weight += id.size() + 4;
+    return weight;
+  };
   size_t bytes = 0;
   for (const KeyChange& change : txn.changes) {
     bytes += 512;
@@ -31,10 +39,10 @@
           2 * (word->text.size() + word->author.size() + word->note.size());
     }
     if (const auto* job = std::get_if<JobRecord>(&change.record)) {
-      bytes += job->spec->image.size() * 2;
-      if (job->spec->types) {
-        for (const std::string& t : *job->spec->types) bytes += t.size() + 4;
-      }
+      bytes += weight_of(*job->spec);
+    }
+    if (const auto* waiting = std::get_if<WaitingRecord>(&change.record)) {
+      bytes += weight_of(*waiting->spec);
     }
   }
   return bytes;
--- a/core/model/job.h
+++ b/core/model/job.h
@@ -80,6 +80,7 @@
   double checkpoint_s = 0;
   double save_s = 0;
   std::optional<double> deadline_s;
+  std::vector<std::string> waits_on;  // jobs that have to be done before
 
   bool AllowsType(const std::string& type) const;
   bool AllowsZone(const std::string& z) const { return !zone || *zone == z; }
@@ -91,6 +92,17 @@
   double submitted_wall = 0;
   FinalState final_state = FinalState::kNone;
   uint64_t stamp = 0;
+  // Of a job that had to wait for others: when they were all recorded as done.
+  double released_wall = 0;
+};
+
+// A job that waits for others, as the state service holds it: under a key of
+// its own, which a version that knows nothing of waiting never reads, so that
+// no such version can start it.
+struct WaitingRecord {
+  std::shared_ptr<const JobSpec> spec;
+  double submitted_wall = 0;
+  uint64_t stamp = 0;
 };
 
 enum class TaskState : uint8_t {
--- a/tests/fuzz/targets.cc
+++ b/tests/fuzz/targets.cc
@@ -100,8 +100,8 @@
   rapidjson::Document doc;
   if (!json::Parse(bytes, &doc)) return;
   for (const std::string_view key :
-       {keys::kLeader, keys::kJob, keys::kMachine, keys::kRental, keys::kFinal,
-        keys::kRollout, keys::kRolloutEnd}) {
+       {keys::kLeader, keys::kJob, keys::kWaiting, keys::kMachine,
+        keys::kRental, keys::kFinal, keys::kRollout, keys::kRolloutEnd}) {
     Record record;
     wire::DecodeRecord(keys::Of(key, "x"), doc, &record);
   }
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -81,7 +81,8 @@
   "form":"ensemble","standing":"urgent","legs":16,"cores":8.0,
   "accelerators":1.0,"memory_gb":64.0,"build":"img-07","size_gb":6.2,
   "fleets":["g8"],"yard":null,"together":true,"scatter":false,"loaner":true,
-  "reckon_s":240.0,"bookmark_s":30.0,"stow_s":4.0,"due_s":900.0})";
+  "reckon_s":240.0,"bookmark_s":30.0,"stow_s":4.0,"due_s":900.0,
+  "waits_on":["job-000398","job-000405"]})";
 
 std::string Check(const std::string& text) {
   rapidjson::Document doc;
@@ -106,6 +107,11 @@
       {"\"together\":true", "\"together\":1"},
       {"[\"g8\"]", "\"g8\""},
       {"\"due_s\":900.0", "\"due_s\":-3"},
+      {"[\"job-000398\",\"job-000405\"]", "\"job-000398\""},
+      {"[\"job-000398\",\"job-000405\"]", "[398]"},
+      {"job-000398", "398"},
+      {"job-000398", "job-000412"},  // itself
+      {"job-000398", "job-000405"},  // twice
   };
   for (const auto& [from, to] : bad) {
     EXPECT_NE(Check(Replace(kJob, from, to)), "") << to;
@@ -128,6 +134,8 @@
   EXPECT_EQ(copy.types, spec.types);
   EXPECT_FALSE(copy.zone);
   EXPECT_EQ(copy.deadline_s, 900);
+  EXPECT_EQ(copy.waits_on, spec.waits_on);
+  EXPECT_EQ(copy.waits_on.size(), 2U);
 }
 
 TEST(JobDescriptions, WhatCanNeverRunIsSaid) {
--- a/wire/job_json.cc
+++ b/wire/job_json.cc
@@ -1,6 +1,9 @@
 #include "wire/job_json.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
+#include <utility>
 
 #include "wire/field_reader.h"
 #include "wire/names.h"
@@ -18,6 +21,17 @@
                      [](char c) { return c >= '0' && c <= '9'; });
 }
 
+namespace {
+
+// Whether these may be the jobs that the job of that id waits for.
+bool ValidWaitsOn(const std::vector<std::string>& ids, const std::string& id) {
+  const std::set<std::string_view> different(ids.begin(), ids.end());
+  return different.size() == ids.size() && !different.contains(id) &&
+         std::all_of(ids.begin(), ids.end(), ValidJobId);
+}
+
+}  // namespace
+
 std::string ReadSpec(const rapidjson::Value& value, JobSpec* out) {
   if (!value.IsObject()) return "not an object";
   FieldReader read(value);
@@ -41,8 +55,14 @@
   read.Amount("bookmark_s", 0, &out->checkpoint_s);
   read.Amount("stow_s", 0, &out->save_s);
   read.OptionalAmount("due_s", &out->deadline_s);
+  std::optional<std::vector<std::string>> waits_on;
+  read.OptionalStrings("waits_on", &waits_on);
   if (!read.error().empty()) return read.error();
   if (!ValidJobId(out->id)) return "field id";
+  if (waits_on) {
+    if (!ValidWaitsOn(*waits_on, out->id)) return "field waits_on";
+    out->waits_on = std::move(*waits_on);
+  }
   return {};
 }
 
@@ -81,6 +101,12 @@
   number("bookmark_s", spec.checkpoint_s);
   number("stow_s", spec.save_s);
   if (spec.deadline_s) number("due_s", *spec.deadline_s);
+  if (!spec.waits_on.empty()) {
+    w.Key("waits_on");
+    w.StartArray();
+    for (const std::string& id : spec.waits_on) json::String(w, id);
+    w.EndArray();
+  }
   w.EndObject();
 }
 
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -34,6 +34,16 @@
     if (r.final_state != FinalState::kNone) {
       Field(w, "final", NameOf(kFinals, r.final_state));
     }
+    if (r.released_wall > 0) {
+      Key(w, "released");
+      w.Double(r.released_wall);
+    }
+  }
+  void operator()(const WaitingRecord& r) const {
+    Key(w, "spec");
+    WriteSpec(w, *r.spec);
+    Key(w, "t");
+    w.Double(r.submitted_wall);
   }
   void operator()(const MachineRecord& r) const {
     Field(w, "type", r.type);
@@ -124,13 +134,19 @@
     *out = LeaderRecord{json::GetString(value, "node"),
                         json::GetString(value, "incarnation"), 0,
                         json::GetBool(value, "keeping")};
-  } else if (key.starts_with(keys::kJob)) {
+  } else if (key.starts_with(keys::kJob) || key.starts_with(keys::kWaiting)) {
     const auto* spec = json::Find(value, "spec");
     auto parsed = std::make_shared<JobSpec>();
     if (spec == nullptr || !ReadSpec(*spec, parsed.get()).empty()) {
       return false;
     }
-    *out = JobRecord{parsed, json::GetDouble(value, "t"), final_state(), 0};
+    const double submitted = json::GetDouble(value, "t");
+    if (key.starts_with(keys::kWaiting)) {
+      *out = WaitingRecord{parsed, submitted, 0};
+    } else {
+      *out = JobRecord{parsed, submitted, final_state(), 0,
+                       json::GetDouble(value, "released")};
+    }
   } else if (key.starts_with(keys::kMachine)) {
     *out = MachineRecord{
         json::GetString(value, "type"), json::GetString(value, "zone"),
