State service: the smaller of today's and the next limits hold from the start

A 400 for size was taken for a conflict: the write queue read the keys and sent the same transaction again, for ever, with every other write of the leader behind it. A rental was settled with up to txn_ops - 1 machines in one transaction, and the others were left to their reports.

Change: the settings hold the smaller of both limits (bad values of `next` are named, exit 2); the client of the state service sends nothing beyond them; a 400 other than "no such lease" is kRefused, and nothing was changed by it. The write queue then sends fewer ops at once, one that is refused alone in its compact form (a job that has ended without its types, image and class cut), and sets it aside for a lease when that is refused as well; conditions are counted, too. A rental's machines are recorded in bounded steps, each under the rental's stamp, and its record goes last: a new leader asks again under the name and records the rest. Operators' history goes in pieces where it is too large; what stands and is larger stays readable (tiers' bound of what is read is that of what may be stored).

--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -71,7 +71,7 @@
     tiers_.OnWithdrawn();
   } else {
     wire::TakeTiers(it->second.text, it->second.version,
-                    TierBounds::From(settings_), &tiers_);
+                    TierBounds::OfStored(settings_), &tiers_);
   }
   if (!tiers_.refused().empty() && tiers_.refused() != refused) {
     spdlog::warn("tiers: version {} can't be used, version {} stays: {}",
@@ -299,6 +299,9 @@
     case StateStatus::kNotExecuted:
       outcome = WriteOutcome::kNotExecuted;
       break;
+    case StateStatus::kRefused:
+      outcome = WriteOutcome::kRefused;
+      break;
     default:
       break;
   }
--- a/app/election.cc
+++ b/app/election.cc
@@ -335,6 +335,23 @@
   co_return won;
 }
 
+// Where the state service takes too few changes at once, the marks of the
+// epochs before go first, under the same conditions: they end with the new one
+// anyway.
+net::Task<bool> Election::CloseEpochs(const RecoveryDesk::Opening& opening,
+                                      std::vector<KeyChange>* changes) {
+  std::vector<KeyChange> marks;
+  const auto is_mark = [](const KeyChange& change) {
+    return std::holds_alternative<std::monostate>(change.record);
+  };
+  std::copy_if(changes->begin(), changes->end(), std::back_inserter(marks),
+               is_mark);
+  std::erase_if(*changes, is_mark);
+  const StateResult closed =
+      co_await state_.Write(opening.conditions, marks, Urgency::kLease);
+  co_return closed.ok();
+}
+
 // Under a right that still stands, or with nobody who could lead. One
 // transaction opens the epoch and takes its leader key, under the stamps that
 // were read before, so of several one opens it.
@@ -353,6 +370,14 @@
   const LeaderRecord record{settings_.node, incarnation_, 0, false};
   std::vector<KeyChange> changes = opening.changes;
   changes.push_back({key, record});
+  if (!settings_.state.Takes(changes.size())) {
+    const bool closed = co_await CloseEpochs(opening, &changes);
+    if (!closed) {
+      co_await state_.EndLease(granted.lease_id);
+      co_return;
+    }
+    if (led && !Valid()) co_return;
+  }
   if (!led) leadership_.SeekStarted(0);
   const StateResult won =
       co_await Take(opening.conditions, std::move(changes), granted.lease_id,
--- a/app/election.h
+++ b/app/election.h
@@ -83,6 +83,8 @@
                             net::Time sent);
   // Opens a new epoch and takes the key in it.
   net::Task<void> Reopen();
+  net::Task<bool> CloseEpochs(const RecoveryDesk::Opening& opening,
+                              std::vector<KeyChange>* changes);
   // Whether the transaction that was sent has made this controller leader.
   // Looks, if it was not answered; `before` is the stamp that the key had.
   net::Task<clients::StateResult> Take(std::vector<Condition> conditions,
--- a/app/record_desk.cc
+++ b/app/record_desk.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <utility>
 
+#include "app/record_history.h"
 #include "net/loop.h"
 #include "wire/records.h"
 
@@ -27,10 +28,6 @@
   return answer;
 }
 
-std::string PastKey(const std::string& name, uint64_t version) {
-  return keys::Of(keys::kOperatorPast, name) + "/" + std::to_string(version);
-}
-
 bool SameContent(const OperatorRecord& a, const OperatorRecord& b) {
   return a.version == b.version && a.text == b.text && a.author == b.author &&
          a.note == b.note && a.withdrawn == b.withdrawn;
@@ -93,9 +90,8 @@
   const StateResult read = co_await state_.List(prefix, "");
   if (!read.ok()) co_return std::nullopt;
   Named out;
-  for (const clients::KeyValue& item : read.items) {
-    const auto* record = std::get_if<OperatorRecord>(&item.record);
-    if (record != nullptr) out.emplace_back(name, *record);
+  for (OperatorRecord& record : JoinPieces(read.items)) {
+    out.emplace_back(name, std::move(record));
   }
   std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
     return a.second.version > b.second.version;
@@ -111,8 +107,7 @@
     const std::string wrong = kind->check(name, record.text);
     if (!wrong.empty()) return Say(Result::kImpossible, wrong);
   }
-  if (wire::EncodeRecord(record).size() >
-      static_cast<size_t>(settings_.state.value_kb * 1024)) {
+  if (wire::EncodeRecord(record).size() > settings_.state.most_value_bytes()) {
     return Say(Result::kImpossible, "the record is too large");
   }
   const auto& known = catalog_.operators();
@@ -125,6 +120,7 @@
 void RecordDesk::AddSweep(const std::string& but,
                           std::vector<Condition>* conditions,
                           std::vector<KeyChange>* changes) const {
+  if (!settings_.state.Takes(changes->size() + 1)) return;
   for (const auto& [name, record] : catalog_.operators()) {
     if (name == but || !record.withdrawn || record.stamp == 0 ||
         net::WallNow() - record.changed_wall < kTombstone_s) {
@@ -137,6 +133,53 @@
   }
 }
 
+bool RecordDesk::Fits(const OperatorRecord& record) const {
+  return wire::EncodeRecord(record).size() <=
+         settings_.state.most_value_bytes();
+}
+
+// Before the change itself, and under the version that it replaces: whatever
+// becomes of the change, what is written here is true.
+net::Task<bool> RecordDesk::KeepInPieces(std::string name,
+                                         OperatorRecord record) {
+  const std::vector<HistoryEntry> pieces =
+      PiecesOf(name, record, settings_.state.most_value_bytes());
+  const auto at_once = static_cast<size_t>(settings_.state.txn_ops);
+  for (size_t from = 0; from < pieces.size(); from += at_once) {
+    std::vector<Condition> conditions{
+        {keys::Of(keys::kOperator, name), record.stamp}};
+    seams_.add_guard(&conditions);
+    std::vector<KeyChange> changes;
+    const size_t end = std::min(pieces.size(), from + at_once);
+    for (size_t i = from; i < end; ++i) {
+      changes.push_back({pieces[i].first, pieces[i].second});
+    }
+    const StateResult written = co_await state_.Write(
+        std::move(conditions), std::move(changes), Urgency::kUser);
+    if (!written.ok()) co_return false;
+  }
+  co_return true;
+}
+
+// Of a version too old to be kept. What a failure leaves does no harm.
+net::Task<void> RecordDesk::DropPieces(std::string name, uint64_t version) {
+  const StateResult there =
+      co_await state_.List(PiecesPrefix(name, version), "");
+  const auto at_once = static_cast<size_t>(settings_.state.txn_ops);
+  for (size_t from = 0; from < there.items.size(); from += at_once) {
+    std::vector<Condition> conditions;
+    seams_.add_guard(&conditions);
+    std::vector<KeyChange> changes;
+    const size_t end = std::min(there.items.size(), from + at_once);
+    for (size_t i = from; i < end; ++i) {
+      changes.push_back({there.items[i].key, {}});
+    }
+    const StateResult dropped = co_await state_.Write(
+        std::move(conditions), std::move(changes), Urgency::kBackground);
+    if (!dropped.ok()) co_return;
+  }
+}
+
 net::Task<RecordAnswer> RecordDesk::Change(std::string name,
                                            wire::OperatorChange change) {
   if (!seams_.synced() || !seams_.may_write()) {
@@ -160,16 +203,23 @@
     now.result = Result::kConflict;
     co_return now;
   }
-  if (next.withdrawn) next.text = now.record.text;
+  if (next.withdrawn) {
+    next.text = now.record.text;
+    // Recorded when larger values were taken; the version before keeps it.
+    if (!Fits(next)) next.text.clear();
+  }
   const std::string key = keys::Of(keys::kOperator, name);
   std::vector<Condition> conditions{{key, absent ? 0 : now.record.stamp}};
   std::vector<KeyChange> changes{{key, next}};
-  if (!absent) {
+  if (!absent && Fits(now.record)) {
     changes.push_back({PastKey(name, now.record.version), now.record});
-    if (now.record.version > kVersionsKept) {
-      changes.push_back(
-          {PastKey(name, now.record.version - kVersionsKept), {}});
-    }
+  } else if (!absent) {
+    const bool kept = co_await KeepInPieces(name, now.record);
+    if (!kept) co_return Say(Result::kTryLater, "cannot be recorded now");
+  }
+  if (now.record.version > kVersionsKept) {
+    changes.push_back({PastKey(name, now.record.version - kVersionsKept), {}});
+    net::Spawn(DropPieces(name, now.record.version - kVersionsKept));
   }
   AddSweep(name, &conditions, &changes);
   seams_.add_guard(&conditions);
@@ -181,6 +231,9 @@
     answer.record = next;
     co_return answer;
   }
+  if (written.status == StateStatus::kRefused) {
+    co_return Say(Result::kImpossible, "the record is too large");
+  }
   if (written.status != StateStatus::kConflict &&
       written.status != StateStatus::kUnknown) {
     co_return Say(Result::kTryLater, "cannot be recorded now");
--- a/app/record_desk.h
+++ b/app/record_desk.h
@@ -57,6 +57,11 @@
   // An old tombstone, removed beside a change so that they don't pile up.
   void AddSweep(const std::string& but, std::vector<Condition>* conditions,
                 std::vector<KeyChange>* changes) const;
+  // Whether the state service takes a value of that size.
+  bool Fits(const OperatorRecord& record) const;
+  // An earlier version that is larger than what may be written now.
+  net::Task<bool> KeepInPieces(std::string name, OperatorRecord record);
+  net::Task<void> DropPieces(std::string name, uint64_t version);
 
   const Settings& settings_;
   const Catalog& catalog_;
--- a/app/rollout_desk.cc
+++ b/app/rollout_desk.cc
@@ -123,8 +123,10 @@
   RolloutRecord record;
   record.spec = spec;
   record.declared_wall = net::WallNow();
-  if (wire::EncodeRecord(record).size() >
-      static_cast<size_t>(settings_.state.value_kb * 1024)) {
+  // Each step rewrites it, with a reason.
+  constexpr size_t kGrowth = 256;
+  if (wire::EncodeRecord(record).size() + kGrowth >
+      settings_.state.most_value_bytes()) {
     co_return Say(Result::kImpossible, "the declaration is too large");
   }
   const std::string key = keys::Of(keys::kRollout, spec->id);
@@ -196,6 +198,10 @@
       now.state.record = record;
       co_return now;
     }
+    if (written.status == StateStatus::kRefused) {
+      co_return Say(Result::kImpossible,
+                    "the record is larger than the state service takes now");
+    }
     // The leader has recorded a step meanwhile, or the outcome is unknown:
     // look again before anything else is said.
     if (written.status == StateStatus::kNotExecuted) break;
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -3,6 +3,7 @@
 #include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <sstream>
@@ -72,6 +73,38 @@
   return *v;
 }
 
+void ReadStateLimits(const rapidjson::Value& from, Reader& read,
+                     StateSettings* out) {
+  constexpr double kAbove0 = 1e-3;
+  constexpr double kFewestOps = 3;
+  read.Amount(from, "rps", kAbove0, &out->rps);
+  read.Amount(from, "write_rps", kAbove0, &out->write_rps);
+  read.Amount(from, "value_kb", kAbove0, &out->value_kb);
+  read.Amount(from, "txn_ops", kFewestOps, &out->txn_ops);
+}
+
+// The service may change from the limits of today to those of `next` at any
+// moment and says nothing, so the smaller of both hold from the start.
+void ReadState(const rapidjson::Value& state, Reader& read,
+               StateSettings* out) {
+  ReadStateLimits(state, read, out);
+  out->stored_value_kb = out->value_kb;
+  if (!read.error.empty() || json::Find(state, "next") == nullptr) return;
+  const auto* announced = read.Object(state, "next");
+  if (announced == nullptr) return;
+  StateSettings next = *out;
+  ReadStateLimits(*announced, read, &next);
+  if (!read.error.empty()) {
+    read.error = "next, " + read.error;
+    return;
+  }
+  out->stored_value_kb = std::max(out->value_kb, next.value_kb);
+  out->rps = std::min(out->rps, next.rps);
+  out->write_rps = std::min(out->write_rps, next.write_rps);
+  out->value_kb = std::min(out->value_kb, next.value_kb);
+  out->txn_ops = std::min(out->txn_ops, next.txn_ops);
+}
+
 void ReadCluster(const rapidjson::Value& cluster, Reader& read, Settings* out) {
   read.Amount(cluster, "count", 1, &out->nodes);
   for (const auto& zone : ArrayOrEmpty(cluster, "zones", read).GetArray()) {
@@ -106,10 +139,7 @@
     read.Amount(*workers, "cancel_s", 0, &out->workers.cancel_s);
   }
   if (const auto* state = read.Object(cluster, "state")) {
-    read.Amount(*state, "rps", kAbove0, &out->state.rps);
-    read.Amount(*state, "write_rps", kAbove0, &out->state.write_rps);
-    read.Amount(*state, "value_kb", kAbove0, &out->state.value_kb);
-    read.Amount(*state, "txn_ops", 3, &out->state.txn_ops);
+    ReadState(*state, read, &out->state);
   }
   if (const auto* cloud = read.Object(cluster, "cloud")) {
     read.Amount(*cloud, "rps", kAbove0, &out->cloud.rps);
--- a/clients/state.cc
+++ b/clients/state.cc
@@ -11,6 +11,8 @@
 
 constexpr size_t kAnswerLimit = 768 * 1024;  // a listing holds 512 KiB
 constexpr size_t kWatchLimit = 4 * 1024 * 1024;
+constexpr std::string_view kNoLease = "no such lease";
+constexpr size_t kBodyLimit = 64 * 1024;
 constexpr int kPage = 500;
 
 void ReadItem(const rapidjson::Value& item, StateResult* out) {
@@ -43,6 +45,7 @@
       // The right to lead rests on its answers.
       http_(loop, address, kAnswerLimit, 8, /*urgent=*/true),
       watch_(loop, address, kWatchLimit, 1),
+      limits_(settings.state),
       // The controllers share the service's limits in equal parts.
       requests_(settings.state.rps / settings.nodes, 1.0),
       writes_(settings.state.write_rps / settings.nodes, 1.0),
@@ -68,8 +71,9 @@
       case 404:
         result.status = StateStatus::kNotFound;
         break;
-      // A lease that has ended is refused with 400; nothing was changed.
       case 400:
+        result.status = StateStatus::kRefused;
+        break;
       case 409:
         result.status = StateStatus::kConflict;
         break;
@@ -89,6 +93,11 @@
       result.status = StateStatus::kUnknown;
     }
   }
+  // A lease that has ended is refused in the same way as what is too large.
+  if (result.status == StateStatus::kRefused && doc->IsObject() &&
+      json::GetString(*doc, "error") == kNoLease) {
+    result.status = StateStatus::kConflict;
+  }
   const bool bad =
       result.status == StateStatus::kUnknown ||
       (result.status == StateStatus::kNotExecuted && answer.status != 429);
@@ -155,6 +164,10 @@
   const net::Time now = loop_.Now();
   const Kind kind = changes.empty() ? Kind::kRead : Kind::kChange;
   const auto amount = static_cast<double>(changes.size());
+  StateResult refused;
+  refused.status = StateStatus::kRefused;
+  // Whatever the service takes today, it may take less from any moment on.
+  if (!limits_.Takes(changes.size())) co_return refused;
   if (!writes_.Take(urgency, amount, now) || !requests_.Take(urgency, 1, now)) {
     co_return StateResult{};
   }
@@ -181,6 +194,7 @@
       json::Field(w, "set", change.key);
       w.Key("v");
       const std::string value = wire::EncodeRecord(change.record);
+      if (value.size() > limits_.most_value_bytes()) co_return refused;
       w.RawValue(value.data(), value.size(), rapidjson::kObjectType);
       if (lease_id != 0 && (change.key == keys::kLeader ||
                             change.key.starts_with(keys::kZone))) {
@@ -192,9 +206,11 @@
   }
   w.EndArray();
   w.EndObject();
+  std::string body = json::Text(buffer);
+  if (body.size() > kBodyLimit) co_return refused;
   rapidjson::Document doc;
   StateResult result =
-      co_await Call("POST", "/txn", json::Text(buffer), timeout_s_, &doc, kind);
+      co_await Call("POST", "/txn", std::move(body), timeout_s_, &doc, kind);
   if (result.status == StateStatus::kConflict) {
     const auto* failed = json::Find(doc, "failed");
     if (failed != nullptr && failed->IsArray()) {
--- a/clients/state.h
+++ b/clients/state.h
@@ -21,6 +21,7 @@
   kOk,
   kNotFound,
   kConflict,
+  kRefused,      // too large, or malformed: refused again, sent as it is
   kTooOld,       // the watch has fallen behind what the service keeps
   kNotExecuted,  // refused or never sent
   kUnknown,      // sent, no answer
@@ -92,6 +93,7 @@
   net::Loop& loop_;
   net::HttpClient http_;
   net::HttpClient watch_;
+  const StateSettings limits_;
   Budget requests_;
   Budget writes_;
   double timeout_s_;
--- a/core/controller/actions.h
+++ b/core/controller/actions.h
@@ -119,7 +119,13 @@
 
 // --- answers
 
-enum class WriteOutcome { kApplied, kConflict, kNotExecuted, kUnknown };
+enum class WriteOutcome {
+  kApplied,
+  kConflict,
+  kNotExecuted,
+  kRefused,  // larger than the state service takes; nothing was changed
+  kUnknown,
+};
 enum class OrderOutcome { kExecuted, kRefused, kNotSent, kUnknown };
 enum class RentOutcome { kGranted, kNoCapacity, kTryLater, kRejected };
 
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -293,6 +293,7 @@
     if (rental.state == kRequesting && now >= rental.next_try) {
       Request(name, now);
     }
+    if (rental.state == kSettled) SettleRental(name);
   }
   TickRollouts(now);
   TickMoves(now);
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -168,6 +168,7 @@
     RentalState state = RentalState::kRecording;
     Time asked = 0;
     Time next_try = 0;
+    std::vector<std::string> hosts = {};  // granted; all to be recorded
     void Change(RentalState next);
   };
   struct Emptying {
@@ -392,6 +393,9 @@
   bool CanMoveAll(const Machine& from, const std::vector<Machine*>& usable,
                   double spare_cpus) const;
   void Request(const std::string& name, Time now);
+  // Asks for the removal of its record when all of its machines are recorded.
+  void SettleRental(const std::string& name);
+  MachineRecord RecordOfRented(const RentalRecord& rental, Time rented) const;
   double RunSeconds(const JobSpec& spec) const;
 
   // writes.cc
--- a/core/controller/restore.cc
+++ b/core/controller/restore.cc
@@ -11,11 +11,14 @@
 
 // A job that is remembered alive, and whose end has been read since, goes back
 // as one that has ended.
-Record OwedRecord(const Catalog& catalog, const std::string& key) {
-  Record record = catalog.RecordOf(key);
+Record OwedRecord(const Catalog& catalog, const WriteOp& op) {
+  Record record = catalog.RecordOf(op.name);
   auto* job = std::get_if<JobRecord>(&record);
   if (job != nullptr && job->final_state == FinalState::kNone) {
-    job->final_state = catalog.FindFinal(key.substr(keys::kJob.size()));
+    job->final_state = catalog.FindFinal(op.name.substr(keys::kJob.size()));
+  }
+  if (job != nullptr && job->final_state != FinalState::kNone) {
+    *job = EndedRecord(*job, job->final_state, op.compact);
   }
   return record;
 }
@@ -85,6 +88,10 @@
     alarms.push_back(std::to_string(catalog_.owed().size()) +
                      " records are still to be written back");
   }
+  if (writes_.set_aside() > 0) {
+    alarms.push_back(std::to_string(writes_.set_aside()) +
+                     " writes are larger than the state service takes");
+  }
   if (!catalog_.epoch().whole) {
     alarms.push_back(
         "jobs may have been lost with the state service's data: whoever misses "
@@ -192,7 +199,7 @@
                       [&](const KeyChange& c) { return c.key == op.name; })) {
         return false;
       }
-      const Record record = OwedRecord(catalog_, op.name);
+      const Record record = OwedRecord(catalog_, op);
       const uint64_t there = std::visit(
           [](const auto& r) -> uint64_t {
             if constexpr (requires { r.stamp; }) {
@@ -244,7 +251,7 @@
 void Controller::RestoreDone(const WriteOp& op, uint64_t revision) {
   if (revision == 0) return;
   if (op.kind == WriteKind::kRestore) {
-    catalog_.Put(op.name, OwedRecord(catalog_, op.name), revision);
+    catalog_.Put(op.name, OwedRecord(catalog_, op), revision);
   } else if (op.kind == WriteKind::kRebuilt) {
     EpochRecord epoch = catalog_.epoch();
     epoch.rebuilt = true;
--- a/core/controller/rollouts.cc
+++ b/core/controller/rollouts.cc
@@ -2,6 +2,7 @@
 // and how their steps are recorded.
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 #include "core/controller/controller.h"
@@ -222,6 +223,17 @@
   if (op.step == RolloutStep::kPaused) next.paused_in = next.step;
   next.step = op.step;
   next.reason = op.reason;
+  if (op.compact) {
+    constexpr size_t kMostReason = 64;
+    next.reason.resize(std::min(next.reason.size(), kMostReason));
+  }
+  // One that has ended checks nothing any more.
+  if (op.compact && Ended(op.step)) {
+    auto spec = std::make_shared<RolloutSpec>(*record.spec);
+    spec->check.path = HealthCheck().path;
+    spec->check.verdict = HealthCheck().verdict;
+    next.spec = std::move(spec);
+  }
   // A wish that came while the step was being written stands.
   if (next.wish == op.wish) next.wish = RolloutWish::kNone;
   return next;
@@ -251,11 +263,10 @@
                                 : nullptr;
   const JobRecord* job = ends ? catalog_.FindJob(*ends) : nullptr;
   if (job != nullptr && job->final_state == FinalState::kNone) {
-    JobRecord ended = *job;
-    ended.final_state = FinalState::kAborted;
     const std::string job_key = keys::Of(keys::kJob, *ends);
     txn->conditions.push_back({job_key, job->stamp});
-    txn->changes.push_back({job_key, ended});
+    txn->changes.push_back(
+        {job_key, EndedRecord(*job, FinalState::kAborted, op.compact)});
   }
   return true;
 }
@@ -289,9 +300,9 @@
       job->second->live()) {
     if (revision > 0) {
       if (const JobRecord* record = catalog_.FindJob(ends)) {
-        JobRecord ended = *record;
-        ended.final_state = FinalState::kAborted;
-        catalog_.Put(keys::Of(keys::kJob, ends), ended, revision);
+        catalog_.Put(keys::Of(keys::kJob, ends),
+                     EndedRecord(*record, FinalState::kAborted, op.compact),
+                     revision);
       }
     }
     job->second->Change(JobState::kRecordingAbort);
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -277,22 +277,34 @@
       break;
   }
   rental.Change(RentalState::kSettled);
-  // In pieces that fit a transaction with the removal of the record.
-  const auto piece =
-      static_cast<size_t>(std::max(1, settings_.state.txn_ops - 1));
-  if (hosts.size() <= piece) {
-    writes_.Queue({WriteKind::kRentalSettle, name, FinalState::kNone, hosts});
-  } else {
-    // Left to their reports, which record them as well.
-    writes_.Queue({WriteKind::kRentalSettle,
-                   name,
-                   FinalState::kNone,
-                   {hosts.begin(), hosts.begin() + static_cast<long>(piece)}});
+  rental.hosts = hosts;
+  for (const std::string& host : hosts) {
+    WriteOp op{WriteKind::kRentedMachine, host};
+    op.reason = name;
+    writes_.Queue(std::move(op));
   }
+  SettleRental(name);
   next_supply_ = std::min(next_supply_, now + 0.1 * settings_.workers.report_s);
   writes_.Flush(now);
 }
 
+// Its machines are recorded one by one, as many in a transaction as go into
+// it, and the rental's own record goes last: whoever leads until then repeats
+// the request, which names the same machines, and records what is missing.
+void Controller::SettleRental(const std::string& name) {
+  const auto it = rentals_.find(name);
+  if (it == rentals_.end() || it->second.state != RentalState::kSettled) return;
+  const auto open = [this](const std::string& host) {
+    return machine_index_.contains(host) && !catalog_.machines().contains(host);
+  };
+  const std::vector<std::string>& hosts = it->second.hosts;
+  if (catalog_.rentals().contains(name) &&
+      std::any_of(hosts.begin(), hosts.end(), open)) {
+    return;
+  }
+  writes_.Queue({WriteKind::kRentalSettle, name});
+}
+
 void Controller::OnDeleteAnswer(const std::vector<std::string>& hosts, bool ok,
                                 Time now) {
   for (const std::string& host : hosts) {
--- a/core/controller/write_queue.cc
+++ b/core/controller/write_queue.cc
@@ -78,6 +78,13 @@
     *waits = std::move(op);
     return;
   }
+  const auto aside = std::find_if(aside_.begin(), aside_.end(),
+                                  [&](const Aside& a) { return same(a.op); });
+  if (renews && aside != aside_.end()) {
+    aside_.erase(aside);
+  } else if (aside != aside_.end()) {
+    return;
+  }
   if (waits != queue.end() ||
       std::any_of(in_flight_.begin(), in_flight_.end(), same)) {
     return;
@@ -85,8 +92,18 @@
   queue.push_back(std::move(op));
 }
 
+bool WriteQueue::Fits(const WriteTransaction& txn) const {
+  // "Four times that many conditions", as the protocol says.
+  constexpr size_t kConditionsEach = 4;
+  const auto limit = static_cast<size_t>(settings_.state.txn_ops);
+  return txn.changes.size() <= limit &&
+         txn.conditions.size() + mandate_.size() <= kConditionsEach * limit &&
+         Weight(txn) <= kMaxWeight;
+}
+
 void WriteQueue::Flush(Time now) {
   if (phase_ != kIdle || now < not_before_) return;
+  TakeUpAside(now);
   WriteTransaction txn;
   const auto limit = static_cast<size_t>(settings_.state.txn_ops);
   for (std::deque<WriteOp>* queue : {&urgent_, &lazy_}) {
@@ -100,14 +117,14 @@
         continue;
       }
       if (!in_flight_.empty() &&
-          (longer.changes.size() > limit || Weight(longer) > kMaxWeight)) {
+          (in_flight_.size() >= most_ops_ || !Fits(longer))) {
         break;
       }
       txn = std::move(longer);
       in_flight_.push_back(op);
       queue->pop_front();
     }
-    if (txn.changes.size() >= limit) break;
+    if (txn.changes.size() >= limit || in_flight_.size() >= most_ops_) break;
   }
   if (in_flight_.empty()) return;
   in_flight_keys_.clear();
@@ -129,6 +146,32 @@
   in_flight_.clear();
 }
 
+void WriteQueue::Split(Time now) {
+  if (in_flight_.size() > 1) {
+    most_ops_ = in_flight_.size() / 2;
+    PutBack();
+    return;
+  }
+  most_ops_ = SIZE_MAX;
+  WriteOp op = std::move(in_flight_.front());
+  in_flight_.clear();
+  if (!op.compact) {
+    op.compact = true;
+    urgent_.push_front(std::move(op));
+    return;
+  }
+  actions_.push_back(Note{"the state service does not take a write about " +
+                          op.name + ": too large"});
+  aside_.push_back({now + settings_.workers.lease_s, std::move(op)});
+}
+
+void WriteQueue::TakeUpAside(Time now) {
+  while (!aside_.empty() && aside_.front().until <= now) {
+    lazy_.push_back(std::move(aside_.front().op));
+    aside_.pop_front();
+  }
+}
+
 bool WriteQueue::OnAnswer(uint64_t id, WriteOutcome outcome, uint64_t revision,
                           const std::vector<std::string>& failed, Time now) {
   if (id != id_ || phase_ != kWriting) return true;
@@ -146,6 +189,10 @@
       PutBack();
       break;
     }
+    case WriteOutcome::kRefused:
+      Change(WriteEvent::kAnswered);
+      Split(now);
+      break;
     case WriteOutcome::kConflict:
       for (const Condition& c : mandate_) {
         if (std::find(failed.begin(), failed.end(), c.key) != failed.end()) {
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -25,7 +25,8 @@
   kMachineUp,
   kMachineForget,
   kRental,
-  kRentalSettle,
+  kRentedMachine,  // a machine of the rental that WriteOp::reason names
+  kRentalSettle,   // once all of its machines stand
   kRollout,
   kOperator,      // a record of a subsystem's own, see OperatorRecord
   kRestore,       // a record that is owed to the state service
@@ -38,7 +39,8 @@
   WriteKind kind;
   std::string name;
   FinalState final_state = FinalState::kNone;
-  std::vector<std::string> hosts = {};
+  // Refused for its size: what it writes goes without what can be spared.
+  bool compact = false;
   // Of a roll-out: the step to record, why, and the wish that it fulfils.
   RolloutStep step = RolloutStep::kDeclared;
   std::string reason = {};
@@ -91,12 +93,20 @@
 
   WritePhase phase() const { return phase_; }
   size_t waiting() const { return urgent_.size() + lazy_.size(); }
+  // Writes that the state service does not take for their size.
+  size_t set_aside() const { return aside_.size(); }
 
  private:
   // The one function for a change.
   void Change(WriteEvent event);
   // What was under way waits again, in front.
   void PutBack();
+  // Sent again as it is, the same transaction would be refused for ever: fewer
+  // ops go at once, and one that is refused by itself goes in its compact form;
+  // refused in that, too, it is set aside, so that it holds up no other.
+  void Split(Time now);
+  void TakeUpAside(Time now);
+  bool Fits(const WriteTransaction& txn) const;
 
   const Settings& settings_;
   const std::vector<Condition> mandate_;
@@ -104,7 +114,13 @@
   std::vector<Action>& actions_;
   std::deque<WriteOp> urgent_;
   std::deque<WriteOp> lazy_;
+  struct Aside {
+    Time until = 0;
+    WriteOp op;
+  };
+  std::deque<Aside> aside_;
   std::vector<WriteOp> in_flight_;
+  size_t most_ops_ = SIZE_MAX;  // at once; lowered by refusals
   std::vector<std::string> in_flight_keys_;
   WritePhase phase_ = WritePhase::kIdle;
   uint64_t id_ = 0;  // of the transaction or the read under way
--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -1,6 +1,10 @@
 // What each kind of the leader's writes changes, conditioned on what is known
 // of the keys, and what follows once it stands.
 
+#include <algorithm>
+#include <memory>
+#include <utility>
+
 #include "core/controller/controller.h"
 
 namespace oxbow {
@@ -11,8 +15,7 @@
       if (record == nullptr || record->final_state != FinalState::kNone) {
         return false;
       }
-      JobRecord next = *record;
-      next.final_state = op.final_state;
+      const JobRecord next = EndedRecord(*record, op.final_state, op.compact);
       const std::string key = keys::Of(keys::kJob, op.name);
       txn->conditions.push_back({key, record->stamp});
       txn->changes.push_back({key, next});
@@ -61,25 +64,31 @@
       txn->changes.push_back({key, rentals_.at(op.name).record});
       return true;
     }
+    case WriteKind::kRentedMachine: {
+      // Without the rental it is a late answer to one that is settled. One
+      // that has reported meanwhile is recorded with its address (kMachineUp).
+      const auto rental = catalog_.rentals().find(op.reason);
+      const auto index = machine_index_.find(op.name);
+      if (rental == catalog_.rentals().end() || index == machine_index_.end() ||
+          !machines_[index->second]->endpoint.empty() ||
+          catalog_.machines().contains(op.name)) {
+        return false;
+      }
+      const std::string key = keys::Of(keys::kMachine, op.name);
+      txn->conditions.push_back(
+          {keys::Of(keys::kRental, op.reason), rental->second.stamp});
+      txn->conditions.push_back({key, 0});
+      txn->changes.push_back(
+          {key,
+           RecordOfRented(rental->second, machines_[index->second]->rented)});
+      return true;
+    }
     case WriteKind::kRentalSettle: {
       const auto it = catalog_.rentals().find(op.name);
       if (it == catalog_.rentals().end()) return false;
       const std::string key = keys::Of(keys::kRental, op.name);
       txn->conditions.push_back({key, it->second.stamp});
       txn->changes.push_back({key, {}});
-      for (const std::string& host : op.hosts) {
-        if (catalog_.machines().contains(host)) continue;
-        const std::string machine = keys::Of(keys::kMachine, host);
-        const RentalRecord& rental = it->second;
-        txn->conditions.push_back({machine, 0});
-        const auto index = machine_index_.find(host);
-        const Time rented = index == machine_index_.end()
-                                ? 0
-                                : machines_[index->second]->rented;
-        txn->changes.push_back(
-            {machine, MachineRecord{rental.type, rental.zone, rental.spot, "",
-                                    rented + wall_minus_steady_, 0}});
-      }
       return true;
     }
     case WriteKind::kRollout:
@@ -107,6 +116,16 @@
   return false;
 }
 
+MachineRecord Controller::RecordOfRented(const RentalRecord& rental,
+                                         Time rented) const {
+  return {rental.type,
+          rental.zone,
+          rental.spot,
+          "",
+          rented + wall_minus_steady_,
+          0};
+}
+
 void Controller::OnWriteAnswer(uint64_t id, WriteOutcome outcome,
                                uint64_t revision,
                                const std::vector<std::string>& failed,
@@ -124,9 +143,10 @@
   switch (op.kind) {
     case WriteKind::kFinish: {
       if (revision > 0) {
-        JobRecord record = *catalog_.FindJob(op.name);
-        record.final_state = op.final_state;
-        catalog_.Put(keys::Of(keys::kJob, op.name), record, revision);
+        catalog_.Put(
+            keys::Of(keys::kJob, op.name),
+            EndedRecord(*catalog_.FindJob(op.name), op.final_state, op.compact),
+            revision);
       }
       const JobRecord* record = catalog_.FindJob(op.name);
       const FinalState state =
@@ -186,21 +206,27 @@
       Request(op.name, now);
       break;
     }
-    case WriteKind::kRentalSettle: {
+    case WriteKind::kRentedMachine: {
+      const Machine* m = FindMachine(op.name);
+      const auto rental = catalog_.rentals().find(op.reason);
+      if (revision > 0 && rental != catalog_.rentals().end()) {
+        catalog_.Put(keys::Of(keys::kMachine, op.name),
+                     RecordOfRented(rental->second, m ? m->rented : now),
+                     revision);
+        // Deleted while its record was under way.
+        if (m == nullptr) {
+          writes_.Queue({WriteKind::kMachineForget, op.name}, /*lazy=*/true);
+        }
+      }
+      SettleRental(op.reason);
+      break;
+    }
+    case WriteKind::kRentalSettle:
       if (revision > 0) {
         catalog_.Erase(keys::Of(keys::kRental, op.name), revision);
-        for (const std::string& host : op.hosts) {
-          const Machine* m = FindMachine(host);
-          if (m == nullptr || catalog_.machines().contains(host)) continue;
-          catalog_.Put(keys::Of(keys::kMachine, host),
-                       MachineRecord{m->type_name, m->zone, m->spot, "",
-                                     m->rented + wall_minus_steady_, 0},
-                       revision);
-        }
       }
       rentals_.erase(op.name);
       break;
-    }
     case WriteKind::kRollout:
       RolloutOpDone(op, revision, now);
       break;
--- a/core/model/job.cc
+++ b/core/model/job.cc
@@ -1,6 +1,8 @@
 #include "core/model/job.h"
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace oxbow {
 namespace {
@@ -52,8 +54,32 @@
 
 bool OnMachine(TaskState state) { return state != kPending && state != kDone; }
 
+// At most so many bytes of the word, and no part of a character.
+std::string Cut(const std::string& word, size_t most) {
+  const auto within = [](char c) {
+    return (static_cast<unsigned char>(c) & 0xc0) == 0x80;
+  };
+  if (word.size() <= most) return word;
+  while (most > 0 && within(word[most])) --most;
+  return word.substr(0, most);
+}
+
 }  // namespace
 
+JobRecord EndedRecord(const JobRecord& record, FinalState state, bool compact) {
+  constexpr size_t kMostWord = 64;
+  JobRecord ended = record;
+  ended.final_state = state;
+  if (!compact) return ended;
+  auto spec = std::make_shared<JobSpec>(*record.spec);
+  spec->types.reset();
+  spec->waits_on.clear();
+  spec->image = Cut(spec->image, kMostWord);
+  spec->job_class = Cut(spec->job_class, kMostWord);
+  ended.spec = std::move(spec);
+  return ended;
+}
+
 bool JobSpec::AllowsType(const std::string& type) const {
   return !types ||
          std::find(types->begin(), types->end(), type) != types->end();
--- a/core/model/job.h
+++ b/core/model/job.h
@@ -105,6 +105,11 @@
   uint64_t stamp = 0;
 };
 
+// The record of a job that has ended. `compact`: without the words that may be
+// long, which what starts no task any more does not need; so one that was
+// accepted when the state service took larger values can still end.
+JobRecord EndedRecord(const JobRecord& record, FinalState state, bool compact);
+
 enum class TaskState : uint8_t {
   kPending,   // nowhere, to be placed
   kStarting,  // start sent or queued, not yet seen
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -1,6 +1,7 @@
 // What the platform's settings file says, as plain data.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -46,6 +47,17 @@
   double write_rps = 100;
   double value_kb = 8;
   int txn_ops = 16;
+  // What is stored may be larger than what may be written: the service may
+  // lower its limits, and what it holds stays readable.
+  double stored_value_kb = 8;
+
+  size_t most_value_bytes() const {
+    return static_cast<size_t>(value_kb * 1024);
+  }
+  // Whether a transaction may hold so many changes.
+  bool Takes(size_t changes) const {
+    return changes <= static_cast<size_t>(txn_ops);
+  }
 };
 
 struct CloudSettings {
--- a/core/tiers/tiers.cc
+++ b/core/tiers/tiers.cc
@@ -1,5 +1,6 @@
 #include "core/tiers/tiers.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <cstdio>
@@ -67,6 +68,14 @@
   return bounds;
 }
 
+TierBounds TierBounds::OfStored(const Settings& settings) {
+  TierBounds bounds = From(settings);
+  bounds.most_text =
+      std::max(bounds.most_text,
+               static_cast<size_t>(settings.state.stored_value_kb * 1024));
+  return bounds;
+}
+
 bool TierMatch::Matches(const JobSpec& spec) const {
   return Has(classes, spec.job_class) && Has(teams, spec.team) &&
          Has(priorities, spec.priority) && Has(kinds, spec.kind);
--- a/core/tiers/tiers.h
+++ b/core/tiers/tiers.h
@@ -25,6 +25,8 @@
   double usual_floor_s = 120;  // of a tier that names none
 
   static TierBounds From(const Settings& settings);
+  // Of a set that stands already, perhaps since larger values were taken.
+  static TierBounds OfStored(const Settings& settings);
 };
 
 // An empty list matches everything.
--- /dev/null
+++ b/tests/limits_test.cc
@@ -0,0 +1,56 @@
+// What is stored and larger than what the state service takes now.
+
+#include <gtest/gtest.h>
+
+#include "app/record_history.h"
+#include "wire/records.h"
+
+namespace oxbow {
+namespace {
+
+constexpr size_t kMostBytes = 2048;
+
+TEST(SmallerLimits, AnEarlierVersionIsKeptInPiecesAndReadWhole) {
+  OperatorRecord record;
+  record.kind = "tiers";
+  record.version = 7;
+  record.author = "ops";
+  record.note = "grown";
+  for (int i = 0; record.text.size() < 7000; ++i) {
+    record.text += "\"t\u00e9" + std::to_string(i) + "\\\"\"";
+  }
+  const auto pieces = app::PiecesOf("tiers", record, kMostBytes);
+  EXPECT_GT(pieces.size(), 3U);
+  std::vector<clients::KeyValue> stored;
+  for (const auto& [key, piece] : pieces) {
+    EXPECT_LE(wire::EncodeRecord(piece).size(), kMostBytes);
+    EXPECT_TRUE(key.starts_with(app::PiecesPrefix("tiers", 7))) << key;
+    EXPECT_TRUE(stored.empty() || stored.back().key < key);
+    stored.push_back({key, piece, 1, 0});
+  }
+  const auto joined = app::JoinPieces(stored);
+  ASSERT_EQ(joined.size(), 1U);
+  EXPECT_EQ(joined[0].text, record.text);
+  record.text = "{}";
+  EXPECT_EQ(app::PiecesOf("tiers", record, kMostBytes).size(), 1U);
+}
+
+TEST(SmallerLimits, ALargeJobCanStillEnd) {
+  auto spec = std::make_shared<JobSpec>();
+  spec->id = "job-000001";
+  spec->team = "t";
+  spec->job_class = std::string(500, 'c');
+  for (int i = 0; spec->image.size() < 3000; ++i) spec->image += "\u00e9";
+  spec->types = std::vector<std::string>(200, "a-machine-type");
+  const JobRecord ended =
+      EndedRecord({spec, 0, FinalState::kNone, 0}, FinalState::kDone, true);
+  EXPECT_LE(wire::EncodeRecord(ended).size(), kMostBytes);
+  rapidjson::Document doc;
+  doc.Parse(wire::EncodeRecord(ended).c_str());
+  Record read;
+  ASSERT_TRUE(wire::DecodeRecord(keys::Of(keys::kJob, spec->id), doc, &read));
+  EXPECT_EQ(std::get<JobRecord>(read).final_state, FinalState::kDone);
+}
+
+}  // namespace
+}  // namespace oxbow
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -175,9 +175,11 @@
       sim_.late_writes->random.seed(
           static_cast<uint64_t>(Number(o, "seed", 1)));
     } else if (verb == "state") {
-      // state down | up | epoch | loses-all
+      // state down | up | epoch | loses-all | takes
       words >> word;
-      if (word == "epoch") {
+      if (word == "takes") {  // so many changes in a transaction
+        words >> sim_.state_takes;
+      } else if (word == "epoch") {
         sim_.OpenEpoch();
       } else if (word == "loses-all") {
         sim_.LoseRecords();
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -60,6 +60,29 @@
   EXPECT_NE(app::ParseSettings("{", &s), "");
 }
 
+TEST(Settings, TheSmallerOfTheLimitsNowAndNextHold) {
+  const std::string next =
+      Replace(kGood, "\"txn_ops\": 8",
+              R"("txn_ops": 8, "value_kb": 8, "write_rps": 100,
+         "next": {"value_kb": 2, "txn_ops": 5, "write_rps": 70, "rps": 300})");
+  Settings s;
+  ASSERT_EQ(app::ParseSettings(next, &s), "");
+  EXPECT_EQ(s.state.txn_ops, 5);
+  EXPECT_EQ(s.state.value_kb, 2);
+  EXPECT_EQ(s.state.write_rps, 70);
+  EXPECT_EQ(s.state.rps, 100);
+  // What stands may have been written before.
+  EXPECT_EQ(s.state.stored_value_kb, 8);
+  for (const auto& [from, to, field] : std::vector<std::array<std::string, 3>>{
+           {"\"txn_ops\": 5", "\"txn_ops\": 0", "next, txn_ops"},
+           {"\"value_kb\": 2", "\"value_kb\": \"2\"", "next, value_kb"},
+           {"\"next\": {", "\"next\": 3, \"x\": {", "next"}}) {
+    Settings bad;
+    const std::string error = app::ParseSettings(Replace(next, from, to), &bad);
+    EXPECT_EQ(error.rfind(field, 0), 0U) << error;
+  }
+}
+
 TEST(Tuning, IsReadFromTheOperatorsFile) {
   const std::string path = testing::TempDir() + "tuning.conf";
   std::ofstream(path) << "placement { fetch_weight = 2.5 }\n"
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -917,6 +917,10 @@
     After(kLatency, [answer] { answer(WriteOutcome::kNotExecuted, 0, {}); });
     return;
   }
+  if (txn.changes.size() > state_takes) {
+    After(kLatency, [answer] { answer(WriteOutcome::kRefused, 0, {}); });
+    return;
+  }
   Fate fate = std::exchange(next_write, Fate::kNormal);
   double late = next_write_late_s;
   double again = std::exchange(next_write_again_s, 0);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -139,7 +139,8 @@
   std::map<std::string, int> capacity;  // per type; absent: no limit
   bool never_boot = false;
   bool state_down = false;
-  bool by_promises = false;  // what the right to lead rests on
+  size_t state_takes = SIZE_MAX;  // changes in a transaction; more: refused
+  bool by_promises = false;       // what the right to lead rests on
   // In a storm: without a leader in an outage, the other controllers answer
   // whatever worker reaches them, without orders and knowing nothing.
   bool tended = false;
--- a/tests/write_queue_test.cc
+++ b/tests/write_queue_test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace oxbow {
@@ -16,6 +17,9 @@
 
   bool Build(const WriteOp& op, WriteTransaction* txn) const override {
     if (already_so_.contains(op.name)) return false;
+    for (int i = 0; i < conditions_each_; ++i) {
+      txn->conditions.push_back({keys::Of(keys::kMachine, op.name), 0});
+    }
     for (int i = 0; i < changes_each_; ++i) {
       txn->changes.push_back(
           {keys::Of(keys::kMachine, op.name + std::to_string(i)), {}});
@@ -39,6 +43,7 @@
   std::vector<Action> actions_;
   std::set<std::string> already_so_;
   int changes_each_ = 1;
+  int conditions_each_ = 0;
   std::vector<std::pair<std::string, uint64_t>> done_;
   WriteQueue queue_{
       settings_, {{std::string(keys::kLeader), 77}}, *this, actions_};
@@ -129,5 +134,39 @@
   EXPECT_EQ(Last<WriteTransaction>().changes.size(), 9U);
 }
 
+// As it is, the same transaction would be refused for ever.
+TEST_F(Writes, WhatIsRefusedForItsSizeIsSplitAndHoldsUpNothing) {
+  for (const char* name : {"a", "b", "large", "c"}) Ask(name);
+  queue_.Flush(0);
+  int sent = 0;
+  // Refuses whatever holds the large one, until nothing is sent any more.
+  for (; queue_.phase() == WritePhase::kWriting; ++sent) {
+    ASSERT_LT(sent, 20);
+    const auto txn = Last<WriteTransaction>();
+    const bool large = std::any_of(
+        txn.changes.begin(), txn.changes.end(), [](const KeyChange& change) {
+          return change.key == keys::Of(keys::kMachine, "large0");
+        });
+    EXPECT_TRUE(queue_.OnAnswer(
+        txn.id, large ? WriteOutcome::kRefused : WriteOutcome::kApplied, 80, {},
+        1));
+  }
+  EXPECT_EQ(done_.size(), 3U);
+  EXPECT_EQ(queue_.set_aside(), 1U);
+  Ask("large");  // waits already
+  queue_.Flush(2);
+  EXPECT_EQ(queue_.phase(), WritePhase::kIdle);
+  queue_.Flush(2 + settings_.workers.lease_s);
+  EXPECT_EQ(queue_.phase(), WritePhase::kWriting);
+}
+
+TEST_F(Writes, HoldNoMoreConditionsThanATransactionTakes) {
+  conditions_each_ = 5;
+  for (const char* name : {"a", "b", "c", "d"}) Ask(name);
+  queue_.Flush(0);
+  // Four times `txn_ops`, the leader key among them.
+  EXPECT_EQ(Last<WriteTransaction>().changes.size(), 3U);
+}
+
 }  // namespace
 }  // namespace oxbow
