Chains at the edge: acceptance, fresh reads, and from when on they are taken

A submission with `waits_on` is accepted by one conditional write under ob/live/w/ (neither waiting, nor live, nor ended), or straight under ob/live/j/ when all that it names is recorded as done. 400 names the field; a name that was never accepted, by a fresh read, is 422; what can't be told 503. A fresh read looks at w, j and final in this order; hints, relays (kRelayChain, which the version in production answers with "no"), hand-ins after a loss and the audit know jobs that wait.

The earlier version ignores ob/live/w/: it would answer 404 for such a job, and start it when it is submitted again. So it is taken only once every controller of the settings has recorded the present version under ob/live/v/, and a mark has been recorded, which is never taken back (core/upgrade/version_gate).

--- a/api/api.cc
+++ b/api/api.cc
@@ -117,6 +117,9 @@
       co_return co_await Refuse(id, 503, "state unknown");
     case Submitted::Result::kTooLarge:
       co_return co_await Refuse(id, 400, "description too large");
+    case Submitted::Result::kNamesUnknown:
+      co_return co_await Refuse(
+          id, 422, "field waits_on names a job that was never accepted");
     case Submitted::Result::kTryLater:
       break;
   }
--- a/api/api.h
+++ b/api/api.h
@@ -25,7 +25,7 @@
 };
 
 struct Submitted {
-  enum class Result { kAccepted, kKnown, kTooLarge, kTryLater };
+  enum class Result { kAccepted, kKnown, kTooLarge, kNamesUnknown, kTryLater };
   Result result = Result::kTryLater;
 };
 
--- a/app/node.cc
+++ b/app/node.cc
@@ -123,8 +123,17 @@
                  [this] { dealings_.LeaveOffice(); }}),
       dealings_(loop, settings, tuning, catalog_, state_, cloud_, follower_,
                 election_, fitness_desk_, zone_desk_, recovery_),
+      version_desk_(
+          loop, settings, catalog_, state_,
+          {[this] { return follower_.synced(); },
+           [this] { return recovery_.MayAccept(); },
+           [this](std::vector<Condition>* conditions) {
+             recovery_.AddGuard(conditions);
+           },
+           [this](const std::string& key, const Record& record,
+                  uint64_t stamp) { follower_.Apply(key, record, stamp); }}),
       users_(loop, settings, catalog_, state_, follower_, election_, dealings_,
-             peers_, zone_desk_, recovery_),
+             peers_, zone_desk_, recovery_, version_desk_),
       rollout_desk_(
           settings, tuning, catalog_, state_,
           {[this](const std::string& key, const Record& record,
@@ -166,6 +175,7 @@
   recovery_.Start();
   zone_desk_.Start();
   dealings_.Start();
+  version_desk_.Start();
 }
 
 net::Task<PeerMessage> Node::OnPeer(PeerMessage message) {
--- a/app/node.h
+++ b/app/node.h
@@ -16,6 +16,7 @@
 #include "app/recovery_desk.h"
 #include "app/rollout_desk.h"
 #include "app/users.h"
+#include "app/version_desk.h"
 #include "app/zone_desk.h"
 #include "clients/cloud.h"
 #include "clients/peer.h"
@@ -48,6 +49,7 @@
   RecoveryDesk recovery_;
   Election election_;
   Dealings dealings_;
+  VersionDesk version_desk_;
   Users users_;
   RolloutDesk rollout_desk_;
   api::RolloutRoutes rollout_routes_;
--- a/app/recovery_desk.cc
+++ b/app/recovery_desk.cc
@@ -39,6 +39,14 @@
   return fmt::format("{:08x}{:08x}", device(), device());
 }
 
+// The job that a record of one that waits or lives is about; empty for others.
+std::string JobOf(const std::string& key) {
+  for (const std::string_view prefix : {keys::kJob, keys::kWaiting}) {
+    if (key.starts_with(prefix)) return key.substr(prefix.size());
+  }
+  return {};
+}
+
 bool Answered(const StateResult& result) {
   return result.ok() || result.status == StateStatus::kNotFound;
 }
@@ -138,14 +146,15 @@
 }
 
 net::Task<CheckSays> RecoveryDesk::IsDeleted(std::string key) {
-  if (!key.starts_with(keys::kJob)) co_return CheckSays::kStands;
+  const std::string id = JobOf(key);
+  if (id.empty()) co_return CheckSays::kStands;
   if (catalog_.owed().contains(key)) {
     // It was never there; but it may have ended, which its write stumbles over.
-    const CheckSays found = co_await LookForJob(key.substr(keys::kJob.size()));
+    const CheckSays found = co_await LookForJob(id);
     co_return found == CheckSays::kNoAnswer ? found : CheckSays::kStands;
   }
   if (catalog_.VersionOf(key).stamp == 0) co_return CheckSays::kStands;
-  const CheckSays says = co_await LookForJob(key.substr(keys::kJob.size()));
+  const CheckSays says = co_await LookForJob(id);
   if (says == CheckSays::kGone) Sign(LossSign::kRecordMissing, key);
   co_return says;
 }
@@ -210,7 +219,8 @@
   if (stale()) co_return;
   std::vector<std::string> handed;
   for (const auto& [key, version] : catalog_.owed()) {
-    if (key.starts_with(keys::kJob) || key.starts_with(keys::kOperator)) {
+    if (key.starts_with(keys::kJob) || key.starts_with(keys::kWaiting) ||
+        key.starts_with(keys::kOperator)) {
       handed.push_back(key);
     }
   }
@@ -234,16 +244,20 @@
 }
 
 net::Task<bool> RecoveryDesk::HandInRecord(std::string key, size_t* count) {
-  const bool is_job = key.starts_with(keys::kJob);
-  const std::string id = is_job ? key.substr(keys::kJob.size()) : "";
+  const std::string id = JobOf(key);
+  const bool is_job = !id.empty();
   const Record record = catalog_.RecordOf(key);
   if (!catalog_.owed().contains(key) ||
       std::holds_alternative<std::monostate>(record) ||
       (is_job && catalog_.FindFinal(id) != FinalState::kNone)) {
     co_return true;
   }
+  // Whatever has become of the job meanwhile.
   std::vector<Condition> conditions{{key, 0}};
   if (is_job) conditions.push_back({keys::Of(keys::kFinal, id), 0});
+  if (key.starts_with(keys::kWaiting)) {
+    conditions.push_back({keys::Of(keys::kJob, id), 0});
+  }
   AddGuard(&conditions);
   std::vector<KeyChange> changes{{key, record}};
   const StateResult written = co_await state_.Write(
@@ -253,10 +267,12 @@
     follower_.Apply(key, record, written.revision);
     co_return true;
   }
+  // Too large for the limits of today: it stays remembered here.
+  if (written.status == StateStatus::kRefused) co_return true;
   if (written.status != StateStatus::kConflict) co_return false;
   if (GuardFailed(written.failed) || !is_job) co_return true;
-  // It is there, or has ended.
-  const CheckSays says = co_await LookForJob(id);
+  // It is there, or has gone on.
+  const CheckSays says = co_await LookForRecord(key);
   co_return says == CheckSays::kStands;
 }
 
@@ -357,6 +373,12 @@
     co_return co_await LookForJob(std::move(id));
   }
   const StateResult there = co_await state_.Get(key, Urgency::kLeader);
+  // One that does not wait any more has been released or has ended.
+  if (key.starts_with(keys::kWaiting) &&
+      there.status == StateStatus::kNotFound) {
+    std::string id = JobOf(key);
+    co_return co_await LookForJob(std::move(id));
+  }
   const uint64_t known = catalog_.VersionOf(key).stamp;
   // Deleted by the leader since, and followed.
   if (known == 0) co_return CheckSays::kStands;
@@ -368,9 +390,15 @@
 net::Task<bool> RecoveryDesk::Finds(std::string key, uint64_t stamp) {
   const StateResult there = co_await state_.Get(key, Urgency::kLeader);
   if (there.ok()) co_return there.items[0].stamp >= stamp;
-  if (!key.starts_with(keys::kJob)) co_return false;
-  const StateResult ended = co_await state_.Get(
-      keys::Of(keys::kFinal, key.substr(keys::kJob.size())), Urgency::kLeader);
+  const std::string id = JobOf(key);
+  if (id.empty()) co_return false;
+  if (key.starts_with(keys::kWaiting)) {
+    const StateResult live =
+        co_await state_.Get(keys::Of(keys::kJob, id), Urgency::kLeader);
+    if (live.ok()) co_return true;
+  }
+  const StateResult ended =
+      co_await state_.Get(keys::Of(keys::kFinal, id), Urgency::kLeader);
   co_return ended.ok();
 }
 
@@ -861,14 +889,15 @@
     }
   };
   compare(catalog_.jobs(), keys::kJob);
+  compare(catalog_.waiting(), keys::kWaiting);
   compare(catalog_.machines(), keys::kMachine);
   compare(catalog_.rentals(), keys::kRental);
   if (missing.empty()) missing = Revived();
   if (missing.empty()) co_return;
-  if (missing.starts_with(keys::kJob)) {
-    // It may have ended at this moment.
-    const CheckSays says =
-        co_await LookForJob(missing.substr(keys::kJob.size()));
+  std::string id = JobOf(missing);
+  if (!id.empty()) {
+    // It may have gone on at this moment.
+    const CheckSays says = co_await LookForJob(std::move(id));
     if (says != CheckSays::kGone) co_return;
   }
   Sign(LossSign::kRecordMissing, missing);
@@ -1003,8 +1032,7 @@
       break;
     }
     case PeerKind::kKnown:
-      if (catalog_.FindJob(message.job_id) != nullptr ||
-          catalog_.FindFinal(message.job_id) != FinalState::kNone) {
+      if (catalog_.Accepted(message.job_id)) {
         reply->answer = PeerAnswer::kYes;
       }
       break;
--- a/app/users.cc
+++ b/app/users.cc
@@ -60,7 +60,7 @@
              clients::StateClient& state, Follower& follower,
              Election& election, Dealings& dealings,
              const FitnessDesk::Peers& peers, ZoneDesk& zone_desk,
-             RecoveryDesk& recovery)
+             RecoveryDesk& recovery, VersionDesk& versions)
     : loop_(loop),
       settings_(settings),
       catalog_(catalog),
@@ -70,6 +70,11 @@
       dealings_(dealings),
       zone_desk_(zone_desk),
       recovery_(recovery),
+      versions_(versions),
+      admission_(catalog, {[this] { return versions_.Open(); },
+                           [this](std::string id) {
+                             return WasAccepted(std::move(id));
+                           }}),
       relays_(loop, settings, election, peers) {}
 
 bool Users::Ready() {
@@ -81,10 +86,7 @@
   return follower_.types().empty() ? nullptr : &follower_.types();
 }
 
-bool Users::KnownHere(const std::string& id) {
-  return catalog_.FindJob(id) != nullptr ||
-         catalog_.FindFinal(id) != FinalState::kNone;
-}
+bool Users::KnownHere(const std::string& id) { return catalog_.Accepted(id); }
 
 bool Users::FinalKnown(const std::string& id, api::Status* out) const {
   FinalRecord end = catalog_.FindEnd(id);
@@ -131,9 +133,46 @@
   return true;
 }
 
+net::Task<ChainAdmission::Accepted> Users::ReadWaiting(std::string id) {
+  using Accepted = ChainAdmission::Accepted;
+  const std::string key = keys::Of(keys::kWaiting, id);
+  const StateResult read = co_await state_.Get(key, Urgency::kUser);
+  if (read.status == StateStatus::kNotFound) co_return Accepted::kNo;
+  if (!read.ok()) co_return Accepted::kCannotTell;
+  follower_.Apply(key, read.items[0].record, read.items[0].stamp);
+  dealings_.Perform();
+  // Released or ended since, by what is known here.
+  if (catalog_.FindWaiting(id) == nullptr) co_return Accepted::kNo;
+  co_return recovery_.MayTellLive(read.items[0].stamp) ? Accepted::kYes
+                                                       : Accepted::kCannotTell;
+}
+
+net::Task<ChainAdmission::Accepted> Users::WasAccepted(std::string id) {
+  using Accepted = ChainAdmission::Accepted;
+  const api::Status status = co_await FreshRead(std::move(id));
+  switch (status.found) {
+    case api::Status::Found::kYes:
+      co_return Accepted::kYes;
+    case api::Status::Found::kNo:
+      co_return Accepted::kNo;
+    default:
+      co_return Accepted::kCannotTell;
+  }
+}
+
 net::Task<api::Status> Users::FreshRead(std::string id, bool unseen) {
   api::Status status;
   if (!StateAnswers()) co_return status;
+  // In the order in which a job moves: to wait, to live, to have ended.
+  if (catalog_.FindJob(id) == nullptr) {
+    const ChainAdmission::Accepted waits = co_await ReadWaiting(id);
+    if (waits == ChainAdmission::Accepted::kCannotTell) co_return status;
+    if (waits == ChainAdmission::Accepted::kYes) {
+      status.found = api::Status::Found::kYes;
+      status.status = "pending";
+      co_return status;
+    }
+  }
   const StateResult live =
       co_await state_.Get(keys::Of(keys::kJob, id), Urgency::kUser);
   if (live.ok()) {
@@ -180,7 +219,7 @@
     co_return status;
   }
   if (EndTold(id, &status)) co_return status;
-  if (catalog_.FindJob(id) != nullptr || !recovery_.MayDeny()) {
+  if (catalog_.Accepted(id) || !recovery_.MayDeny()) {
     co_return status;
   }
   const CheckSays says = co_await recovery_.Check();
@@ -301,7 +340,11 @@
   const api::Submitted here = co_await SubmitHere(spec);
   const double left = from + kChangeWithin - loop_.Now();
   if (here.result != Result::kTryLater || left <= 0) co_return here;
-  PeerMessage relay = RelayOf(PeerKind::kRelaySubmit, spec->id);
+  const bool chain = !spec->waits_on.empty();
+  // One that runs an earlier version might be asked.
+  if (chain && !versions_.Open()) co_return here;
+  PeerMessage relay =
+      RelayOf(chain ? PeerKind::kRelayChain : PeerKind::kRelaySubmit, spec->id);
   relay.text =
       wire::EncodeRecord(JobRecord{spec, net::WallNow(), FinalState::kNone, 0});
   PeerMessage answer;
@@ -320,6 +363,9 @@
   if (answer.answer == PeerAnswer::kKnownJob) {
     co_return api::Submitted{Result::kKnown};
   }
+  if (chain && answer.answer == PeerAnswer::kUnknownJob) {
+    co_return api::Submitted{Result::kNamesUnknown};
+  }
   co_return here;
 }
 
@@ -356,48 +402,57 @@
   for (const auto& [id, job] : catalog_.jobs()) {
     if (job.final_state == FinalState::kNone) tasks += job.spec->tasks;
   }
-  if (!follower_.ever_synced() || zone_desk_.Apart() ||
-      catalog_.jobs().size() >= kMostLiveJobs || tasks > kMostLiveTasks) {
+  const size_t jobs = catalog_.jobs().size() + catalog_.waiting().size();
+  if (!follower_.ever_synced() || zone_desk_.Apart() || jobs >= kMostLiveJobs ||
+      tasks > kMostLiveTasks) {
     co_return api::Submitted{Result::kTryLater};
   }
-  const std::string key = keys::Of(keys::kJob, spec->id);
+  // Its record is written again when it is released, and when it ends.
+  constexpr size_t kGrowth = 64;
   const JobRecord record{spec, net::WallNow(), FinalState::kNone, 0};
-  if (wire::EncodeRecord(record).size() >
-      static_cast<size_t>(settings_.state.value_kb * 1024)) {
+  if (wire::EncodeRecord(record).size() + kGrowth >
+      settings_.state.most_value_bytes()) {
     co_return api::Submitted{Result::kTooLarge};
   }
   if (!recovery_.MayAccept() || !StateAnswers()) {
     co_return api::Submitted{Result::kTryLater};
   }
-  std::vector<Condition> conditions{{key, 0},
-                                    {keys::Of(keys::kFinal, spec->id), 0}};
+  const NamedJobs named = co_await admission_.Look(spec);
+  if (named == NamedJobs::kNeverAccepted) {
+    co_return api::Submitted{Result::kNamesUnknown};
+  }
+  if (named == NamedJobs::kCannotTell) {
+    co_return api::Submitted{Result::kTryLater};
+  }
+  co_return co_await Accept(std::move(spec), named);
+}
+
+net::Task<api::Submitted> Users::Accept(std::shared_ptr<const JobSpec> spec,
+                                        NamedJobs named) {
+  using Result = api::Submitted::Result;
+  const Acceptance acceptance = ChainAdmission::Of(spec, named, net::WallNow());
+  std::vector<Condition> conditions = acceptance.conditions;
   recovery_.AddGuard(&conditions);
-  std::vector<KeyChange> changes{{key, record}};
+  std::vector<KeyChange> changes{{acceptance.key, acceptance.record}};
   const StateResult result = co_await state_.Write(
       std::move(conditions), std::move(changes), Urgency::kUser);
   switch (result.status) {
-    case StateStatus::kOk: {
-      follower_.Apply(key, record, result.revision);
+    case StateStatus::kOk:
+      follower_.Apply(acceptance.key, acceptance.record, result.revision);
       dealings_.Perform();
-      if (clients::PeerClient* leader = election_.LeaderPeer()) {
-        PeerMessage hint;
-        hint.kind = PeerKind::kHint;
-        hint.node = settings_.node;
-        hint.job_id = spec->id;
-        hint.stamp = result.revision;
-        hint.text = wire::EncodeRecord(record);
-        net::Spawn(leader->Tell(std::move(hint)));
-      }
+      Hint(spec->id, acceptance, result.revision);
       // Who reads a day's log need not guess what each job was.
-      spdlog::debug("accepted {}: class {}, team {}, form {}, tasks {}",
+      spdlog::debug("accepted {}: class {}, team {}, form {}, tasks {}{}",
                     spec->id, spec->job_class, spec->team,
-                    wire::NameOf(wire::kJobKinds, spec->kind), spec->tasks);
+                    wire::NameOf(wire::kJobKinds, spec->kind), spec->tasks,
+                    acceptance.waits ? ", waits for others" : "");
       co_return api::Submitted{Result::kAccepted};
-    }
     case StateStatus::kConflict:
       co_return api::Submitted{recovery_.GuardFailed(result.failed)
                                    ? Result::kTryLater
                                    : Result::kKnown};
+    case StateStatus::kRefused:
+      co_return api::Submitted{Result::kTooLarge};
     case StateStatus::kUnknown: {
       const api::Status known = co_await FreshRead(spec->id);
       co_return api::Submitted{known.found == api::Status::Found::kYes
@@ -409,6 +464,18 @@
   }
 }
 
+void Users::Hint(const std::string& id, const Acceptance& acceptance,
+                 uint64_t revision) {
+  clients::PeerClient* leader = election_.LeaderPeer();
+  if (leader == nullptr) return;
+  PeerMessage hint = RelayOf(PeerKind::kHint, id);
+  hint.node = settings_.node;
+  hint.stamp = revision;
+  hint.running = acceptance.waits ? 1 : 0;
+  hint.text = wire::EncodeRecord(acceptance.record);
+  net::Spawn(leader->Tell(std::move(hint)));
+}
+
 net::Task<api::Status> Users::CancelOrPass(std::string id) {
   api::Status status;
   if (FinalKnown(id, &status) || zone_desk_.Apart()) co_return status;
--- a/app/users.h
+++ b/app/users.h
@@ -7,12 +7,14 @@
 #include <string>
 
 #include "api/api.h"
+#include "app/chain_admission.h"
 #include "app/dealings.h"
 #include "app/election.h"
 #include "app/fitness_desk.h"
 #include "app/follower.h"
 #include "app/recovery_desk.h"
 #include "app/relays.h"
+#include "app/version_desk.h"
 #include "app/zone_desk.h"
 #include "clients/peer.h"
 #include "clients/state.h"
@@ -25,7 +27,7 @@
   Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
         clients::StateClient& state, Follower& follower, Election& election,
         Dealings& dealings, const FitnessDesk::Peers& peers,
-        ZoneDesk& zone_desk, RecoveryDesk& recovery);
+        ZoneDesk& zone_desk, RecoveryDesk& recovery, VersionDesk& versions);
 
   // api::Service
   bool Ready() override;
@@ -67,9 +69,18 @@
   net::Task<api::Status> PollHere(std::string id);
   net::Task<api::Status> CancelOrPass(std::string id);
   net::Task<api::Submitted> SubmitHere(std::shared_ptr<const JobSpec> spec);
+  // Writes the acceptance and says what came of it.
+  net::Task<api::Submitted> Accept(std::shared_ptr<const JobSpec> spec,
+                                   NamedJobs named);
+  // To the leader, which would learn of it a moment later.
+  void Hint(const std::string& id, const Acceptance& acceptance,
+            uint64_t revision);
+  net::Task<ChainAdmission::Accepted> WasAccepted(std::string id);
   // Whether a user's request may wait for the state service.
   bool StateAnswers();
   net::Task<void> ProbeState();
+  // Whether the job waits for others, read afresh.
+  net::Task<ChainAdmission::Accepted> ReadWaiting(std::string id);
   // Reads the job afresh; brings the catalog up to date. `unseen`: the leader
   // has just said that it knows nothing of it.
   net::Task<api::Status> FreshRead(std::string id, bool unseen = false);
@@ -93,6 +104,8 @@
   Dealings& dealings_;
   ZoneDesk& zone_desk_;
   RecoveryDesk& recovery_;
+  VersionDesk& versions_;
+  ChainAdmission admission_;
   Relays relays_;
   size_t under_way_ = 0;  // users' requests
   bool probing_ = false;  // the state service, on nobody's behalf
--- a/app/users_peer.cc
+++ b/app/users_peer.cc
@@ -29,15 +29,18 @@
   }
 }
 
-// The job's record that another controller has sent.
-std::optional<JobRecord> JobIn(const PeerMessage& message) {
+// The record that another controller has sent; monostate if it is none.
+Record RecordIn(const PeerMessage& message, const std::string& key) {
   rapidjson::Document doc;
   Record record;
   doc.Parse(message.text.data(), message.text.size());
-  if (doc.HasParseError() ||
-      !wire::DecodeRecord(keys::Of(keys::kJob, message.job_id), doc, &record)) {
-    return std::nullopt;
-  }
+  if (doc.HasParseError() || !wire::DecodeRecord(key, doc, &record)) return {};
+  return record;
+}
+
+// The job's record that another controller has sent.
+std::optional<JobRecord> JobIn(const PeerMessage& message) {
+  const Record record = RecordIn(message, keys::Of(keys::kJob, message.job_id));
   const auto* job = std::get_if<JobRecord>(&record);
   return job == nullptr ? std::nullopt : std::optional(*job);
 }
@@ -53,6 +56,7 @@
     case PeerKind::kRelayPoll:
     case PeerKind::kRelayCancel:
     case PeerKind::kRelaySubmit:
+    case PeerKind::kRelayChain:
       return true;
     default:
       return false;
@@ -90,10 +94,11 @@
       break;
     }
     case PeerKind::kHint: {
-      const std::optional<JobRecord> job = JobIn(message);
-      if (!job) break;
-      follower_.Apply(keys::Of(keys::kJob, message.job_id), *job,
-                      message.stamp);
+      const std::string key = keys::Of(
+          message.running > 0 ? keys::kWaiting : keys::kJob, message.job_id);
+      const Record record = RecordIn(message, key);
+      if (std::holds_alternative<std::monostate>(record)) break;
+      follower_.Apply(key, record, message.stamp);
       dealings_.Perform();
       break;
     }
@@ -118,7 +123,8 @@
     case PeerKind::kRelayCancel:
       FillAnswer(co_await CancelOrPass(message.job_id), reply);
       break;
-    case PeerKind::kRelaySubmit: {
+    case PeerKind::kRelaySubmit:
+    case PeerKind::kRelayChain: {
       const std::optional<JobRecord> job = JobIn(message);
       if (!job) break;
       if (KnownHere(message.job_id)) {
@@ -130,6 +136,8 @@
         reply->answer = PeerAnswer::kYes;
       } else if (submitted.result == api::Submitted::Result::kKnown) {
         reply->answer = PeerAnswer::kKnownJob;
+      } else if (submitted.result == api::Submitted::Result::kNamesUnknown) {
+        reply->answer = PeerAnswer::kUnknownJob;
       }
       break;
     }
--- a/clients/peer.h
+++ b/clients/peer.h
@@ -40,6 +40,10 @@
   kKeepZone,   // may I keep the workers of my zone, should it be cut off?
   kStandBack,  // do not, for a moment: I take the silent ones for gone
   kReport,     // of a worker of my zone, as it came
+  // A submission of a job that waits for others. A kind of its own: a version
+  // that does not know it accepts nothing, where kRelaySubmit would be taken
+  // for an ordinary job.
+  kRelayChain,
 };
 
 enum class PeerAnswer : uint8_t { kNo, kYes, kUnknownJob, kKnownJob };
--- a/core/controller/catalog.cc
+++ b/core/controller/catalog.cc
@@ -326,6 +326,11 @@
   return &it->second;
 }
 
+bool Catalog::Accepted(const std::string& id) const {
+  return FindJob(id) != nullptr || waiting_.contains(id) ||
+         FindFinal(id) != FinalState::kNone;
+}
+
 FinalRecord Catalog::FindEnd(const std::string& id) const {
   const auto it = finals_.find(id);
   return it == finals_.end() ? FinalRecord{} : it->second;
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -20,6 +20,7 @@
 #include "core/recovery/epoch.h"
 #include "core/recovery/finals_index.h"
 #include "core/rollout/rollout.h"
+#include "core/upgrade/version_gate.h"
 
 namespace oxbow {
 
@@ -36,6 +37,8 @@
 // Jobs that wait for others. A release moves one to kJob, a cancellation to
 // kFinal, each in one transaction.
 inline constexpr std::string_view kWaiting = "ob/live/w/";
+// The versions that the controllers run; see VersionGate.
+inline constexpr std::string_view kVersion = "ob/live/v/";
 inline constexpr std::string_view kMachine = "ob/live/m/";
 inline constexpr std::string_view kRental = "ob/live/r/";
 inline constexpr std::string_view kRollout = "ob/live/o/";
@@ -72,7 +75,7 @@
 using Record =
     std::variant<std::monostate, LeaderRecord, JobRecord, MachineRecord,
                  RentalRecord, FinalRecord, RolloutRecord, EpochRecord,
-                 EpochMark, OperatorRecord, WaitingRecord>;
+                 EpochMark, OperatorRecord, WaitingRecord, VersionRecord>;
 
 class Catalog {
  public:
@@ -140,6 +143,8 @@
   const std::unordered_map<std::string, OperatorRecord>& operators() const {
     return operators_;
   }
+  // By the controller's name, and the mark of all.
+  const VersionGate::Versions& versions() const { return versions_; }
   // Every kind of live record that has a name: visit(map by name, key prefix).
   template <typename Visit>
   void EachKind(const Visit& visit) const {
@@ -149,6 +154,8 @@
   const JobRecord* FindJob(const std::string& id) const;
   // Null too for one that does not wait any more; see waiting().
   const WaitingRecord* FindWaiting(const std::string& id) const;
+  // Whether it is known that the job was accepted, whatever became of it.
+  bool Accepted(const std::string& id) const;
   // How a job ended, as far as a user may be told; kNone if that is not known.
   // `done` counts from its record on. A cancellation counts once the record has
   // moved to the final states, where it goes when no task of the job can be on
@@ -167,6 +174,7 @@
   static void VisitKinds(Self& self, const Visit& visit) {
     visit(self.jobs_, keys::kJob);
     visit(self.waiting_, keys::kWaiting);
+    visit(self.versions_, keys::kVersion);
     visit(self.machines_, keys::kMachine);
     visit(self.rentals_, keys::kRental);
     visit(self.rollouts_, keys::kRollout);
@@ -184,6 +192,7 @@
 
   std::unordered_map<std::string, JobRecord> jobs_;
   std::unordered_map<std::string, WaitingRecord> waiting_;
+  VersionGate::Versions versions_;
   std::unordered_map<std::string, MachineRecord> machines_;
   std::unordered_map<std::string, RentalRecord> rentals_;
   std::unordered_map<std::string, RolloutRecord> rollouts_;
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -134,6 +134,13 @@
          "bookmark_s":0.0,"stow_s":0.0})";
 }
 
+// One that waits for the jobs of that list, as JSON.
+std::string WaitingJson(const std::string& id, const std::string& waits_on) {
+  std::string json = JobJson(id);
+  json.insert(json.size() - 1, R"(,"waits_on":)" + waits_on);
+  return json;
+}
+
 TEST(Loopback, APeerThatGoesAwayTakesNothingWithIt) {
   Loop loop;
   clients::PeerServer server(
@@ -189,7 +196,8 @@
 
 class WholeNode : public testing::Test {
  public:
-  explicit WholeNode(const Tuning& tuning = {})
+  explicit WholeNode(const Tuning& tuning = {},
+                     const std::vector<PeerSettings>& peers = {})
       : state_(loop_), cloud_(loop_), tuning_(tuning) {
     settings_.node = "a";
     settings_.zone = "a";
@@ -198,6 +206,8 @@
     settings_.state_address = Local(state_.port()).ToString();
     settings_.cloud_address = Local(cloud_.port()).ToString();
     settings_.teams.push_back({"t", 0, 0, 0, 0});
+    settings_.peers = peers;
+    settings_.nodes = static_cast<int>(peers.size()) + 1;
     // Short leases keep the test short.
     settings_.workers = {0.2, 2.0, 8.0, 1.0, 8.0};
     node_ = std::make_unique<app::Node>(loop_, settings_, tuning_);
@@ -222,10 +232,11 @@
     co_return r.outcome == net::Outcome::kAnswered ? r.status : 0;
   }
   // Repeats what is answered with 503, as users do.
-  Task<int> Patiently(std::string method, std::string path) {
+  Task<int> Patiently(std::string method, std::string path,
+                      std::string body = "") {
     int status = 0;
     for (int i = 0; i < 200; ++i) {
-      status = co_await Status(method, path, "");
+      status = co_await Status(method, path, body);
       if (status != 503) break;
       co_await loop_.Sleep(0.05);
     }
@@ -270,6 +281,27 @@
   }(this));
 }
 
+// It takes less from one moment to the next, and says nothing before.
+TEST_F(WholeNode, WhatTheStateServiceFindsTooLargeIsNotTriedForEver) {
+  RunToEnd(loop_, [](WholeNode* t) -> Task<void> {
+    co_await t->UntilReady();
+    const std::string jobs = "/v2/runs";
+    EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 201);
+    std::string large = JobJson("job-000002");
+    large.replace(large.find(R"("i")"), 3,
+                  "\"" + std::string(1500, 'i') + "\"");
+    EXPECT_EQ(co_await t->Status("POST", jobs, large), 201);
+    t->state_.most_value = 1000;
+    large.replace(large.find("job-000002"), 10, "job-000003");
+    EXPECT_EQ(co_await t->Status("POST", jobs, large), 400);
+    // What stands and is larger ends all the same, and holds up nothing.
+    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000002/cancel"), 200);
+    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000001/cancel"), 200);
+    EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000002", ""), 200);
+    EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
+  }(this));
+}
+
 TEST_F(WholeNode, IsHonestWhileTheStateServiceIsDown) {
   RunToEnd(loop_, [](WholeNode* t) -> Task<void> {
     co_await t->UntilReady();
@@ -335,6 +367,109 @@
   }(this));
 }
 
+TEST_F(WholeNode, AcceptsAJobThatWaitsForOthersThatWereAccepted) {
+  RunToEnd(loop_, [](WholeNode* t) -> Task<void> {
+    co_await t->UntilReady();
+    const std::string jobs = "/v2/runs";
+    for (const char* malformed :
+         {R"("job-000001")", R"(["job-1"])", R"(["job-000002"])", "[3]",
+          R"(["job-000001","job-000001"])"}) {
+      EXPECT_EQ(co_await t->Status("POST", jobs,
+                                   WaitingJson("job-000002", malformed)),
+                400);
+      EXPECT_NE(t->last_body_.find("waits_on"), std::string::npos);
+    }
+    const std::string first = WaitingJson("job-000002", R"(["job-000001"])");
+    EXPECT_EQ(co_await t->Patiently("POST", jobs, first), 422);
+    EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 201);
+    EXPECT_EQ(co_await t->Status("POST", jobs, first), 201);
+    EXPECT_EQ(co_await t->Status("POST", jobs, first), 200);
+    EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000002")), 200);
+    EXPECT_EQ(t->state_.Value("ob/live/j/job-000002"), "");
+    EXPECT_NE(t->state_.Value("ob/live/w/job-000002"), "");
+    // One that waits may be named as well.
+    const std::string last = WaitingJson("job-000003", R"(["job-000002"])");
+    EXPECT_EQ(co_await t->Status("POST", jobs, last), 201);
+    EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000003", ""), 200);
+    EXPECT_NE(t->last_body_.find("pending"), std::string::npos);
+    t->state_.down = true;
+    const std::string later = WaitingJson("job-000004", R"(["job-000009"])");
+    EXPECT_EQ(co_await t->Status("POST", jobs, later), 503);
+    t->state_.down = false;
+    // More names than a record holds.
+    std::string names = R"(["job-000001")";
+    for (int i = 0; i < 700; ++i) {
+      names += R"(,"job-100)" + std::to_string(1000 + i) + "\"";
+    }
+    EXPECT_EQ(co_await t->Status("POST", jobs,
+                                 WaitingJson("job-000005", names + "]")),
+              400);
+    // A cancellation reaches all that wait, and whoever names it later.
+    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000002/cancel"), 200);
+    EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
+    const std::string late = WaitingJson("job-000006", R"(["job-000002"])");
+    EXPECT_EQ(co_await t->Patiently("POST", jobs, late), 201);
+    for (const char* id : {"job-000003", "job-000006"}) {
+      for (int i = 0; i < 100; ++i) {
+        co_await t->Patiently("GET", jobs + "/" + id);
+        if (t->last_body_.find("aborted") != std::string::npos) break;
+        co_await t->loop_.Sleep(0.05);
+      }
+      EXPECT_NE(t->last_body_.find("aborted"), std::string::npos) << id;
+    }
+    EXPECT_EQ(co_await t->Status("POST", jobs, last), 200);
+    EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
+  }(this));
+}
+
+// An acceptance without an answer is carried out when the job has been
+// cancelled: it does not wait again.
+TEST_F(WholeNode, AWaitingJobAcceptedLateDoesNotWaitAgain) {
+  RunToEnd(loop_, [](WholeNode* t) -> Task<void> {
+    co_await t->UntilReady();
+    const std::string jobs = "/v2/runs";
+    const std::string chain = WaitingJson("job-000002", R"(["job-000001"])");
+    EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 201);
+    t->state_.HoldNext("ob/live/w/job-000002");
+    EXPECT_EQ(co_await t->Patiently("POST", jobs, chain), 201);
+    EXPECT_EQ(t->state_.HeldOnes(), 1U);
+    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000002/cancel"), 200);
+    EXPECT_EQ(t->state_.CarryOutHeld(), 409);
+    EXPECT_EQ(t->state_.Value("ob/live/w/job-000002"), "");
+    EXPECT_NE(t->state_.Value("ob/final/job-000002"), "");
+  }(this));
+}
+
+// Beside a controller that has not recorded its version.
+class NodeBesideAnOldOne : public WholeNode {
+ public:
+  NodeBesideAnOldOne()
+      : WholeNode({}, {{"old", "a", Local(FreePort()).ToString()}}) {}
+};
+
+TEST_F(NodeBesideAnOldOne, AcceptsNoJobThatWaitsUntilAllKnowThem) {
+  RunToEnd(loop_, [](NodeBesideAnOldOne* t) -> Task<void> {
+    co_await t->UntilReady();
+    const std::string jobs = "/v2/runs";
+    const std::string chain = WaitingJson("job-000002", R"(["job-000001"])");
+    EXPECT_EQ(co_await t->Patiently("POST", jobs, JobJson("job-000001")), 201);
+    for (int i = 0; i < 100; ++i) {
+      if (!t->state_.Value("ob/live/v/a").empty()) break;
+      co_await t->loop_.Sleep(0.05);
+    }
+    EXPECT_NE(t->state_.Value("ob/live/v/a"), "");
+    EXPECT_EQ(co_await t->Status("POST", jobs, chain), 503);
+    EXPECT_GT(t->last_retry_, 0);
+    EXPECT_EQ(t->state_.Value("ob/live/w/job-000002"), "");
+    EXPECT_EQ(t->state_.Value("ob/live/j/job-000002"), "");
+    // It comes back with the new version.
+    t->state_.Put("ob/live/v/old", R"({"version":2})");
+    EXPECT_EQ(co_await t->Patiently("POST", jobs, chain), 201);
+    EXPECT_NE(t->state_.Value("ob/live/w/job-000002"), "");
+    EXPECT_NE(t->state_.Value("ob/live/v/*"), "");
+  }(this));
+}
+
 // With tiers and roll-outs, which are off until a tuning file turns them on.
 class OperatedNode : public WholeNode {
  public:
--- a/tests/stand_ins.cc
+++ b/tests/stand_ins.cc
@@ -170,6 +170,16 @@
       return;
     }
   }
+  for (const auto& c : doc["then"].GetArray()) {
+    if (!c.HasMember("v")) continue;
+    rapidjson::StringBuffer buffer;
+    rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
+    c["v"].Accept(w);
+    if (buffer.GetSize() <= most_value) continue;
+    response->status = 400;
+    response->body = R"({"error":"value too large"})";
+    return;
+  }
   if (!failed.empty()) {
     response->status = 409;
     response->body = "{\"failed\":[" + failed + "]," + Ledger() + "}";
@@ -193,6 +203,12 @@
   response->body = "{" + Ledger() + "}";
 }
 
+void FakeState::Put(const std::string& key, const std::string& value) {
+  ++revision_;
+  keys_[key] = {key, value, revision_, 0};
+  log_.push_back(keys_[key]);
+}
+
 void FakeState::Delete(const std::string& key) {
   keys_.erase(key);
   log_.push_back({key, "", revision_, 0});
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -23,6 +23,7 @@
 class FakeState {
  public:
   bool down = false;
+  size_t most_value = SIZE_MAX;  // bytes; a larger one is refused
 
   explicit FakeState(net::Loop& loop);
   uint16_t port() const { return server_.port(); }
@@ -42,6 +43,8 @@
   size_t HeldOnes() const { return held_.size(); }
   int CarryOutHeld();
 
+  // Another's change.
+  void Put(const std::string& key, const std::string& value);
   // The value of a key, as JSON; empty when it does not exist.
   std::string Value(const std::string& key) const;
 
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -97,6 +97,10 @@
     w.Uint64(r.number);
   }
   void operator()(const OperatorRecord& r) const { WriteOperator(w, r); }
+  void operator()(const VersionRecord& r) const {
+    Key(w, "version");
+    w.Uint(r.version);
+  }
 };
 
 }  // namespace
@@ -152,6 +156,9 @@
         json::GetString(value, "type"), json::GetString(value, "zone"),
         json::GetBool(value, "spot"),   json::GetString(value, "endpoint"),
         json::GetDouble(value, "t"),    0};
+  } else if (key.starts_with(keys::kVersion)) {
+    *out = VersionRecord{static_cast<uint32_t>(json::GetUint(value, "version")),
+                         0};
   } else if (key.starts_with(keys::kRental)) {
     *out = RentalRecord{json::GetString(value, "type"),
                         json::GetString(value, "zone"),
