--- a/clients/state.cc
+++ b/clients/state.cc
@@ -197,7 +197,8 @@
       if (value.size() > limits_.most_value_bytes()) co_return refused;
       w.RawValue(value.data(), value.size(), rapidjson::kObjectType);
       if (lease_id != 0 && (change.key == keys::kLeader ||
-                            change.key.starts_with(keys::kZone))) {
+                            change.key.starts_with(keys::kZone) ||
+                            change.key.starts_with(keys::kFence))) {
         w.Key("permit");
         w.Uint64(lease_id);
       }
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -101,6 +101,10 @@
     Key(w, "version");
     w.Uint(r.version);
   }
+  void operator()(const WriteFence& r) const {
+    Key(w, "number");
+    w.Uint64(r.number);
+  }
 };
 
 }  // namespace
