--- a/app/dealings.h
+++ b/app/leader_service.h
@@ -1,6 +1,7 @@
-// The leader's dealings: owns the core while this controller leads, hands
-// events to it, and carries out the actions that come of them: orders, writes,
-// rentals, deletions, checks. Does nothing without a look at the right to lead.
+// Carries out what the leader decides: owns the core while this controller
+// leads, hands events to it, and carries out the actions that come of them:
+// orders, writes, rentals, deletions, checks. Does nothing without a look at
+// the right to lead.
 #pragma once
 
 #include <functional>
@@ -10,10 +11,10 @@
 #include <vector>
 
 #include "app/election.h"
-#include "app/fitness_desk.h"
 #include "app/follower.h"
-#include "app/recovery_desk.h"
-#include "app/zone_desk.h"
+#include "app/leader_health_coordinator.h"
+#include "app/recovery_coordinator.h"
+#include "app/zone_coordinator.h"
 #include "clients/cloud.h"
 #include "clients/health.h"
 #include "clients/state.h"
@@ -24,19 +25,21 @@
 
 namespace oxbow::app {
 
-class Dealings {
+class LeaderService {
  public:
-  Dealings(net::Loop& loop, const Settings& settings, const Tuning& tuning,
-           Catalog& catalog, clients::StateClient& state,
-           clients::CloudClient& cloud, Follower& follower, Election& election,
-           FitnessDesk& fitness_desk, ZoneDesk& zone_desk,
-           RecoveryDesk& recovery);
+  LeaderService(net::Loop& loop, const Settings& settings, const Tuning& tuning,
+                Catalog& catalog, clients::StateClient& state,
+                clients::CloudClient& cloud, Follower& follower,
+                Election& election,
+                LeaderHealthCoordinator& leader_health_coordinator,
+                ZoneCoordinator& zone_coordinator,
+                RecoveryCoordinator& recovery);
   void Start();
 
   bool in_office() const { return controller_ != nullptr; }
-  // `keepers`: see Controller.
+  // `delegates`: see Controller.
   void TakeOffice(uint64_t revision,
-                  const std::optional<std::set<std::string>>& keepers);
+                  const std::optional<std::set<std::string>>& delegates);
   void LeaveOffice();
   // The core, if this controller may act as the leader now; else null.
   Controller* Leading();
@@ -52,15 +55,15 @@
   void Perform();
   // Cancels a job and waits for its end to be recorded; kNone if it was not in
   // time. The caller has found this controller leading.
-  net::Task<FinalState> Cancel(std::string id);
+  net::Task<TerminalState> Cancel(std::string id);
 
  private:
   // Shows the leader the time of day, before every event.
   void LookAtClocks();
-  struct FinalWaiter {
-    explicit FinalWaiter(net::Loop& loop) : event(loop) {}
+  struct TerminalStateWaiter {
+    explicit TerminalStateWaiter(net::Loop& loop) : event(loop) {}
     net::Event event;
-    FinalState state = FinalState::kNone;
+    TerminalState state = TerminalState::kNone;
   };
 
   // Reads the tiers that are recorded; every controller does, so that its own
@@ -68,14 +71,14 @@
   void FollowTiers();
   net::Task<void> TickLoop();
   net::Task<void> ListLoop();
-  void TellWaiters(const JobFinal& end);
+  void TellWaiters(const JobTerminated& end);
   net::Task<void> DoSend(SendOrders orders, uint64_t revision);
   net::Task<void> DoProbe(Probe probe, uint64_t revision);
   net::Task<void> DoWrite(WriteTransaction txn, uint64_t revision);
   net::Task<void> DoRead(ReadKeys read, uint64_t revision);
   net::Task<void> DoRent(RentMachines rent, uint64_t revision);
   net::Task<void> DoCheck(CheckInstance check, uint64_t revision);
-  net::Task<void> DoReadKeepers(uint64_t revision);
+  net::Task<void> DoReadDelegates(uint64_t revision);
   net::Task<void> DoDelete(std::vector<std::string> hosts, uint64_t revision);
 
   net::Loop& loop_;
@@ -86,16 +89,17 @@
   clients::CloudClient& cloud_;
   Follower& follower_;
   Election& election_;
-  FitnessDesk& fitness_desk_;
-  ZoneDesk& zone_desk_;
-  RecoveryDesk& recovery_;
+  LeaderHealthCoordinator& leader_health_coordinator_;
+  ZoneCoordinator& zone_coordinator_;
+  RecoveryCoordinator& recovery_;
   clients::WorkerClients workers_;
   clients::HealthClient health_;
   TiersInForce tiers_;
   std::unique_ptr<Controller> controller_;
   bool performing_ = false;
-  std::unordered_map<std::string, std::vector<std::shared_ptr<FinalWaiter>>>
-      final_waiters_;
+  std::unordered_map<std::string,
+                     std::vector<std::shared_ptr<TerminalStateWaiter>>>
+      terminal_waiters_;
 };
 
 }  // namespace oxbow::app
--- a/app/version_desk.cc
+++ b/app/version_coordinator.cc
@@ -1,4 +1,4 @@
-#include "app/version_desk.h"
+#include "app/version_coordinator.h"
 
 #include <spdlog/spdlog.h>
 
@@ -20,9 +20,10 @@
 
 }  // namespace
 
-VersionDesk::VersionDesk(net::Loop& loop, const Settings& settings,
-                         const Catalog& catalog, clients::StateClient& state,
-                         Seams seams)
+VersionCoordinator::VersionCoordinator(net::Loop& loop,
+                                       const Settings& settings,
+                                       const Catalog& catalog,
+                                       clients::StateClient& state, Seams seams)
     : loop_(loop),
       settings_(settings),
       catalog_(catalog),
@@ -31,14 +32,14 @@
       gate_(settings.node, NamesOf(settings),
             static_cast<size_t>(settings.nodes)) {}
 
-void VersionDesk::Start() { net::Spawn(RecordLoop()); }
+void VersionCoordinator::Start() { net::Spawn(RecordLoop()); }
 
-bool VersionDesk::Open() {
+bool VersionCoordinator::Open() {
   gate_.See(catalog_.versions());
   return gate_.open();
 }
 
-net::Task<void> VersionDesk::RecordLoop() {
+net::Task<void> VersionCoordinator::RecordLoop() {
   for (;;) {
     co_await loop_.Sleep(kLookAgain * settings_.workers.report_s);
     if (!seams_.synced() || !seams_.may_write()) continue;
@@ -54,7 +55,7 @@
 }
 
 // What comes of it the watch tells, also when another was first.
-net::Task<void> VersionDesk::Record(GateWrite what) {
+net::Task<void> VersionCoordinator::Record(GateWrite what) {
   const std::string key =
       keys::Of(keys::kVersion, what == GateWrite::kOwn
                                    ? settings_.node
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -76,7 +76,8 @@
   // for it. A stranger shows our token first.
   if (m->stranger && report.token >= m->token) m->stranger = false;
   if (!m->recorded_up && m->state() == MachineState::kUp && !m->stranger) {
-    writes_.Queue({WriteKind::kMachineUp, report.host, FinalState::kNone, {}});
+    writes_.Queue(
+        {WriteKind::kMachineUp, report.host, TerminalState::kNone, {}});
     writes_.Flush(now);
   }
   return *m;
@@ -90,7 +91,7 @@
   if (report.session != m.session.number()) return true;
   return report.seq > m.seq &&
          !m.delivery.MustBeOld(report.token, settings_.workers.lease_s,
-                               zones_.MayBeKept(m.zone, now), now);
+                               zones_.MayBeRenewed(m.zone, now), now);
 }
 
 // Whether the worker may be waiting for the answer to this report. One that
@@ -155,7 +156,7 @@
   if (news) {
     m.delivery.Answered(report.seq, m.token, report.token,
                         settings_.workers.lease_s,
-                        zones_.MayBeKept(m.zone, now), now);
+                        zones_.MayBeRenewed(m.zone, now), now);
   }
   Settle(now);
   return reply;
@@ -175,7 +176,7 @@
 }
 
 bool Controller::Lapsed(const Machine& m, Time now) const {
-  return LetsLapse(m, m.seen_token, now) && !zones_.MayBeKept(m.zone, now) &&
+  return LetsLapse(m, m.seen_token, now) && !zones_.MayBeRenewed(m.zone, now) &&
          now > TasksMayLiveUntil(m.last_answer, settings_.workers.lease_s);
 }
 
@@ -430,8 +431,9 @@
   r.stopping = stopping;
   if (stopping && r.job != nullptr && !in_rollout_.empty()) {
     const auto it = in_rollout_.find(r.job_id);
-    if (it != in_rollout_.end())
+    if (it != in_rollout_.end()) {
       rollouts_.at(it->second).NoteStopping(KeyOf(r));
+    }
   }
   if (!r.holds) return;
   if (stopping) {
@@ -476,7 +478,7 @@
     }
     // Kept on the machine, uncleared, until the job's end is recorded: a new
     // leader learns from it that this task need not run again.
-    if (job->finished()) FinishJob(*job, FinalState::kDone);
+    if (job->finished()) FinishJob(*job, TerminalState::kDone);
     return;
   }
   if (job->task(r.task).state != TaskState::kPending) {
@@ -588,7 +590,8 @@
   if (now <= m.session.MayLiveUntil(lease) - early) return false;
   const std::vector<std::string> asked = zones_.ToAsk(m.zone, now);
   if (!asked.empty()) actions_.push_back(AskStandBack{asked});
-  return now > m.session.MayLiveUntil(lease) && !zones_.MayBeKept(m.zone, now);
+  return now > m.session.MayLiveUntil(lease) &&
+         !zones_.MayBeRenewed(m.zone, now);
 }
 
 bool Controller::ZoneSettled(const std::string& zone, Time now) const {
@@ -599,7 +602,7 @@
       return false;
     }
   }
-  const double margin = ZoneMargin(settings_.workers) / 2;
+  const double margin = CancellationMargin(settings_.workers) / 2;
   for (const auto& [id, job] : jobs_) {
     if (job->state() != JobState::kAborted || job->holding() == 0 ||
         now - job->ended < margin) {
@@ -615,8 +618,9 @@
   return true;
 }
 
-bool Controller::OnKeepAsked(const std::string& peer, const std::string& life,
-                             double age, Time now) {
+bool Controller::OnDelegationAsked(const std::string& peer,
+                                   const std::string& life, double age,
+                                   Time now) {
   for (const PeerSettings& p : settings_.peers) {
     if (p.name != peer) continue;
     if (!ZoneSettled(p.zone, now)) return false;
@@ -829,7 +833,7 @@
 }
 
 bool Controller::Suspect(const Machine& m, Time now) const {
-  return now - m.last_heard > patience_.suspect;
+  return now - m.last_heard > timeouts_.suspect;
 }
 
 bool Controller::Usable(const Machine& m, Time now) const {
@@ -854,8 +858,9 @@
     const auto it = m.residents.find(key);
     if (it == m.residents.end()) continue;
     Resident& r = it->second;
-    if (r.job == nullptr || r.phase == TaskPhase::kExited || r.stopping)
+    if (r.job == nullptr || r.phase == TaskPhase::kExited || r.stopping) {
       continue;
+    }
     const JobSpec& spec = r.job->spec();
     const double left = m.notice_until ? *m.notice_until - now : 0;
     if (spec.kind == JobKind::kArray && spec.checkpoint_s <= 0) continue;
@@ -877,7 +882,7 @@
 }
 
 bool Controller::TakeAway(Machine& m, LossCause cause, Time now) {
-  if (!ears_.LossAllowed(m, cause, now)) return false;
+  if (!liveness_.LossAllowed(m, cause, now)) return false;
   static constexpr std::array<const char*, kLossCauses> kWhy = {
       "silent",
       "neither listed nor heard",
@@ -916,8 +921,9 @@
   const bool may_hold =
       !m.residents.empty() || m.batch || (m.recorded_up && !m.reported);
   if (by_lease && may_hold && m.session.state() != SessionState::kOver) {
-    in_doubt_ =
-        in_doubt_ || now - std::max(m.last_heard, started_) > patience_.suspect;
+    sessions_unsettled_ =
+        sessions_unsettled_ ||
+        now - std::max(m.last_heard, started_) > timeouts_.suspect;
     if (SessionOver(m, now)) {
       Expire(m, now);
     } else if (Lapsed(m, now)) {
@@ -932,7 +938,7 @@
   }
   if (m.state() == MachineState::kBooting) {
     const double boot = m.type ? m.type->boot_s : 3 * lease;
-    if (now - m.rented > tuning_.boot_patience * boot) {
+    if (now - m.rented > tuning_.boot_timeout_ratio * boot) {
       TakeAway(m, LossCause::kNeverUp, now);
     }
     return;
@@ -954,8 +960,8 @@
   const bool matters =
       m.reported ? !m.residents.empty() && now - started_ > lease
                  : !m.residents.empty() || now < m.session.MayLiveUntil(lease);
-  if (m.recorded_up && matters && ears_.TriesPatience(m, now) &&
-      ears_.MayGiveUp(m, now) && TakeAway(m, LossCause::kSilent, now)) {
+  if (m.recorded_up && matters && liveness_.SilentTooLong(m, now) &&
+      liveness_.MayGiveUp(m, now) && TakeAway(m, LossCause::kSilent, now)) {
     return;
   }
   // Looking through all that is there has no hurry: once a report.
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -43,17 +43,17 @@
   kRentedMachine,  // a machine of the rental that WriteOp::reason names
   kRentalSettle,   // once all of its machines stand
   kRollout,
-  kOperator,      // a record of a subsystem's own, see OperatorRecord
-  kRestore,       // a record that is owed to the state service
-  kRestoreFinal,  // how a job ended, likewise
-  kRebuilt,       // nothing is owed any more
+  kOperator,              // a record of a subsystem's own, see OperatorRecord
+  kRestore,               // a record that is owed to the state service
+  kRestoreTerminalState,  // how a job ended, likewise
+  kRebuilt,               // nothing is owed any more
 };
 
 // What the leader wants recorded. Of the same kind and name, one waits at most.
 struct WriteOp {
   WriteKind kind;
   std::string name;
-  FinalState final_state = FinalState::kNone;
+  TerminalState terminal_state = TerminalState::kNone;
   // Refused for its size: what it writes goes without what can be spared.
   bool compact = false;
   // Of a roll-out: the step to record, why, and the wish that it fulfils.
--- a/tests/loopback_test.cc
+++ b/tests/loopback_test.cc
@@ -232,8 +232,8 @@
     co_return r.outcome == net::Outcome::kAnswered ? r.status : 0;
   }
   // Repeats what is answered with 503, as users do.
-  Task<int> Patiently(std::string method, std::string path,
-                      std::string body = "") {
+  Task<int> AskWithRetries(std::string method, std::string path,
+                           std::string body = "") {
     int status = 0;
     for (int i = 0; i < 200; ++i) {
       status = co_await Status(method, path, body);
@@ -273,11 +273,13 @@
               200);
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000001", ""), 200);
     EXPECT_NE(t->last_body_.find("pending"), std::string::npos);
-    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000001/cancel"), 200);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs + "/job-000001/cancel"),
+              200);
     EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000001", ""), 200);
     EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
-    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000009/cancel"), 404);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs + "/job-000009/cancel"),
+              404);
   }(this));
 }
 
@@ -295,8 +297,10 @@
     large.replace(large.find("job-000002"), 10, "job-000003");
     EXPECT_EQ(co_await t->Status("POST", jobs, large), 400);
     // What stands and is larger ends all the same, and holds up nothing.
-    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000002/cancel"), 200);
-    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000001/cancel"), 200);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs + "/job-000002/cancel"),
+              200);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs + "/job-000001/cancel"),
+              200);
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000002", ""), 200);
     EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
   }(this));
@@ -307,7 +311,7 @@
     co_await t->UntilReady();
     const std::string jobs = "/v2/runs";
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 201);
-    co_await t->Patiently("POST", jobs + "/job-000001/cancel");
+    co_await t->AskWithRetries("POST", jobs + "/job-000001/cancel");
     t->state_.down = true;
     const double asked = t->loop_.Now();
     // Not recorded, not accepted; said at once, with the time to come back.
@@ -316,7 +320,7 @@
     EXPECT_LT(t->loop_.Now() - asked, 1);
     // Not found is only said after a fresh read.
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000003", ""), 503);
-    // A final state needs nobody.
+    // A terminal state needs nobody.
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000001", ""), 200);
     t->state_.down = false;
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000002")), 201);
@@ -324,7 +328,8 @@
 }
 
 // An acceptance without an answer is carried out after the job that was
-// accepted in its place has been cancelled and has moved to the final states.
+// accepted in its place has been cancelled and has moved to the terminal
+// states.
 TEST_F(WholeNode, AnAcceptanceCarriedOutLateRevivesNothing) {
   RunToEnd(loop_, [](WholeNode* t) -> Task<void> {
     co_await t->UntilReady();
@@ -333,7 +338,7 @@
     t->state_.HoldNext("ob/live/j/job-000001");
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 503);
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 201);
-    EXPECT_EQ(co_await t->Patiently("POST", one + "/cancel"), 200);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", one + "/cancel"), 200);
     for (int i = 0; i < 100; ++i) {
       if (!t->state_.Value("ob/final/job-000001").empty()) break;
       co_await t->loop_.Sleep(0.05);
@@ -380,7 +385,7 @@
       EXPECT_NE(t->last_body_.find("waits_on"), std::string::npos);
     }
     const std::string first = WaitingJson("job-000002", R"(["job-000001"])");
-    EXPECT_EQ(co_await t->Patiently("POST", jobs, first), 422);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs, first), 422);
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 201);
     EXPECT_EQ(co_await t->Status("POST", jobs, first), 201);
     EXPECT_EQ(co_await t->Status("POST", jobs, first), 200);
@@ -405,13 +410,14 @@
                                  WaitingJson("job-000005", names + "]")),
               400);
     // A cancellation reaches all that wait, and whoever names it later.
-    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000002/cancel"), 200);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs + "/job-000002/cancel"),
+              200);
     EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
     const std::string late = WaitingJson("job-000006", R"(["job-000002"])");
-    EXPECT_EQ(co_await t->Patiently("POST", jobs, late), 201);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs, late), 201);
     for (const char* id : {"job-000003", "job-000006"}) {
       for (int i = 0; i < 100; ++i) {
-        co_await t->Patiently("GET", jobs + "/" + id);
+        co_await t->AskWithRetries("GET", jobs + "/" + id);
         if (t->last_body_.find("aborted") != std::string::npos) break;
         co_await t->loop_.Sleep(0.05);
       }
@@ -431,9 +437,10 @@
     const std::string chain = WaitingJson("job-000002", R"(["job-000001"])");
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 201);
     t->state_.HoldNext("ob/live/w/job-000002");
-    EXPECT_EQ(co_await t->Patiently("POST", jobs, chain), 201);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs, chain), 201);
     EXPECT_EQ(t->state_.HeldOnes(), 1U);
-    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000002/cancel"), 200);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs + "/job-000002/cancel"),
+              200);
     EXPECT_EQ(t->state_.CarryOutHeld(), 409);
     EXPECT_EQ(t->state_.Value("ob/live/w/job-000002"), "");
     EXPECT_NE(t->state_.Value("ob/final/job-000002"), "");
@@ -452,7 +459,8 @@
     co_await t->UntilReady();
     const std::string jobs = "/v2/runs";
     const std::string chain = WaitingJson("job-000002", R"(["job-000001"])");
-    EXPECT_EQ(co_await t->Patiently("POST", jobs, JobJson("job-000001")), 201);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs, JobJson("job-000001")),
+              201);
     for (int i = 0; i < 100; ++i) {
       if (!t->state_.Value("ob/live/v/a").empty()) break;
       co_await t->loop_.Sleep(0.05);
@@ -464,7 +472,7 @@
     EXPECT_EQ(t->state_.Value("ob/live/j/job-000002"), "");
     // It comes back with the new version.
     t->state_.Put("ob/live/v/old", R"({"version":2})");
-    EXPECT_EQ(co_await t->Patiently("POST", jobs, chain), 201);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs, chain), 201);
     EXPECT_NE(t->state_.Value("ob/live/w/job-000002"), "");
     EXPECT_NE(t->state_.Value("ob/live/v/*"), "");
   }(this));
@@ -533,7 +541,7 @@
     t->state_.HoldNext("ob/live/o/ro-1");
     co_await t->Status("POST", one + "/pause", "");
     EXPECT_EQ(t->state_.HeldOnes(), 2U);
-    co_await t->Patiently("POST", one + "/abort");
+    co_await t->AskWithRetries("POST", one + "/abort");
     for (int i = 0; i < 200; ++i) {
       if (!t->state_.Value("ob/ended/o/ro-1").empty()) break;
       co_await t->loop_.Sleep(0.05);
@@ -588,7 +596,8 @@
     EXPECT_EQ(co_await t->Status("POST", jobs, JobJson("job-000001")), 200);
     // Denied only because the other one has read it afresh.
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000002", ""), 404);
-    EXPECT_EQ(co_await t->Patiently("POST", jobs + "/job-000001/cancel"), 200);
+    EXPECT_EQ(co_await t->AskWithRetries("POST", jobs + "/job-000001/cancel"),
+              200);
     EXPECT_EQ(co_await t->Status("GET", jobs + "/job-000001", ""), 200);
     EXPECT_NE(t->last_body_.find("aborted"), std::string::npos);
     // An outage that both share is said at once.
