--- a/app/leader_service.cc
+++ b/app/leader_service.cc
@@ -73,7 +73,7 @@
     tiers_.OnWithdrawn();
   } else {
     wire::TakeTiers(it->second.text, it->second.version,
-                    TierBounds::From(settings_), &tiers_);
+                    TierBounds::OfStored(settings_), &tiers_);
   }
   if (!tiers_.refused().empty() && tiers_.refused() != refused) {
     spdlog::warn("tiers: version {} can't be used, version {} stays: {}",
@@ -305,6 +305,9 @@
     case StateStatus::kNotExecuted:
       outcome = WriteOutcome::kNotExecuted;
       break;
+    case StateStatus::kRefused:
+      outcome = WriteOutcome::kRefused;
+      break;
     default:
       break;
   }
--- a/app/node.cc
+++ b/app/node.cc
@@ -126,8 +126,18 @@
       leader_service_(loop, settings, tuning, catalog_, state_, cloud_,
                       follower_, election_, leader_health_coordinator_,
                       zone_coordinator_, recovery_),
+      version_coordinator_(
+          loop, settings, catalog_, state_,
+          {[this] { return follower_.synced(); },
+           [this] { return recovery_.MayAccept(); },
+           [this](std::vector<Condition>* conditions) {
+             recovery_.AddGuard(conditions);
+           },
+           [this](const std::string& key, const Record& record,
+                  uint64_t stamp) { follower_.Apply(key, record, stamp); }}),
       users_(loop, settings, catalog_, state_, follower_, election_,
-             leader_service_, peers_, zone_coordinator_, recovery_),
+             leader_service_, peers_, zone_coordinator_, recovery_,
+             version_coordinator_),
       rollout_coordinator_(
           settings, tuning, catalog_, state_,
           {[this](const std::string& key, const Record& record,
@@ -169,6 +179,7 @@
   recovery_.Start();
   zone_coordinator_.Start();
   leader_service_.Start();
+  version_coordinator_.Start();
 }
 
 net::Task<PeerMessage> Node::OnPeer(PeerMessage message) {
--- a/app/node.h
+++ b/app/node.h
@@ -16,6 +16,7 @@
 #include "app/recovery_coordinator.h"
 #include "app/rollout_coordinator.h"
 #include "app/users.h"
+#include "app/version_coordinator.h"
 #include "app/zone_coordinator.h"
 #include "clients/cloud.h"
 #include "clients/peer.h"
@@ -48,6 +49,7 @@
   RecoveryCoordinator recovery_;
   Election election_;
   LeaderService leader_service_;
+  VersionCoordinator version_coordinator_;
   Users users_;
   RolloutCoordinator rollout_coordinator_;
   api::RolloutRoutes rollout_routes_;
--- a/app/users.h
+++ b/app/users.h
@@ -8,12 +8,14 @@
 #include <string>
 
 #include "api/api.h"
+#include "app/chain_admission.h"
 #include "app/election.h"
 #include "app/follower.h"
 #include "app/leader_health_coordinator.h"
 #include "app/leader_service.h"
 #include "app/recovery_coordinator.h"
 #include "app/relays.h"
+#include "app/version_coordinator.h"
 #include "app/zone_coordinator.h"
 #include "clients/peer.h"
 #include "clients/state.h"
@@ -28,7 +30,8 @@
         clients::StateClient& state, Follower& follower, Election& election,
         LeaderService& leader_service,
         const LeaderHealthCoordinator::Peers& peers,
-        ZoneCoordinator& zone_coordinator, RecoveryCoordinator& recovery);
+        ZoneCoordinator& zone_coordinator, RecoveryCoordinator& recovery,
+        VersionCoordinator& versions);
 
   // api::Service
   bool Ready() override;
@@ -82,9 +85,18 @@
   net::Task<api::Status> PollHere(std::string id);
   net::Task<api::Status> CancelOrPass(std::string id);
   net::Task<api::Submitted> SubmitHere(std::shared_ptr<const JobSpec> spec);
+  // Writes the acceptance and says what came of it.
+  net::Task<api::Submitted> Accept(std::shared_ptr<const JobSpec> spec,
+                                   NamedJobs named);
+  // To the leader, which would learn of it a moment later.
+  void Hint(const std::string& id, const Acceptance& acceptance,
+            uint64_t revision);
+  net::Task<ChainAdmission::Accepted> WasAccepted(std::string id);
   // Whether a user's request may wait for the state service.
   bool StateAnswers();
   net::Task<void> ProbeState();
+  // Whether the job waits for others, read afresh.
+  net::Task<ChainAdmission::Accepted> ReadWaiting(std::string id);
   // Reads the job afresh; brings the catalog up to date. `unseen`: the leader
   // has just said that it knows nothing of it.
   net::Task<api::Status> FreshRead(std::string id, bool unseen = false);
@@ -114,6 +126,8 @@
   LeaderService& leader_service_;
   ZoneCoordinator& zone_coordinator_;
   RecoveryCoordinator& recovery_;
+  VersionCoordinator& versions_;
+  ChainAdmission admission_;
   Relays relays_;
   size_t under_way_ = 0;  // users' requests
   bool probing_ = false;  // the state service, on nobody's behalf
--- a/core/controller/catalog.cc
+++ b/core/controller/catalog.cc
@@ -192,6 +192,14 @@
       ended_.Find(id) != TerminalState::kNone) {
     return false;
   }
+  if (std::holds_alternative<WaitingRecord>(record)) {
+    // What was released or has ended since does not wait again.
+    const std::string waits = key.substr(keys::kWaiting.size());
+    if (FindJob(waits) != nullptr ||
+        FindTerminalState(waits) != TerminalState::kNone) {
+      return false;
+    }
+  }
   const Record mine = RecordOf(key);
   uint64_t there = 0;  // what the state service holds of it
   if (!std::holds_alternative<std::monostate>(mine)) {
@@ -235,6 +243,7 @@
     }
   };
   collect(jobs_, keys::kJob);
+  collect(waiting_, keys::kWaiting);
   collect(machines_, keys::kMachine);
   const size_t kept = std::min(count, all.size());
   std::partial_sort(all.begin(), all.begin() + static_cast<long>(kept),
@@ -311,6 +320,20 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
+const WaitingRecord* Catalog::FindWaiting(const std::string& id) const {
+  const auto it = waiting_.find(id);
+  if (it == waiting_.end() || FindJob(id) != nullptr ||
+      FindTerminalState(id) != TerminalState::kNone) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
+bool Catalog::Accepted(const std::string& id) const {
+  return FindJob(id) != nullptr || waiting_.contains(id) ||
+         FindTerminalState(id) != TerminalState::kNone;
+}
+
 TerminalRecord Catalog::FindEnd(const std::string& id) const {
   const auto it = terminal_records_.find(id);
   return it == terminal_records_.end() ? TerminalRecord{} : it->second;
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -20,6 +20,7 @@
 #include "core/recovery/store_epoch.h"
 #include "core/recovery/terminal_state_index.h"
 #include "core/rollout/rollout.h"
+#include "core/upgrade/version_gate.h"
 
 namespace oxbow {
 
@@ -33,6 +34,11 @@
 inline constexpr std::string_view kEpochMark = "ob/live/e/";
 inline constexpr std::string_view kEpoch = "ob/live/epoch";
 inline constexpr std::string_view kJob = "ob/live/j/";
+// Jobs that wait for others. A release moves one to kJob, a cancellation to
+// kTerminal, each in one transaction.
+inline constexpr std::string_view kWaiting = "ob/live/w/";
+// The versions that the controllers run; see VersionGate.
+inline constexpr std::string_view kVersion = "ob/live/v/";
 inline constexpr std::string_view kMachine = "ob/live/m/";
 inline constexpr std::string_view kRental = "ob/live/r/";
 inline constexpr std::string_view kRollout = "ob/live/o/";
@@ -78,7 +84,8 @@
 using Record =
     std::variant<std::monostate, LeaderRecord, JobRecord, MachineRecord,
                  RentalRecord, TerminalRecord, RolloutRecord, StoreEpoch,
-                 EpochMark, OperatorRecord, WriteFence>;
+                 EpochMark, OperatorRecord, WaitingRecord, VersionRecord,
+                 WriteFence>;
 
 class Catalog {
  public:
@@ -128,6 +135,11 @@
   const std::unordered_map<std::string, JobRecord>& jobs() const {
     return jobs_;
   }
+  // Jobs that wait for others. One that is also among jobs(), or known to have
+  // ended, waits no more: its record is an older copy that has come back.
+  const std::unordered_map<std::string, WaitingRecord>& waiting() const {
+    return waiting_;
+  }
   const std::unordered_map<std::string, MachineRecord>& machines() const {
     return machines_;
   }
@@ -141,6 +153,8 @@
   const std::unordered_map<std::string, OperatorRecord>& operators() const {
     return operators_;
   }
+  // By the controller's name, and the mark of all.
+  const VersionGate::Versions& versions() const { return versions_; }
   // Every kind of live record that has a name: visit(map by name, key prefix).
   template <typename Visit>
   void EachKind(const Visit& visit) const {
@@ -148,6 +162,10 @@
   }
   const LeaderRecord& leader() const { return leader_; }
   const JobRecord* FindJob(const std::string& id) const;
+  // Null too for one that does not wait any more; see waiting().
+  const WaitingRecord* FindWaiting(const std::string& id) const;
+  // Whether it is known that the job was accepted, whatever became of it.
+  bool Accepted(const std::string& id) const;
   // How a job ended, as far as a user may be told; kNone if that is not known.
   // `done` counts from its record on. A cancellation counts once the record has
   // moved to the terminal states, where it goes when no task of the job can be
@@ -165,6 +183,8 @@
   template <typename Self, typename Visit>
   static void VisitKinds(Self& self, const Visit& visit) {
     visit(self.jobs_, keys::kJob);
+    visit(self.waiting_, keys::kWaiting);
+    visit(self.versions_, keys::kVersion);
     visit(self.machines_, keys::kMachine);
     visit(self.rentals_, keys::kRental);
     visit(self.rollouts_, keys::kRollout);
@@ -181,6 +201,8 @@
   void Rebase();
 
   std::unordered_map<std::string, JobRecord> jobs_;
+  std::unordered_map<std::string, WaitingRecord> waiting_;
+  VersionGate::Versions versions_;
   std::unordered_map<std::string, MachineRecord> machines_;
   std::unordered_map<std::string, RentalRecord> rentals_;
   std::unordered_map<std::string, RolloutRecord> rollouts_;
--- a/core/controller/restore.cc
+++ b/core/controller/restore.cc
@@ -11,12 +11,15 @@
 
 // A job that is remembered alive, and whose end has been read since, goes back
 // as one that has ended.
-Record OwedRecord(const Catalog& catalog, const std::string& key) {
-  Record record = catalog.RecordOf(key);
+Record OwedRecord(const Catalog& catalog, const WriteOp& op) {
+  Record record = catalog.RecordOf(op.name);
   auto* job = std::get_if<JobRecord>(&record);
   if (job != nullptr && job->terminal_state == TerminalState::kNone) {
     job->terminal_state =
-        catalog.FindTerminalState(key.substr(keys::kJob.size()));
+        catalog.FindTerminalState(op.name.substr(keys::kJob.size()));
+  }
+  if (job != nullptr && job->terminal_state != TerminalState::kNone) {
+    *job = EndedRecord(*job, job->terminal_state, op.compact);
   }
   return record;
 }
@@ -87,6 +90,10 @@
     alarms.push_back(std::to_string(catalog_.owed().size()) +
                      " records are still to be written back");
   }
+  if (writes_.set_aside() > 0) {
+    alarms.push_back(std::to_string(writes_.set_aside()) +
+                     " writes are larger than the state service takes");
+  }
   if (!catalog_.epoch().whole) {
     alarms.push_back(
         "jobs may have been lost with the state service's data: whoever misses "
@@ -194,7 +201,7 @@
                       [&](const KeyChange& c) { return c.key == op.name; })) {
         return false;
       }
-      const Record record = OwedRecord(catalog_, op.name);
+      const Record record = OwedRecord(catalog_, op);
       const uint64_t there = std::visit(
           [](const auto& r) -> uint64_t {
             if constexpr (requires { r.stamp; }) {
@@ -213,6 +220,13 @@
         txn->conditions.push_back(
             {keys::Of(keys::kTerminal, op.name.substr(keys::kJob.size())), 0});
       }
+      // Likewise, after the job was released or cancelled, it would wait again.
+      if (std::holds_alternative<WaitingRecord>(record)) {
+        const std::string id = op.name.substr(keys::kWaiting.size());
+        if (catalog_.FindWaiting(id) == nullptr) return false;
+        txn->conditions.push_back({keys::Of(keys::kJob, id), 0});
+        txn->conditions.push_back({keys::Of(keys::kTerminal, id), 0});
+      }
       txn->changes.push_back({op.name, record});
       return true;
     }
@@ -240,7 +254,7 @@
 void Controller::RestoreDone(const WriteOp& op, uint64_t revision) {
   if (revision == 0) return;
   if (op.kind == WriteKind::kRestore) {
-    catalog_.Put(op.name, OwedRecord(catalog_, op.name), revision);
+    catalog_.Put(op.name, OwedRecord(catalog_, op), revision);
   } else if (op.kind == WriteKind::kRebuilt) {
     StoreEpoch epoch = catalog_.epoch();
     epoch.rebuilt = true;
--- a/core/controller/write_queue.cc
+++ b/core/controller/write_queue.cc
@@ -19,6 +19,14 @@
 
 size_t Weight(const WriteTransaction& txn) {
   // Only specs are of any size; their variable parts decide.
+  const auto weight_of = [](const JobSpec& spec) {
+    size_t weight = spec.image.size() * 2;
+    if (spec.types) {
+      for (const std::string& t : *spec.types) weight += t.size() + 4;
+    }
+    for (const std::string& id : spec.waits_on) weight += id.size() + 4;
+    return weight;
+  };
   size_t bytes = 0;
   for (const KeyChange& change : txn.changes) {
     bytes += 512;
@@ -31,10 +39,10 @@
           2 * (word->text.size() + word->author.size() + word->note.size());
     }
     if (const auto* job = std::get_if<JobRecord>(&change.record)) {
-      bytes += job->spec->image.size() * 2;
-      if (job->spec->types) {
-        for (const std::string& t : *job->spec->types) bytes += t.size() + 4;
-      }
+      bytes += weight_of(*job->spec);
+    }
+    if (const auto* waiting = std::get_if<WaitingRecord>(&change.record)) {
+      bytes += weight_of(*waiting->spec);
     }
   }
   return bytes;
@@ -75,6 +83,13 @@
     *waits = std::move(op);
     return;
   }
+  const auto aside = std::find_if(aside_.begin(), aside_.end(),
+                                  [&](const Aside& a) { return same(a.op); });
+  if (renews && aside != aside_.end()) {
+    aside_.erase(aside);
+  } else if (aside != aside_.end()) {
+    return;
+  }
   if (waits != queue.end() ||
       std::any_of(in_flight_.begin(), in_flight_.end(), same)) {
     return;
@@ -82,10 +97,21 @@
   queue.push_back(std::move(op));
 }
 
+bool WriteQueue::Fits(const WriteTransaction& txn) const {
+  // "Four times that many conditions", as the protocol says.
+  constexpr size_t kConditionsEach = 4;
+  const auto limit = static_cast<size_t>(settings_.state.txn_ops);
+  const size_t always = mandate_.size() + 1;  // the fence
+  return txn.changes.size() <= limit &&
+         txn.conditions.size() + always <= kConditionsEach * limit &&
+         Weight(txn) <= kMaxWeight;
+}
+
 void WriteQueue::Flush(Time now) {
   if (now < not_before_) return;
   if (phase_ == kDoubtful) SendFence();
   if (phase_ != kIdle) return;
+  TakeUpAside(now);
   WriteTransaction txn;
   const auto limit = static_cast<size_t>(settings_.state.txn_ops);
   for (std::deque<WriteOp>* queue : {&urgent_, &lazy_}) {
@@ -99,14 +125,14 @@
         continue;
       }
       if (!in_flight_.empty() &&
-          (longer.changes.size() > limit || Weight(longer) > kMaxWeight)) {
+          (in_flight_.size() >= most_ops_ || !Fits(longer))) {
         break;
       }
       txn = std::move(longer);
       in_flight_.push_back(op);
       queue->pop_front();
     }
-    if (txn.changes.size() >= limit) break;
+    if (txn.changes.size() >= limit || in_flight_.size() >= most_ops_) break;
   }
   if (in_flight_.empty()) return;
   in_flight_keys_.clear();
@@ -184,6 +210,32 @@
   in_flight_.clear();
 }
 
+void WriteQueue::Split(Time now) {
+  if (in_flight_.size() > 1) {
+    most_ops_ = in_flight_.size() / 2;
+    PutBack();
+    return;
+  }
+  most_ops_ = SIZE_MAX;
+  WriteOp op = std::move(in_flight_.front());
+  in_flight_.clear();
+  if (!op.compact) {
+    op.compact = true;
+    urgent_.push_front(std::move(op));
+    return;
+  }
+  actions_.push_back(Note{"the state service does not take a write about " +
+                          op.name + ": too large"});
+  aside_.push_back({now + settings_.workers.lease_s, std::move(op)});
+}
+
+void WriteQueue::TakeUpAside(Time now) {
+  while (!aside_.empty() && aside_.front().until <= now) {
+    lazy_.push_back(std::move(aside_.front().op));
+    aside_.pop_front();
+  }
+}
+
 bool WriteQueue::OnAnswer(uint64_t id, WriteOutcome outcome, uint64_t revision,
                           const std::vector<std::string>& failed, Time now) {
   if (id != id_ || (phase_ != kWriting && phase_ != kFencing)) return true;
@@ -201,6 +253,10 @@
       PauseFrom(now);
       PutBack();
       break;
+    case WriteOutcome::kRefused:
+      Change(WriteEvent::kAnswered);
+      Split(now);
+      break;
     case WriteOutcome::kConflict:
       if (FenceStands(failed)) ++fence_;
       Change(WriteEvent::kFixed);
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -60,6 +60,29 @@
   EXPECT_NE(app::ParseSettings("{", &s), "");
 }
 
+TEST(Settings, TheSmallerOfTheLimitsNowAndNextHold) {
+  const std::string next =
+      Replace(kGood, "\"txn_ops\": 8",
+              R"("txn_ops": 8, "value_kb": 8, "write_rps": 100,
+         "next": {"value_kb": 2, "txn_ops": 5, "write_rps": 70, "rps": 300})");
+  Settings s;
+  ASSERT_EQ(app::ParseSettings(next, &s), "");
+  EXPECT_EQ(s.state.txn_ops, 5);
+  EXPECT_EQ(s.state.value_kb, 2);
+  EXPECT_EQ(s.state.write_rps, 70);
+  EXPECT_EQ(s.state.rps, 100);
+  // What stands may have been written before.
+  EXPECT_EQ(s.state.stored_value_kb, 8);
+  for (const auto& [from, to, field] : std::vector<std::array<std::string, 3>>{
+           {"\"txn_ops\": 5", "\"txn_ops\": 0", "next, txn_ops"},
+           {"\"value_kb\": 2", "\"value_kb\": \"2\"", "next, value_kb"},
+           {"\"next\": {", "\"next\": 3, \"x\": {", "next"}}) {
+    Settings bad;
+    const std::string error = app::ParseSettings(Replace(next, from, to), &bad);
+    EXPECT_EQ(error.rfind(field, 0), 0U) << error;
+  }
+}
+
 TEST(Tuning, IsReadFromTheOperatorsFile) {
   const std::string path = testing::TempDir() + "tuning.conf";
   std::ofstream(path) << "placement { fetch_weight = 2.5 }\n"
@@ -81,7 +104,8 @@
   "form":"ensemble","standing":"urgent","legs":16,"cores":8.0,
   "accelerators":1.0,"memory_gb":64.0,"build":"img-07","size_gb":6.2,
   "fleets":["g8"],"yard":null,"together":true,"scatter":false,"loaner":true,
-  "reckon_s":240.0,"bookmark_s":30.0,"stow_s":4.0,"due_s":900.0})";
+  "reckon_s":240.0,"bookmark_s":30.0,"stow_s":4.0,"due_s":900.0,
+  "waits_on":["job-000398","job-000405"]})";
 
 std::string Check(const std::string& text) {
   rapidjson::Document doc;
@@ -106,6 +130,11 @@
       {"\"together\":true", "\"together\":1"},
       {"[\"g8\"]", "\"g8\""},
       {"\"due_s\":900.0", "\"due_s\":-3"},
+      {"[\"job-000398\",\"job-000405\"]", "\"job-000398\""},
+      {"[\"job-000398\",\"job-000405\"]", "[398]"},
+      {"job-000398", "398"},
+      {"job-000398", "job-000412"},  // itself
+      {"job-000398", "job-000405"},  // twice
   };
   for (const auto& [from, to] : bad) {
     EXPECT_NE(Check(Replace(kJob, from, to)), "") << to;
@@ -128,6 +157,8 @@
   EXPECT_EQ(copy.types, spec.types);
   EXPECT_FALSE(copy.zone);
   EXPECT_EQ(copy.deadline_s, 900);
+  EXPECT_EQ(copy.waits_on, spec.waits_on);
+  EXPECT_EQ(copy.waits_on.size(), 2U);
 }
 
 TEST(JobDescriptions, WhatCanNeverRunIsSaid) {
