--- a/core/answers/answer_gate.h
+++ b/core/answers/answer_gate.h
@@ -69,8 +69,8 @@
     kSentAgain,  // the same, and another one is under way
   };
 
-  // The transaction leaves.
-  void Left(uint64_t txn, std::vector<EndWrite> ends);
+  // The transaction leaves; one that has no outcome yet counts as unanswered.
+  void Left(uint64_t txn, const std::vector<EndWrite>& ends);
   // Its outcome.
   void Applied(uint64_t txn);
   // Not carried out, and it never will be. `differing`: those jobs' records
