--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -12,7 +12,7 @@
   for (const KeyChange& change : txn.changes) {
     if (!change.key.starts_with(keys::kJob)) continue;
     const auto* job = std::get_if<JobRecord>(&change.record);
-    if (job != nullptr && job->final_state == FinalState::kNone) continue;
+    if (job != nullptr && job->terminal_state == TerminalState::kNone) continue;
     uint64_t stamp = 0;
     for (const Condition& c : txn.conditions) {
       if (c.key == change.key) stamp = c.stamp;
@@ -37,11 +37,11 @@
   switch (op.kind) {
     case WriteKind::kFinish: {
       const JobRecord* record = catalog_.FindJob(op.name);
-      if (record == nullptr || record->final_state != FinalState::kNone) {
+      if (record == nullptr || record->terminal_state != TerminalState::kNone) {
         return false;
       }
       JobRecord next = *record;
-      next.final_state = op.final_state;
+      next.terminal_state = op.terminal_state;
       const std::string key = keys::Of(keys::kJob, op.name);
       txn->conditions.push_back({key, record->stamp});
       txn->changes.push_back({key, next});
@@ -49,14 +49,14 @@
     }
     case WriteKind::kRetire: {
       const JobRecord* record = catalog_.FindJob(op.name);
-      if (record == nullptr || record->final_state == FinalState::kNone) {
+      if (record == nullptr || record->terminal_state == TerminalState::kNone) {
         return false;
       }
       const std::string key = keys::Of(keys::kJob, op.name);
       txn->conditions.push_back({key, record->stamp});
       txn->changes.push_back(
-          {keys::Of(keys::kFinal, op.name),
-           FinalRecord{record->final_state, record->spec->tasks, 0}});
+          {keys::Of(keys::kTerminal, op.name),
+           TerminalRecord{record->terminal_state, record->spec->tasks, 0}});
       txn->changes.push_back({key, {}});
       return true;
     }
@@ -129,7 +129,7 @@
       return true;
     }
     case WriteKind::kRestore:
-    case WriteKind::kRestoreFinal:
+    case WriteKind::kRestoreTerminalState:
     case WriteKind::kRebuilt:
       return BuildRestore(op, txn);
   }
@@ -174,14 +174,16 @@
     case WriteKind::kFinish: {
       if (revision > 0) {
         JobRecord record = *catalog_.FindJob(op.name);
-        record.final_state = op.final_state;
+        record.terminal_state = op.terminal_state;
         catalog_.Put(keys::Of(keys::kJob, op.name), record, revision);
       }
       const JobRecord* record = catalog_.FindJob(op.name);
-      const FinalState state =
-          record ? record->final_state : catalog_.FindFinal(op.name);
-      if (state != FinalState::kNone) answers_.Stands(op.name);
-      if (state != FinalState::kNone) OnFinalRecorded(op.name, state, now);
+      const TerminalState state =
+          record ? record->terminal_state : catalog_.FindTerminalState(op.name);
+      if (state != TerminalState::kNone) answers_.Stands(op.name);
+      if (state != TerminalState::kNone) {
+        OnTerminalStateRecorded(op.name, state, now);
+      }
       break;
     }
     case WriteKind::kRetire: {
@@ -189,8 +191,8 @@
         catalog_.Erase(keys::Of(keys::kJob, op.name), revision);
       }
       if (catalog_.FindJob(op.name) == nullptr) answers_.Stands(op.name);
-      if (catalog_.FindFinal(op.name) == FinalState::kAborted) {
-        actions_.push_back(JobFinal{op.name, FinalState::kAborted});
+      if (catalog_.FindTerminalState(op.name) == TerminalState::kAborted) {
+        actions_.push_back(JobTerminated{op.name, TerminalState::kAborted});
       }
       const auto it = jobs_.find(op.name);
       if (it == jobs_.end()) break;
@@ -267,7 +269,7 @@
       OnOperatorRecord(op.name, now);
       break;
     case WriteKind::kRestore:
-    case WriteKind::kRestoreFinal:
+    case WriteKind::kRestoreTerminalState:
     case WriteKind::kRebuilt:
       RestoreDone(op, revision);
       break;
--- a/tests/answer_gate_test.cc
+++ b/tests/answer_gate_test.cc
@@ -323,8 +323,9 @@
     for (const bool reaches : {false, true}) {
       Model m = before;
       Model::Node& n = m.nodes[i];
-      Evidence evidence{n.knows_end ? FinalState::kDone : FinalState::kNone,
-                        SightOf(n), RecordRead::kNone};
+      Evidence evidence{
+          n.knows_end ? TerminalState::kDone : TerminalState::kNone, SightOf(n),
+          RecordRead::kNone};
       Telling telling = Decide(evidence);
       if (telling == Telling::kReadFirst) {
         evidence.read = RecordRead::kUnclear;
@@ -336,7 +337,8 @@
           See(m, &n);
           evidence.read = m.exists ? RecordRead::kLive : RecordRead::kMissing;
         }
-        evidence.end = n.knows_end ? FinalState::kDone : FinalState::kNone;
+        evidence.end =
+            n.knows_end ? TerminalState::kDone : TerminalState::kNone;
         evidence.sight = SightOf(n);
         telling = Decide(evidence);
       }
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-std::optional<double> Storm::Travel() {
+std::optional<double> RandomFaults::Travel() {
   if (Happens(lost)) return std::nullopt;
   if (Happens(held)) return Between(0.5, longest_s);
   return Between(0.0, 0.1);
@@ -57,24 +57,24 @@
 void Sim::AskForZones() {
   for (auto& [name, c] : controllers_) {
     if (c.zone.empty() || c.gone) continue;
-    if (!c.keeper) {
-      c.keeper.emplace(settings.workers);
-      c.keeper->RecordedAnew(now_, now_);
+    if (!c.lease) {
+      c.lease.emplace(settings.workers);
+      c.lease->RecordedAnew(now_, now_);
     }
     if (state_down) {
-      c.recorded_until = now_ + ZoneRecordLease(settings.workers);
+      c.recorded_until = now_ + DelegatedLeaseRecordTerm(settings.workers);
     } else if (!c.no_state) {
-      if (now_ > c.recorded_until) c.keeper->RecordedAnew(now_, now_);
-      c.keeper->Recorded(now_);
-      c.recorded_until = now_ + ZoneRecordLease(settings.workers);
+      if (now_ > c.recorded_until) c.lease->RecordedAnew(now_, now_);
+      c.lease->Recorded(now_);
+      c.recorded_until = now_ + DelegatedLeaseRecordTerm(settings.workers);
     }
     if (name == leading_ || c.refused || !leader_ || now_ < stalled_until_ ||
         now_ < c.next_ask) {
       continue;
     }
     c.next_ask = now_ + StandBackFor(settings.workers);
-    if (leader_->OnKeepAsked(name, "life", now_, now_)) {
-      c.keeper->Granted(now_);
+    if (leader_->OnDelegationAsked(name, "life", now_, now_)) {
+      c.lease->Granted(now_);
     }
   }
 }
@@ -82,14 +82,14 @@
 bool Sim::KeptInZone(const SimWorker& w) {
   for (auto& [name, c] : controllers_) {
     if (name != leading_ && !c.gone && c.refused && c.zone == w.zone &&
-        c.keeper && c.keeper->Keep(now_)) {
+        c.lease && c.lease->Renew(now_)) {
       return true;
     }
   }
   return false;
 }
 
-std::set<std::string> Sim::RecordedKeepers() const {
+std::set<std::string> Sim::RecordedDelegates() const {
   std::set<std::string> names;
   for (const auto& [name, c] : controllers_) {
     if (now_ < c.recorded_until) names.insert(name);
@@ -129,7 +129,7 @@
   }
   leader_ =
       std::make_unique<Controller>(settings, tuning, catalog_, revision_, now_,
-                                   kEpochOffset, 7, RecordedKeepers());
+                                   kEpochOffset, 7, RecordedDelegates());
   if (rebuilds) leader_->OnEndsOwed({}, /*whole=*/true);
   FollowTiers();
   leader_->UseTiers(tiers_in_force_[leading_].set());
@@ -145,7 +145,7 @@
 }
 
 void Sim::OpenEpoch() {
-  EpochRecord epoch;
+  StoreEpoch epoch;
   epoch.number = ++epoch_;
   epoch.id = "e" + std::to_string(epoch_);
   epoch.base = epoch_ << 30;
@@ -170,7 +170,7 @@
   jobs_[spec.id] = {spec, std::nullopt, false};
   const std::string key = keys::Of(keys::kJob, spec.id);
   const JobRecord record{std::make_shared<JobSpec>(spec), now_ + kEpochOffset,
-                         FinalState::kNone, 0};
+                         TerminalState::kNone, 0};
   store_[key] = {record, ++revision_};
   news_.emplace_back(key, revision_);
   catalog_.Put(key, record, revision_);
@@ -512,7 +512,7 @@
 
 void Sim::SendReport(SimWorker& w) {
   w.next_report = now_ + settings.workers.report_s;
-  if (storm) return ReportInStorm(w);
+  if (faults) return ReportWithFaults(w);
   // One report in flight.
   if (now_ < w.waits_until) {
     w.next_report = w.waits_until;
@@ -605,22 +605,22 @@
 }
 
 // One report in flight; an answer is good for 4 s after its report was sent.
-void Sim::ReportInStorm(SimWorker& w) {
-  constexpr double kPatience = 4.0;
+void Sim::ReportWithFaults(SimWorker& w) {
+  constexpr double kReportLifetime_s = 4.0;
   if (now_ < w.waits_until) {
     w.next_report = w.waits_until;
     return;
   }
   const uint64_t number = ++w.reports;
   const WorkerReport report = ReportOf(w);
-  w.waits_until = now_ + kPatience;
-  const std::optional<double> there = storm->Travel();
-  std::optional<double> back = storm->Travel();
+  w.waits_until = now_ + kReportLifetime_s;
+  const std::optional<double> there = faults->Travel();
+  std::optional<double> back = faults->Travel();
   if (w.answers_cut) back.reset();
-  if (storm->copied > 0 && storm->Happens(storm->copied)) {
-    Copy(report, storm->Between(0.5, storm->latest_copy_s));
+  if (faults->copied > 0 && faults->Happens(faults->copied)) {
+    Copy(report, faults->Between(0.5, faults->latest_copy_s));
   }
-  if (!leader_ && state_down && tended && there && back) {
+  if (!leader_ && state_down && delegated && there && back) {
     w.waits_until = 0;
     w.lease_from = now_;
     return;
@@ -640,7 +640,9 @@
       After(*back, [this, report, number, reply, sent] {
         OnWorker(report.host, [this, report, number, reply,
                                sent](SimWorker& worker) {
-          if (worker.reports != number || now_ > sent + kPatience) return;
+          if (worker.reports != number || now_ > sent + kReportLifetime_s) {
+            return;
+          }
           worker.waits_until = 0;
           if (reply.withheld) {
             NoteWithheld(worker);
@@ -661,7 +663,7 @@
   });
 }
 
-void Sim::DoInStorm(const SendOrders& orders) {
+void Sim::DoWithFaults(const SendOrders& orders) {
   constexpr double kTimeout = 1.5;
   const uint64_t revision = leader_->revision();
   auto answered = std::make_shared<bool>(false);
@@ -678,13 +680,13 @@
   const auto it = workers_.find(orders.host);
   const bool cut = it == workers_.end() || it->second.orders_cut ||
                    !LeaderNode().Sends(orders.host);
-  if (storm->Happens(storm->refused)) {
+  if (faults->Happens(faults->refused)) {
     After(kLatency, [answer] { answer(OrderOutcome::kNotSent, {}); });
     return;
   }
   After(kTimeout, [answer] { answer(OrderOutcome::kUnknown, {}); });
-  const std::optional<double> there = storm->Travel();
-  const std::optional<double> back = storm->Travel();
+  const std::optional<double> there = faults->Travel();
+  const std::optional<double> back = faults->Travel();
   if (cut || !there) return;
   After(*there, [this, orders, answer, back] {
     OnWorker(orders.host, [this, orders, answer, back](SimWorker& w) {
@@ -710,8 +712,9 @@
         if (it == w.tasks.end()) StartTask(w, o);
         break;
       case OrderKind::kStop: {
-        if (it == w.tasks.end() || it->second.phase == TaskPhase::kExited)
+        if (it == w.tasks.end() || it->second.phase == TaskPhase::kExited) {
           break;
+        }
         SimTask& t = it->second;
         const JobSpec& spec = jobs_.at(t.job).spec;
         if (t.phase == TaskPhase::kRunning && spec.checkpoint_s > 0 &&
@@ -743,8 +746,9 @@
   const MachineType& type = types.at(w.type);
   Resources used = spec.need;
   for (const auto& [name, other] : w.tasks) {
-    if (other.phase != TaskPhase::kExited)
+    if (other.phase != TaskPhase::kExited) {
       used += jobs_.at(other.job).spec.need;
+    }
   }
   if (!used.FitsIn(type.total)) {
     t.phase = TaskPhase::kExited;
@@ -788,7 +792,7 @@
 }
 
 void Sim::Do(const SendOrders& orders) {
-  if (storm) return DoInStorm(orders);
+  if (faults) return DoWithFaults(orders);
   auto [fate, late] = fates_.contains(orders.host)
                           ? fates_[orders.host]
                           : std::pair{Fate::kNormal, 0.0};
@@ -841,16 +845,16 @@
     return !deletes && change.key.starts_with(live) &&
            store_.contains(keys::Of(end, change.key.substr(live.size())));
   };
-  if (ended(keys::kJob, keys::kFinal) ||
+  if (ended(keys::kJob, keys::kTerminal) ||
       ended(keys::kRollout, keys::kRolloutEnd)) {
     Break("lives again: " + change.key);
   }
-  if (!change.key.starts_with(keys::kFinal)) return;
+  if (!change.key.starts_with(keys::kTerminal)) return;
   const auto known = store_.find(change.key);
-  const auto* next = std::get_if<FinalRecord>(&change.record);
+  const auto* next = std::get_if<TerminalRecord>(&change.record);
   if (known != store_.end() &&
       (next == nullptr ||
-       std::get<FinalRecord>(known->second.first).state != next->state)) {
+       std::get<TerminalRecord>(known->second.first).state != next->state)) {
     Break("went_back: " + change.key);
   }
 }
@@ -878,21 +882,21 @@
   ++revision_;
   for (const KeyChange& change : txn.changes) {
     if (const auto* job = std::get_if<JobRecord>(&change.record)) {
-      FinalState& told = told_[job->spec->id];
-      if (told != FinalState::kNone && told != job->final_state) {
+      TerminalState& told = told_[job->spec->id];
+      if (told != TerminalState::kNone && told != job->terminal_state) {
         Break("went_back: " + job->spec->id);
       }
-      told = job->final_state;
-      if (told == FinalState::kDone) ends_elsewhere_.insert(job->spec->id);
-      if (told == FinalState::kDone &&
+      told = job->terminal_state;
+      if (told == TerminalState::kDone) ends_elsewhere_.insert(job->spec->id);
+      if (told == TerminalState::kDone &&
           completed_[job->spec->id].size() != job->spec->tasks) {
         Break("not_done: " + job->spec->id);
       }
     }
     // From here on any controller tells the job's user that it is cancelled.
-    const auto* end = std::get_if<FinalRecord>(&change.record);
-    if (end != nullptr && end->state == FinalState::kAborted) {
-      const std::string id = change.key.substr(keys::kFinal.size());
+    const auto* end = std::get_if<TerminalRecord>(&change.record);
+    if (end != nullptr && end->state == TerminalState::kAborted) {
+      const std::string id = change.key.substr(keys::kTerminal.size());
       jobs_.at(id).nothing_left = true;
       ends_elsewhere_.insert(id);
     }
@@ -993,9 +997,9 @@
       if (const auto* send = std::get_if<SendOrders>(&action)) {
         Do(*send);
       } else if (const auto* probe = std::get_if<Probe>(&action);
-                 probe != nullptr && storm) {
-        const std::optional<double> there = storm->Travel();
-        const std::optional<double> back = storm->Travel();
+                 probe != nullptr && faults) {
+        const std::optional<double> there = faults->Travel();
+        const std::optional<double> back = faults->Travel();
         if (!there || !back || !LeaderNode().Sends(probe->host)) continue;
         After(*there, [this, leader, host = probe->host, back] {
           OnWorker(host, [this, leader, back](SimWorker& w) {
@@ -1065,35 +1069,36 @@
       } else if (const auto* back = std::get_if<AskStandBack>(&action)) {
         for (const std::string& name : back->peers) {
           SimController& c = controllers_[name];
-          if (c.gone || c.refused || !c.keeper ||
-              !c.keeper->AskedToStandBack(now_)) {
+          if (c.gone || c.refused || !c.lease ||
+              !c.lease->AskedToStandBack(now_)) {
             continue;
           }
           After(kLatency, [this, leader, name, sent = now_,
-                           ago = c.keeper->KeptAgo(now_)] {
+                           ago = c.lease->RenewedAgo(now_)] {
             OnLeader(leader, [this, name, ago, sent] {
               leader_->OnStoodBack(name, "life", now_, ago, sent, now_);
             });
           });
         }
-      } else if (std::holds_alternative<ReadZoneKeepers>(action)) {
+      } else if (std::holds_alternative<ReadDelegates>(action)) {
         if (state_down) continue;
-        After(kLatency, [this, leader, sent = now_, read = RecordedKeepers()] {
-          OnLeader(leader, [this, read, sent] {
-            leader_->OnKeepersRead(read, sent, now_);
-          });
-        });
+        After(kLatency,
+              [this, leader, sent = now_, read = RecordedDelegates()] {
+                OnLeader(leader, [this, read, sent] {
+                  leader_->OnDelegatesRead(read, sent, now_);
+                });
+              });
       } else if (const auto* offer = std::get_if<OfferLead>(&action)) {
         AnswerOffer(*offer);
       } else if (const auto* job = std::get_if<AskJob>(&action)) {
         // The shell reads the live record, then how it ended.
         After(kLatency, [this, leader, id = job->id] {
-          const auto end = store_.find(keys::Of(keys::kFinal, id));
+          const auto end = store_.find(keys::Of(keys::kTerminal, id));
           if (!leader_ || leader_->revision() != leader || state_down ||
               end == store_.end()) {
             return;
           }
-          catalog_.RememberEnd(id, std::get<FinalRecord>(end->second.first));
+          catalog_.RememberEnd(id, std::get<TerminalRecord>(end->second.first));
         });
       } else if (const auto* quit = std::get_if<Resign>(&action)) {
         After(0, [this, leader, unfit = quit->unfit] {
@@ -1405,9 +1410,9 @@
 }
 
 std::string Sim::JobStatus(const std::string& id) {
-  const FinalState state = catalog_.FindFinal(id);
-  if (state == FinalState::kDone) return "done";
-  if (state == FinalState::kAborted) return "aborted";
+  const TerminalState state = catalog_.FindTerminalState(id);
+  if (state == TerminalState::kDone) return "done";
+  if (state == TerminalState::kAborted) return "aborted";
   JobView view;
   const JobSight sight = leader_ ? leader_->View(id, &view) : JobSight::kUnseen;
   if (sight == JobSight::kUnseen) return "unknown";
