Chains: the leader releases and cancels jobs that wait for others

core/chains keeps who waits for whom, what is due and what a job inherits; it knows nothing of records. The leader releases a job once all that it names are recorded as done, by one transaction that moves its record to the live jobs, and cancels it once one is recorded as cancelled, by one that moves it to the final states. Both are conditioned on the waiting record, so of two that are under way one fails; which one stood is decided by the queue's read of both keys. A cascade goes half a transaction at a time and is derived from the records alone, so a new leader takes it up.

A job that nobody here remembers is read (waiting, live, final, in this order); one that is not found proves nothing. Idle machines stay up when a next step is about to start. `status` says which jobs wait for which.

--- a/api/api.cc
+++ b/api/api.cc
@@ -175,6 +175,10 @@
     w.StartArray();
     for (const std::string& alarm : view.alarms) w.String(alarm.c_str());
     w.EndArray();
+    w.Key("waiting");
+    w.StartArray();
+    for (const std::string& line : view.waiting) w.String(line.c_str());
+    w.EndArray();
   }
   w.EndObject();
   net::HttpResponse response;
--- a/api/api.h
+++ b/api/api.h
@@ -44,6 +44,7 @@
   int machines = 0;    // recorded
   int silent = 0;
   std::vector<std::string> alarms;
+  std::vector<std::string> waiting;  // jobs, and which others they wait for
 };
 
 class Service {
--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -99,6 +99,9 @@
   about(keys::kJob, [this](Controller& c, const std::string& id) {
     c.OnJobRecord(id, loop_.Now());
   });
+  about(keys::kWaiting, [this](Controller& c, const std::string& id) {
+    c.OnWaitingRecord(id, loop_.Now());
+  });
   about(keys::kRollout, [this](Controller& c, const std::string& id) {
     c.OnRolloutRecord(id, loop_.Now());
   });
@@ -226,6 +229,8 @@
         net::Spawn(DoReadKeepers(revision));
       } else if (auto* job = std::get_if<AskJob>(&action)) {
         net::Spawn(recovery_.AskAboutJob(std::move(job->id)));
+      } else if (auto* end = std::get_if<ReadEnd>(&action)) {
+        net::Spawn(DoReadEnd(std::move(end->id), revision));
       } else if (auto* gone = std::get_if<DeleteMachines>(&action)) {
         to_delete.insert(to_delete.end(), gone->hosts.begin(),
                          gone->hosts.end());
@@ -339,6 +344,26 @@
        [&](Controller& c) { c.OnReadAnswer(read.id, ok, loop_.Now()); });
 }
 
+// In the order in which a job moves, so that one that moves meanwhile is found.
+// One that is not found proves nothing.
+net::Task<void> Dealings::DoReadEnd(std::string id, uint64_t revision) {
+  for (const std::string_view prefix :
+       {keys::kWaiting, keys::kJob, keys::kFinal}) {
+    const StateResult found =
+        co_await state_.Get(keys::Of(prefix, id), Urgency::kLeader);
+    if (found.ok()) {
+      const clients::KeyValue& item = found.items[0];
+      if (const auto* end = std::get_if<FinalRecord>(&item.record)) {
+        catalog_.RememberEnd(id, *end);
+      } else {
+        follower_.Apply(item.key, item.record, item.stamp);
+      }
+    }
+    if (found.status != StateStatus::kNotFound) break;
+  }
+  Tell(revision, [&](Controller& c) { c.OnEndRead(id, loop_.Now()); });
+}
+
 net::Task<void> Dealings::DoRent(RentMachines rent, uint64_t revision) {
   clients::CloudClient::Rented answer;
   if (Leading() != nullptr)
--- a/app/dealings.h
+++ b/app/dealings.h
@@ -73,6 +73,7 @@
   net::Task<void> DoProbe(Probe probe, uint64_t revision);
   net::Task<void> DoWrite(WriteTransaction txn, uint64_t revision);
   net::Task<void> DoRead(ReadKeys read, uint64_t revision);
+  net::Task<void> DoReadEnd(std::string id, uint64_t revision);
   net::Task<void> DoRent(RentMachines rent, uint64_t revision);
   net::Task<void> DoCheck(CheckInstance check, uint64_t revision);
   net::Task<void> DoReadKeepers(uint64_t revision);
--- a/app/main.cc
+++ b/app/main.cc
@@ -81,11 +81,15 @@
   std::printf("machines: %llu recorded, %llu silent\n",
               static_cast<unsigned long long>(json::GetUint(doc, "machines")),
               static_cast<unsigned long long>(json::GetUint(doc, "silent")));
-  const auto* alarms = json::Find(doc, "alarms");
-  if (alarms == nullptr || !alarms->IsArray()) co_return;
-  for (const auto& alarm : alarms->GetArray()) {
-    if (alarm.IsString()) std::printf("alarm: %s\n", alarm.GetString());
-  }
+  const auto print = [&doc](const char* field, const char* before) {
+    const auto* lines = json::Find(doc, field);
+    if (lines == nullptr || !lines->IsArray()) return;
+    for (const auto& line : lines->GetArray()) {
+      if (line.IsString()) std::printf("%s%s\n", before, line.GetString());
+    }
+  };
+  print("alarms", "alarm: ");
+  print("waiting", "");
 }
 
 net::Task<void> AskStatus(net::Loop& loop, net::Address address, int* exit) {
--- a/app/users.cc
+++ b/app/users.cc
@@ -505,6 +505,7 @@
   view.machines = leading->hearing().recorded;
   view.silent = leading->hearing().silent;
   view.alarms = leading->Alarms();
+  view.waiting = leading->WaitingLines();
   return view;
 }
 
--- /dev/null
+++ b/core/chains/chains.cc
@@ -0,0 +1,224 @@
+#include "core/chains/chains.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/model/state_machine.h"
+
+namespace oxbow {
+namespace {
+
+using enum ChainState;
+
+constexpr std::array kChanges = {
+    std::pair{kWaiting, kReleasing},
+    std::pair{kWaiting, kCancelling},
+    // Only by its user: all that it needs are done for good.
+    std::pair{kReleasing, kCancelling},
+    // Another leader's write may have moved the record, or a late one.
+    std::pair{kWaiting, kGone},
+    std::pair{kReleasing, kGone},
+    std::pair{kCancelling, kGone},
+};
+
+}  // namespace
+
+bool Chains::Change(ChainJob& job, ChainEvent event) {
+  switch (event) {
+    case ChainEvent::kAllDone:
+      if (job.state != kWaiting) return false;
+      CheckedChange(job.state, kReleasing, kChanges, "chain");
+      return true;
+    case ChainEvent::kNeedCancelled:
+      if (job.state != kWaiting) return false;
+      CheckedChange(job.state, kCancelling, kChanges, "chain");
+      return true;
+    case ChainEvent::kUserCancels:
+      if (job.state != kWaiting && job.state != kReleasing) return false;
+      CheckedChange(job.state, kCancelling, kChanges, "chain");
+      return true;
+    case ChainEvent::kMoved:
+      CheckedChange(job.state, kGone, kChanges, "chain");
+      return true;
+  }
+  return false;
+}
+
+void Chains::Add(const std::shared_ptr<const JobSpec>& spec, Time submitted,
+                 const EndOf& end_of) {
+  const auto [it, added] = jobs_.try_emplace(spec->id);
+  if (!added) return;
+  ChainJob& job = it->second;
+  job.spec = spec;
+  job.submitted = submitted;
+  bool cancelled = false;
+  for (const std::string& need : spec->waits_on) {
+    const FinalState end = end_of(need);
+    if (end == FinalState::kDone) continue;
+    cancelled = cancelled || end == FinalState::kAborted;
+    job.open.insert(need);
+    dependents_[need].insert(spec->id);
+    Invalidate(need);
+  }
+  const bool due = cancelled          ? Change(job, ChainEvent::kNeedCancelled)
+                   : job.open.empty() ? Change(job, ChainEvent::kAllDone)
+                                      : false;
+  if (due) due_.push_back(spec->id);
+}
+
+void Chains::OnEnd(const std::string& id, FinalState end) {
+  const auto it = dependents_.find(id);
+  if (it == dependents_.end() || end == FinalState::kNone) return;
+  // A cancelled one stays named: its dependents leave one by one.
+  const std::vector<std::string> dependents(it->second.begin(),
+                                            it->second.end());
+  if (end == FinalState::kDone) dependents_.erase(it);
+  for (const std::string& dependent : dependents) {
+    ChainJob& job = jobs_.at(dependent);
+    if (end == FinalState::kDone) {
+      job.open.erase(id);
+      if (job.open.empty() && Change(job, ChainEvent::kAllDone)) {
+        due_.push_back(dependent);
+      }
+    } else if (Change(job, ChainEvent::kNeedCancelled)) {
+      due_.push_back(dependent);
+    }
+  }
+  Invalidate(id);
+}
+
+bool Chains::Cancel(const std::string& id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return false;
+  if (Change(it->second, ChainEvent::kUserCancels)) due_.push_back(id);
+  return true;
+}
+
+void Chains::Remove(const std::string& id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  Change(it->second, ChainEvent::kMoved);
+  const std::set<std::string> open = std::move(it->second.open);
+  jobs_.erase(it);
+  for (const std::string& need : open) {
+    const auto named = dependents_.find(need);
+    if (named == dependents_.end()) continue;
+    named->second.erase(id);
+    if (named->second.empty()) dependents_.erase(named);
+    Invalidate(need);
+  }
+}
+
+const ChainJob* Chains::Find(const std::string& id) const {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+std::vector<std::string> Chains::Some(size_t most) const {
+  std::vector<std::string> some;
+  for (const auto& [id, job] : jobs_) {
+    if (some.size() >= most) break;
+    some.push_back(id);
+  }
+  return some;
+}
+
+std::string Chains::TakeDue() {
+  while (!due_.empty()) {
+    std::string id = std::move(due_.front());
+    due_.pop_front();
+    const ChainJob* job = Find(id);
+    if (job != nullptr && job->state != kWaiting) return id;
+  }
+  return {};
+}
+
+void Chains::PutBackDue(const std::string& id) { due_.push_back(id); }
+
+const std::set<std::string>* Chains::DependentsOf(const std::string& id) const {
+  const auto it = dependents_.find(id);
+  return it == dependents_.end() ? nullptr : &it->second;
+}
+
+std::vector<std::string> Chains::NextNeeds(size_t most) {
+  std::vector<std::string> next;
+  auto it = dependents_.upper_bound(last_need_);
+  for (; it != dependents_.end() && next.size() < most; ++it) {
+    next.push_back(it->first);
+  }
+  last_need_ = it == dependents_.end() ? std::string() : next.back();
+  return next;
+}
+
+void Chains::Invalidate(const std::string& id) {
+  changed_.insert(id);
+  std::vector<std::string> changed = {id};
+  while (!changed.empty()) {
+    const std::string job = std::move(changed.back());
+    changed.pop_back();
+    // Without an entry of its own, what it needs has none either.
+    if (inherited_.erase(job) == 0) continue;
+    changed_.insert(job);
+    const auto it = jobs_.find(job);
+    if (it == jobs_.end()) continue;
+    changed.insert(changed.end(), it->second.open.begin(),
+                   it->second.open.end());
+  }
+}
+
+std::vector<std::string> Chains::TakeChanged() {
+  std::vector<std::string> taken(changed_.begin(), changed_.end());
+  changed_.clear();
+  return taken;
+}
+
+Inherited Chains::Combine(const std::string& id) const {
+  Inherited all;
+  const std::set<std::string>* dependents = DependentsOf(id);
+  if (dependents == nullptr) return all;
+  for (const std::string& dependent : *dependents) {
+    const ChainJob& job = jobs_.at(dependent);
+    if (job.state == kCancelling) continue;
+    const auto further = inherited_.find(dependent);
+    const Inherited after =
+        further == inherited_.end() ? Inherited{} : further->second;
+    const DueTimes own = estimates_.DueOf(*job.spec, job.submitted);
+    const double path = estimates_.PathSeconds(*job.spec);
+    all.priority = std::min({all.priority, job.spec->priority, after.priority});
+    all.due.first =
+        std::min(all.due.first, std::min(own.first, after.due.first) - path);
+    all.due.last =
+        std::min(all.due.last, std::min(own.last, after.due.last) - path);
+  }
+  return all;
+}
+
+// Those that need it first, without recursion: a chain may be long.
+Inherited Chains::InheritedBy(const std::string& id) {
+  if (DependentsOf(id) == nullptr) return {};
+  std::vector<std::string> stack = {id};
+  std::unordered_set<std::string> opened;
+  while (!stack.empty()) {
+    const std::string job = stack.back();
+    if (inherited_.contains(job)) {
+      stack.pop_back();
+      continue;
+    }
+    if (opened.insert(job).second) {
+      if (const auto* dependents = DependentsOf(job)) {
+        for (const std::string& dependent : *dependents) {
+          // One that is open already would need itself.
+          if (!inherited_.contains(dependent) && !opened.contains(dependent)) {
+            stack.push_back(dependent);
+          }
+        }
+      }
+      continue;
+    }
+    inherited_[job] = Combine(job);
+    stack.pop_back();
+  }
+  return inherited_.at(id);
+}
+
+}  // namespace oxbow
--- a/core/controller/actions.h
+++ b/core/controller/actions.h
@@ -102,6 +102,12 @@
   std::string id;
 };
 
+// Another job waits for this one, and nobody here knows how it stands: read its
+// waiting record, its live one and its end, in this order.
+struct ReadEnd {
+  std::string id;
+};
+
 struct Resign {
   std::string reason;
   bool unfit = false;  // others should go first
@@ -115,7 +121,7 @@
 using Action =
     std::variant<SendOrders, Probe, WriteTransaction, ReadKeys, RentMachines,
                  DeleteMachines, JobFinal, CheckInstance, AskReach, OfferLead,
-                 AskStandBack, ReadZoneKeepers, AskJob, Resign, Note>;
+                 AskStandBack, ReadZoneKeepers, AskJob, ReadEnd, Resign, Note>;
 
 // --- answers
 
--- a/core/controller/catalog.cc
+++ b/core/controller/catalog.cc
@@ -46,11 +46,21 @@
     entry.stamp = stamp;
   });
   const auto* job = std::get_if<JobRecord>(&record);
-  if (job != nullptr && job->final_state == FinalState::kDone) {
+  if (job == nullptr) return;
+  ReleaseOwedWaiting(key.substr(keys::kJob.size()));
+  if (job->final_state == FinalState::kDone) {
     RememberEnd(key.substr(keys::kJob.size()), EndOf(*job));
   }
 }
 
+void Catalog::ReleaseOwedWaiting(const std::string& id) {
+  if (owed_.empty()) return;
+  const std::string key = keys::Of(keys::kWaiting, id);
+  if (owed_.erase(key) == 0) return;
+  // What the state service holds of it the leader deletes.
+  if (StampOf(key) == 0) Remove(key);
+}
+
 void Catalog::SetStamp(const std::string& key, uint64_t stamp) {
   VisitKinds(*this, [&](auto& map, std::string_view prefix) {
     if (!key.starts_with(prefix)) return;
@@ -229,6 +239,11 @@
     std::string key = keys::Of(keys::kJob, id);
     owed_.try_emplace(key, VersionOf(key));
   }
+  std::vector<std::string> ended;
+  for (const auto& [id, waiting] : waiting_) {
+    if (ended_.Find(id) != FinalState::kNone) ended.push_back(id);
+  }
+  for (const std::string& id : ended) ReleaseOwedWaiting(id);
 }
 
 std::vector<std::string> Catalog::NewestKeys(size_t count) const {
@@ -338,6 +353,7 @@
 
 void Catalog::RememberEnd(const std::string& id, const FinalRecord& end) {
   ended_.Add(id, end.state);
+  ReleaseOwedWaiting(id);
   if (!finals_.try_emplace(id, end).second) return;
   finals_order_.push_back(id);
   if (finals_order_.size() > kFinalsKept) {
--- a/core/controller/catalog.h
+++ b/core/controller/catalog.h
@@ -176,6 +176,8 @@
   void SetStamp(const std::string& key, uint64_t stamp);
   void Store(const std::string& key, const Record& record, uint64_t stamp);
   void Remove(const std::string& key);
+  // The job does not wait any more: its waiting record is not owed.
+  void ReleaseOwedWaiting(const std::string& id);
   bool PutEpoch(const std::string& key, const Record& record, uint64_t stamp);
   bool PutOverOwed(const std::string& key, const Record& record,
                    uint64_t stamp);
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -40,6 +40,7 @@
       pieces_(kMixLeases * settings.workers.lease_s, settings.workers.report_s),
       placer_(tuning, seed),
       queue_order_(settings, tuning),
+      chains_(*this),
       writes_(settings, Mandate(catalog, revision), *this, actions_),
       ears_(settings, tuning, patience_, machines_, now, seed, actions_),
       zones_(settings, now, keepers),
@@ -56,6 +57,9 @@
     if (m.recorded_up) actions_.push_back(Probe{host, m.endpoint});
   }
   for (const auto& [id, record] : catalog.jobs()) AddJob(record, now);
+  std::vector<std::string> waiting;
+  for (const auto& [id, record] : catalog.waiting()) waiting.push_back(id);
+  for (const std::string& id : waiting) OnWaitingRecord(id, now);
   for (const auto& [name, record] : catalog.rentals()) {
     // Asked for by an earlier leader, perhaps: repeating the request under its
     // own name gets the same answer, or rents now what will be used.
@@ -90,8 +94,13 @@
       [&](const Team& t) { return t.settings.name == record.spec->team; });
   const int index =
       team == teams_.end() ? -1 : static_cast<int>(team - teams_.begin());
-  auto job = std::make_unique<Job>(
-      record, index, std::min(now, record.submitted_wall - wall_minus_steady_));
+  const Time submitted =
+      std::min(now, record.submitted_wall - wall_minus_steady_);
+  const Time queued_since =
+      record.released_wall > 0
+          ? std::min(now, record.released_wall - wall_minus_steady_)
+          : submitted;
+  auto job = std::make_unique<Job>(record, index, submitted, queued_since);
   if (record.final_state == FinalState::kDone) job->Change(JobState::kDone);
   if (record.final_state == FinalState::kAborted) {
     job->Change(JobState::kAborted);
@@ -100,6 +109,7 @@
   job->from_before = record.stamp <= revision_;
   job->tier = tiers_.Classify(job->spec());
   Job& added = *job;
+  added.inherit(chains_.InheritedBy(added.id()));
   jobs_[record.spec->id] = std::move(job);
   // A worker may have told of the job before its record was read here.
   for (auto& m : machines_) {
@@ -117,10 +127,13 @@
       if (Careful() && there && !r.stopping) Claim(added, *m, r, there);
     }
   }
-  if (!added.live()) RetireIfClear(added);
+  if (!added.live()) {
+    RetireIfClear(added);
+    OnEndKnown(added.id(), record.final_state, now);
+  }
   quiet_since_ = now;
   queue_order_.Seen(added.spec());
-  pieces_.Note(added.spec(), added.submitted());
+  pieces_.Note(added.spec(), added.queued_since());
   Resources& shape = accelerator_shape_;
   const Resources& need = added.spec().need;
   if (need.gpus > 0) {
@@ -134,9 +147,11 @@
 void Controller::OnJobRecord(const std::string& id, Time now) {
   const JobRecord* record = catalog_.FindJob(id);
   if (record == nullptr) return;
+  const bool cancelled = WaitsNoMore(id);
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) {
     AddJob(*record, now);
+    if (cancelled) Cancel(id, now);
     ScheduleIfNeeded(now);
   } else if (record->final_state != FinalState::kNone) {
     OnFinalRecorded(id, record->final_state, now);
@@ -152,6 +167,7 @@
 bool Controller::Cancel(const std::string& id, Time now) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) {
+    if (CancelWaiting(id, now)) return true;
     const FinalState known = catalog_.FindFinal(id);
     if (known == FinalState::kNone) return false;
     actions_.push_back(JobFinal{id, known});
@@ -180,6 +196,7 @@
 
 void Controller::OnFinalRecorded(const std::string& id, FinalState state,
                                  Time now) {
+  OnEndKnown(id, state, now);
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   Job& job = *it->second;
@@ -214,6 +231,11 @@
 
 bool Controller::View(const std::string& id, JobView* out) const {
   const auto it = jobs_.find(id);
+  if (it == jobs_.end() && chains_.Find(id) != nullptr &&
+      catalog_.FindWaiting(id) != nullptr) {
+    *out = {"pending", 0, 0};
+    return true;
+  }
   if (it == jobs_.end()) return ViewOrphans(id, out);
   const Job& job = *it->second;
   out->done = job.done();
@@ -301,6 +323,7 @@
                 [now](const auto& e) { return e.second <= now; });
   if (now >= next_supply_) {
     SurveyTiers();
+    SweepNeeds(now);
     PlanSupply(now);
     next_supply_ = now + settings_.workers.report_s;
     TickCalendar(now);
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "core/calendar/calendar.h"
+#include "core/chains/chains.h"
 #include "core/controller/actions.h"
 #include "core/controller/catalog.h"
 #include "core/controller/ears.h"
@@ -38,7 +39,7 @@
 
 namespace oxbow {
 
-class Controller : private WriteQueue::Owner {
+class Controller : private WriteQueue::Owner, private Chains::Estimates {
  public:
   // `revision`: of the leader key, in the catalog's epoch. `keepers`: who may
   // hold a right to keep the workers of its zone (ZoneRights).
@@ -50,6 +51,10 @@
   // --- events
   void OnTypes(const std::vector<MachineType>& types);
   void OnJobRecord(const std::string& id, Time now);
+  // A job that waits for others is recorded.
+  void OnWaitingRecord(const std::string& id, Time now);
+  // The answer to ReadEnd; what was found has been taken into the catalog.
+  void OnEndRead(const std::string& id, Time now);
   ReportReply OnReport(const WorkerReport& report, Time now);
   void OnOrderAnswer(const std::string& host, uint64_t batch,
                      OrderOutcome outcome, const WorkerReport* report,
@@ -142,6 +147,8 @@
   // What the leader keeps from doing at this moment, for whoever asks; a line
   // each.
   std::vector<std::string> Alarms() const;
+  // Which jobs wait for which others, for people; a line each, not all of many.
+  std::vector<std::string> WaitingLines() const;
   const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const {
     return jobs_;
   }
@@ -175,6 +182,10 @@
     double cost = 0;
     std::vector<ResidentKey> victims;
   };
+  struct EndRead {
+    Time next = -1e18;
+    double pause = 0;
+  };
   struct ClassStats {
     double run_s = 0;
     int seen = 0;
@@ -274,6 +285,25 @@
     if (log_detail) actions_.push_back(Note{text(), true});
   }
 
+  // chains.cc
+  // Chains::Estimates
+  double PathSeconds(const JobSpec& spec) const override;
+  DueTimes DueOf(const JobSpec& spec, Time submitted) const override;
+  // How the job is recorded to have ended, as far as is known here.
+  FinalState EndOf(const std::string& id) const;
+  void AskEnd(const std::string& need, Time now);
+  void OnEndKnown(const std::string& id, FinalState end, Time now);
+  // Whether jobs that others wait for have ended past every event.
+  void SweepNeeds(Time now);
+  void QueueChainSteps(Time now);
+  bool BuildChainStep(const WriteOp& op, WriteTransaction* txn) const;
+  void ChainStepDone(const WriteOp& op, uint64_t revision, Time now);
+  void SettleChainJob(const std::string& id, Time now);
+  bool WaitsNoMore(const std::string& id);
+  bool CancelWaiting(const std::string& id, Time now);
+  void UpdateInherited();
+  Resources NextSteps(Time now) const;
+
   // rollouts.cc
   void TickRollouts(Time now);
   // Sets the pace of all checks and returns how many may begin now.
@@ -411,6 +441,10 @@
   PieceBoard pieces_;
   Placer placer_;
   QueueOrder queue_order_;
+  Chains chains_;
+  std::set<std::string> chain_steps_;  // with a write on its way
+  std::unordered_map<std::string, EndRead> end_reads_;
+  int end_reads_under_way_ = 0;
   bool resigned_ = false;
   std::vector<Action> actions_;
   WriteQueue writes_;
--- a/core/controller/moves.cc
+++ b/core/controller/moves.cc
@@ -167,7 +167,7 @@
   for (const std::string& id : large_waiting_) {
     const auto it = jobs_.find(id);
     if (it == jobs_.end() || !it->second->live() || Wanted(*it->second) == 0 ||
-        now - it->second->submitted() <
+        now - it->second->queued_since() <
             kWaitsLeases * settings_.workers.lease_s) {
       continue;
     }
--- a/core/controller/queue_order.cc
+++ b/core/controller/queue_order.cc
@@ -12,6 +12,9 @@
 constexpr int kLater = 2;
 constexpr int kHopeless = 3;
 
+// Later than any time that is due.
+constexpr Time kNever = 1e17;
+
 // Of the time within which every job is to begin: so long an array waits for
 // its turn before it is begun out of turn.
 constexpr double kArrayPatience = 0.5;
@@ -49,6 +52,15 @@
   return within.empty() ? 1e18 : within.front();
 }
 
+DueTimes QueueOrder::DueOf(const JobSpec& spec, Time submitted) const {
+  if (!spec.deadline_s) return {};
+  const std::vector<double>& times = AimsOf(spec).deadline_times;
+  const double first = times.empty() ? 1 : times.front();
+  const double last = times.empty() ? 1 : times.back();
+  return {submitted + first * *spec.deadline_s,
+          submitted + last * *spec.deadline_s};
+}
+
 double QueueOrder::WorkOf(const Job& job) {
   return job.unplaced() * job.spec().need.cpus *
          std::max(1.0, job.spec().estimate_s);
@@ -62,10 +74,10 @@
 QueuePlace QueueOrder::PlaceOf(const Job& job, double run_s, Time now) const {
   const JobSpec& spec = job.spec();
   QueuePlace place;
-  const bool first = spec.priority == Priority::kProduction;
-  place.rank =
-      first ? 0
-            : (job.within_guarantee ? 1 : 10) + static_cast<int>(spec.priority);
+  const bool first = job.priority() == Priority::kProduction;
+  place.rank = first ? 0
+                     : (job.within_guarantee ? 1 : 10) +
+                           static_cast<int>(job.priority());
   if (spec.kind == JobKind::kGang) {
     GangPlace(job, run_s, now, &place);
   } else {
@@ -85,33 +97,36 @@
 void QueueOrder::ArrayPlace(const Job& job, double run_s, Time now,
                             QueuePlace* out) const {
   const JobSpec& spec = job.spec();
-  const double waited = now - job.submitted();
+  const double waited = now - job.queued_since();
   if (spec.kind == JobKind::kArray && begin_within_s_ > 0 &&
       job.placed() == 0 && job.done() == 0 &&
       waited > kArrayPatience * begin_within_s_) {
     out->group = kFloorGroup;
-    out->key = job.submitted();
+    out->key = job.queued_since();
     out->by_floor = true;
     return;
   }
-  if (!spec.deadline_s) {
+  const DueTimes own = DueOf(spec, job.submitted());
+  const DueTimes due = {std::min(own.first, job.needed_by().first),
+                        std::min(own.last, job.needed_by().last)};
+  if (due.last >= kNever) {
     out->group = kLater;
     return;
   }
-  const double deadline = *spec.deadline_s;
   const double left = job.size() - job.done();
-  static const std::vector<double> only_once = {1.0};
-  const ClassAims& aims = AimsOf(spec);
-  const std::vector<double>& times =
-      aims.deadline_times.empty() ? only_once : aims.deadline_times;
-  // The last multiple that counts: from here on nothing may come between.
-  const double last = job.submitted() + times.back() * deadline;
+  // The last time that counts: from here on nothing may come between.
+  const double last = due.last;
   constexpr double kNear = 0.3;
-  if (times.size() > 1 && now + run_s <= last &&
-      last - now < kNear * deadline + 2 * run_s) {
+  if (job.needed_by().last < kNever && now + run_s <= last &&
+      due.first - now < kNear * (due.first - job.submitted()) + 2 * run_s) {
+    // Others wait for it: what it loses here no later step makes good.
+    out->group = kLastAim;
+    out->key = due.first;
+  } else if (last > due.first && now + run_s <= last &&
+             last - now < kNear * spec.deadline_s.value_or(0) + 2 * run_s) {
     out->group = kLastAim;
     out->key = last;
-  } else if (now + run_s <= job.submitted() + times.front() * deadline) {
+  } else if (now + run_s <= due.first) {
     out->group = kInTime;
     out->key = left * spec.need.cpus * run_s;
   } else {
@@ -141,11 +156,20 @@
     first = std::min(first, within - run_s);
     last = std::max(last, within - run_s);
   }
-  const double waited = now - job.submitted();
+  const double waited = now - job.queued_since();
   out->group = kLater;
   out->key = last > 0 ? WorkOf(job) : 0;
   if (last > 0 && waited <= first) out->group = kInTime;
   constexpr double kNear = 0.3;
+  const DueTimes& due = job.needed_by();
+  if (due.last < kNever && now + run_s <= due.last) {
+    // Others wait for it.
+    const bool soon =
+        due.first - now < kNear * (due.first - job.submitted()) + 2 * run_s;
+    out->group = soon ? kLastAim : kInTime;
+    out->key = soon ? due.first : out->key;
+    return;
+  }
   const bool near =
       last > first && waited <= last && last - waited < kNear * last;
   const bool largest = begin_within_s_ > 0 &&
@@ -158,7 +182,7 @@
   const bool late = floors && waited > begin_within_s_;
   constexpr double kBehind = 1e6;  // s
   out->group = kLastAim;
-  out->key = (floors ? job.submitted() : job.submitted() + last) +
+  out->key = (floors ? job.queued_since() : job.queued_since() + last) +
              (late ? kBehind : 0) - (largest && !late ? kBehind : 0);
   out->by_floor = true;
 }
--- a/core/controller/queue_order.h
+++ b/core/controller/queue_order.h
@@ -49,6 +49,9 @@
   // How soon the class's tasks are to start, s; for ever if nobody has said.
   double WaitAim(const JobSpec& spec) const;
 
+  // By when such a job should be complete; never, without a deadline.
+  DueTimes DueOf(const JobSpec& spec, Time submitted) const;
+
   void Seen(const JobSpec& spec) { sizes_.Seen(spec.job_class, spec.tasks); }
   // `run_s`: what a task of it takes, as far as known.
   QueuePlace PlaceOf(const Job& job, double run_s, Time now) const;
--- a/core/controller/restore.cc
+++ b/core/controller/restore.cc
@@ -245,6 +245,12 @@
   if (revision == 0) return;
   if (op.kind == WriteKind::kRestore) {
     catalog_.Put(op.name, OwedRecord(catalog_, op.name), revision);
+    if (op.name.starts_with(keys::kJob)) {
+      const std::string id = op.name.substr(keys::kJob.size());
+      if (catalog_.waiting().contains(id)) {
+        writes_.Queue({WriteKind::kTidyWaiting, id}, /*lazy=*/true);
+      }
+    }
   } else if (op.kind == WriteKind::kRebuilt) {
     EpochRecord epoch = catalog_.epoch();
     epoch.rebuilt = true;
--- a/core/controller/schedule.cc
+++ b/core/controller/schedule.cc
@@ -17,8 +17,8 @@
     if (job->live() && job->team() >= 0) order.push_back(job.get());
   }
   std::sort(order.begin(), order.end(), [](const Job* a, const Job* b) {
-    if (a->submitted() != b->submitted())
-      return a->submitted() < b->submitted();
+    if (a->queued_since() != b->queued_since())
+      return a->queued_since() < b->queued_since();
     return a->id() < b->id();
   });
   std::vector<Resources> sum(teams_.size());
@@ -119,8 +119,8 @@
   std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
     if (a.place.Before(b.place)) return true;
     if (b.place.Before(a.place)) return false;
-    if (a.job->submitted() != b.job->submitted()) {
-      return a.job->submitted() < b.job->submitted();
+    if (a.job->queued_since() != b.job->queued_since()) {
+      return a.job->queued_since() < b.job->queued_since();
     }
     return a.job->id() < b.job->id();
   });
@@ -162,7 +162,7 @@
   const JobSpec& spec = job.spec();
   std::vector<Machine*> fitting;
   for (Machine* m : usable) {
-    if (spec.need.FitsIn(m->RoomFor(&job, spec.priority)) &&
+    if (spec.need.FitsIn(m->RoomFor(&job, job.priority())) &&
         Allowed(spec, *m, where) && TierAllows(job, *m)) {
       fitting.push_back(m);
     }
@@ -181,7 +181,7 @@
            (m.HasImage(spec.image)                          ? "there"
             : m.BytesToFetch(spec.image, spec.image_gb) > 0 ? "to fetch"
                                                             : "queued") +
-           ", waited " + std::to_string(now - job.submitted()) + " s";
+           ", waited " + std::to_string(now - job.queued_since()) + " s";
   });
   Resident r;
   r.job = &job;
@@ -293,9 +293,9 @@
     // 25,000 tasks, the choice took the leader longer than its lease.
     uint32_t here = 1;
     if (job.spec().kind == JobKind::kArray) {
-      here = std::max(
-          1u, job.spec().need.TimesIn(m->RoomFor(&job, job.spec().priority),
-                                      std::min(left, Wanted(job))));
+      here =
+          std::max(1u, job.spec().need.TimesIn(m->RoomFor(&job, job.priority()),
+                                               std::min(left, Wanted(job))));
     }
     for (uint32_t n = 0; n < here; ++n) {
       task = job.PeekPending();
@@ -363,7 +363,7 @@
     uint32_t fits = 0;
     for (const Machine* m : there) {
       if (!Allowed(spec, *m, where)) continue;
-      fits += spec.need.TimesIn(m->RoomFor(&job, spec.priority), tasks);
+      fits += spec.need.TimesIn(m->RoomFor(&job, job.priority()), tasks);
     }
     while (fits >= tasks && chosen.size() < tasks) {
       Machine* m = FindPlace(job, there, where, bandwidth);
@@ -407,10 +407,10 @@
   }
   const Job& other = *victim.job;
   if (!FloorAllows(KeyOf(victim), other, now)) return false;
-  if (other.spec().priority > job.spec().priority) return true;
+  if (other.priority() > job.priority()) return true;
   // Borrowed room goes back to a team that is within its guarantee.
   if (!job.within_guarantee || other.team() < 0 || other.team() == job.team() ||
-      other.spec().priority == Priority::kProduction) {
+      other.priority() == Priority::kProduction) {
     return false;
   }
   const Team& owner = teams_[other.team()];
@@ -459,7 +459,7 @@
       if (r.stopping) {
         room += r.need;
       } else if (r.phase != TaskPhase::kExited &&
-                 r.job->spec().priority > job.spec().priority &&
+                 r.job->priority() > job.priority() &&
                  FloorAllows(key, *r.job, now)) {
         victims.push_back({PreemptionCost(r, now), {m.get(), key}});
       }
@@ -507,9 +507,9 @@
                                                              Resources taken,
                                                              Time now) const {
   const JobSpec& spec = job.spec();
-  Resources room = m.RoomFor(&job, spec.priority) + m.leaving - taken;
+  Resources room = m.RoomFor(&job, job.priority()) + m.leaving - taken;
   // Most machines can be ruled out without a look at each task there.
-  const auto rank = static_cast<size_t>(spec.priority);
+  const auto rank = static_cast<size_t>(job.priority());
   Resources most = room;
   for (size_t p = 1; p < kPriorities; ++p) {
     if (p > rank || job.within_guarantee) most += m.used_by[p];
@@ -588,7 +588,7 @@
         [](const Emptying& a, const Emptying& b) { return a.cost < b.cost; });
     if (best == options.end()) break;
     Machine& m = *best->machine;
-    m.reservations.push_back({&job, spec.need, spec.priority, now + hold});
+    m.reservations.push_back({&job, spec.need, job.priority(), now + hold});
     where.Add(m.zone, 1);
     ++held;
     CarryOut(*best, spec, now);
@@ -617,7 +617,7 @@
     std::vector<GangSlot>& slots = zones[zone];
     most[zone] += spec.need.TimesIn(m->total() - m->staying, wanted);
     Resources taken;
-    const Resources held = m->free() - m->RoomFor(&job, spec.priority);
+    const Resources held = m->free() - m->RoomFor(&job, job.priority());
     // Of equal rank, short work is waited for.
     const Resources runs_off = m->total() - held - m->lasting;
     for (uint32_t n = 0; n < wanted; ++n, taken += spec.need) {
@@ -661,7 +661,7 @@
   for (const GangSlot& slot : *best) {
     Machine& m = *slot.plan.machine;
     m.reservations.push_back(
-        {&job, spec.need, spec.priority, now + hold, !whole});
+        {&job, spec.need, job.priority(), now + hold, !whole});
     if (at_once) CarryOut(slot.plan, spec, now);
   }
   return true;
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -65,12 +65,12 @@
     }
   }
   std::sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) {
-    if (a->spec().priority != b->spec().priority) {
-      return a->spec().priority < b->spec().priority;
+    if (a->priority() != b->priority()) {
+      return a->priority() < b->priority();
     }
     if (a->tier != b->tier) return a->tier < b->tier;
-    if (a->submitted() != b->submitted())
-      return a->submitted() < b->submitted();
+    if (a->queued_since() != b->queued_since())
+      return a->queued_since() < b->queued_since();
     return a->id() < b->id();
   });
   SetKeptAside(input);
@@ -123,10 +123,17 @@
   // after a takeover, when the picture is still filling in.
   if (!accounted || !input.demand.empty()) quiet_since_ = now;
   const double hold = tuning_.idle_return_leases * settings_.workers.lease_s;
+  Resources soon = NextSteps(now);
   for (auto& m : machines_) {
     if (quiet_since_ == now || now - started_ < hold) break;
     if (m->state() == MachineState::kUp && m->residents.empty() && !m->batch &&
         now - m->idle_since > hold) {
+      // The next step of a chain starts here sooner than on one that has to
+      // boot.
+      if (soon.cpus > 0) {
+        soon -= m->total();
+        continue;
+      }
       if (!TakeAway(*m, LossCause::kIdle, now)) break;
     }
   }
--- a/core/controller/tiers.cc
+++ b/core/controller/tiers.cc
@@ -34,7 +34,7 @@
     view.free[m->zone] += m->free();
   }
   for (const Job* job : order) {
-    view.waiting.push_back({job, job->tier, now - job->submitted(),
+    view.waiting.push_back({job, job->tier, now - job->queued_since(),
                             job->placed() + job->done() > 0});
   }
   // Before each machine has been heard, nobody knows what is missing.
@@ -42,7 +42,7 @@
   for (const auto& [id, job] : jobs_) {
     if (!accounted || job->tier != 0 || !job->live() ||
         job->spec().kind != JobKind::kService ||
-        now - job->submitted() < settled) {
+        now - job->queued_since() < settled) {
       continue;
     }
     view.best_wanted += job->placed() + Wanted(*job);
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -27,10 +27,13 @@
   kRental,
   kRentalSettle,
   kRollout,
-  kOperator,      // a record of a subsystem's own, see OperatorRecord
-  kRestore,       // a record that is owed to the state service
-  kRestoreFinal,  // how a job ended, likewise
-  kRebuilt,       // nothing is owed any more
+  kOperator,       // a record of a subsystem's own, see OperatorRecord
+  kRestore,        // a record that is owed to the state service
+  kRestoreFinal,   // how a job ended, likewise
+  kRebuilt,        // nothing is owed any more
+  kRelease,        // a job that waited for others becomes an ordinary one
+  kCancelWaiting,  // one that waits ends
+  kTidyWaiting,    // an older copy of a waiting record goes
 };
 
 // What the leader wants recorded. Of the same kind and name, one waits at most.
@@ -45,6 +48,7 @@
   RolloutWish wish = RolloutWish::kNone;
   // Of an operators' record: what is to stand; null deletes it.
   std::shared_ptr<const OperatorRecord> record = {};
+  double released_wall = 0;  // of a release
 };
 
 enum class WritePhase : uint8_t {
--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -103,6 +103,10 @@
     case WriteKind::kRestoreFinal:
     case WriteKind::kRebuilt:
       return BuildRestore(op, txn);
+    case WriteKind::kRelease:
+    case WriteKind::kCancelWaiting:
+    case WriteKind::kTidyWaiting:
+      return BuildChainStep(op, txn);
   }
   return false;
 }
@@ -220,6 +224,11 @@
     case WriteKind::kRebuilt:
       RestoreDone(op, revision);
       break;
+    case WriteKind::kRelease:
+    case WriteKind::kCancelWaiting:
+    case WriteKind::kTidyWaiting:
+      ChainStepDone(op, revision, now);
+      break;
   }
 }
 
--- a/core/model/job.cc
+++ b/core/model/job.cc
@@ -59,10 +59,11 @@
          std::find(types->begin(), types->end(), type) != types->end();
 }
 
-Job::Job(const JobRecord& record, int team, Time submitted)
+Job::Job(const JobRecord& record, int team, Time submitted, Time queued_since)
     : spec_(record.spec),
       team_(team),
       submitted_(submitted),
+      queued_since_(queued_since),
       tasks_(record.spec->tasks) {
   pending_.resize(tasks_.size());
   for (uint32_t i = 0; i < size(); ++i) {
--- a/core/model/job.h
+++ b/core/model/job.h
@@ -136,15 +136,38 @@
   int listed = 0;   // these, and the exits that the worker still reports
 };
 
+// When a job should be complete: by the first of its class's aims, and by the
+// last that counts.
+struct DueTimes {
+  Time first = 1e18;
+  Time last = 1e18;
+};
+
+// What a job inherits from those that need it, directly or through others.
+struct Inherited {
+  Priority priority = Priority::kLow;
+  // The job's own end, so that what comes after it is still in time.
+  DueTimes due;
+};
+
 // A job as its leader sees it.
 class Job {
  public:
-  Job(const JobRecord& record, int team, Time submitted);
+  Job(const JobRecord& record, int team, Time submitted, Time queued_since);
 
   const JobSpec& spec() const { return *spec_; }
   const std::string& id() const { return spec_->id; }
   int team() const { return team_; }
   Time submitted() const { return submitted_; }
+  // Since when it is its turn: its release if it waited for others.
+  Time queued_since() const { return queued_since_; }
+  // Its own, or that of a more important job that needs it.
+  Priority priority() const {
+    return std::min(spec_->priority, inherited_.priority);
+  }
+  // By when it has to end for the sake of those that need it.
+  const DueTimes& needed_by() const { return inherited_.due; }
+  void inherit(const Inherited& inherited) { inherited_ = inherited; }
   JobState state() const { return state_; }
   const TaskSlot& task(uint32_t i) const { return tasks_[i]; }
   uint32_t size() const { return static_cast<uint32_t>(tasks_.size()); }
@@ -190,6 +213,8 @@
   std::shared_ptr<const JobSpec> spec_;
   int team_;
   Time submitted_;
+  Time queued_since_;
+  Inherited inherited_;
   JobState state_ = JobState::kAccepted;
   std::vector<TaskSlot> tasks_;
   std::vector<uint32_t> pending_;
