--- a/app/chain_admission.cc
+++ b/app/chain_admission.cc
@@ -8,7 +8,8 @@
 bool ChainAdmission::AllDone(const JobSpec& spec) const {
   return std::all_of(spec.waits_on.begin(), spec.waits_on.end(),
                      [this](const std::string& id) {
-                       return catalog_.FindFinal(id) == FinalState::kDone;
+                       return catalog_.FindTerminalState(id) ==
+                              TerminalState::kDone;
                      });
 }
 
@@ -33,7 +34,7 @@
   // Whatever the job's record is by now: an acceptance that arrives late finds
   // that the job waits, runs or has ended.
   for (const std::string_view prefix :
-       {keys::kWaiting, keys::kJob, keys::kFinal}) {
+       {keys::kWaiting, keys::kJob, keys::kTerminal}) {
     out.conditions.push_back({keys::Of(prefix, id), 0});
   }
   out.waits = named == NamedJobs::kWaitedFor;
@@ -41,7 +42,7 @@
   if (out.waits) {
     out.record = WaitingRecord{std::move(spec), wall, 0};
   } else {
-    JobRecord record{std::move(spec), wall, FinalState::kNone, 0};
+    JobRecord record{std::move(spec), wall, TerminalState::kNone, 0};
     if (named == NamedJobs::kAllDone) record.released_wall = wall;
     out.record = std::move(record);
   }
--- a/app/users.cc
+++ b/app/users.cc
@@ -58,17 +58,18 @@
 
 Users::Users(net::Loop& loop, const Settings& settings, Catalog& catalog,
              clients::StateClient& state, Follower& follower,
-             Election& election, Dealings& dealings,
-             const FitnessDesk::Peers& peers, ZoneDesk& zone_desk,
-             RecoveryDesk& recovery, VersionDesk& versions)
+             Election& election, LeaderService& leader_service,
+             const LeaderHealthCoordinator::Peers& peers,
+             ZoneCoordinator& zone_coordinator, RecoveryCoordinator& recovery,
+             VersionCoordinator& versions)
     : loop_(loop),
       settings_(settings),
       catalog_(catalog),
       state_(state),
       follower_(follower),
       election_(election),
-      dealings_(dealings),
-      zone_desk_(zone_desk),
+      leader_service_(leader_service),
+      zone_coordinator_(zone_coordinator),
       recovery_(recovery),
       versions_(versions),
       admission_(catalog, {[this] { return versions_.Open(); },
@@ -79,7 +80,7 @@
 
 bool Users::Ready() {
   return follower_.ever_synced() && !follower_.types().empty() &&
-         !zone_desk_.Apart();
+         !zone_coordinator_.Apart();
 }
 
 const std::map<std::string, MachineType>* Users::Types() {
@@ -88,42 +89,42 @@
 
 bool Users::KnownHere(const std::string& id) { return catalog_.Accepted(id); }
 
-bool Users::FinalKnown(const std::string& id, api::Status* out) const {
-  FinalRecord end = catalog_.FindEnd(id);
-  if (end.state == FinalState::kNone) {
+bool Users::TerminalStateKnown(const std::string& id, api::Status* out) const {
+  TerminalRecord end = catalog_.FindEnd(id);
+  if (end.state == TerminalState::kNone) {
     // Told by other controllers, while a leader that has just started may read
     // an older copy in which the job lives.
-    end.state = catalog_.FindFinal(id);
+    end.state = catalog_.FindTerminalState(id);
     const JobRecord* job = catalog_.FindJob(id);
-    if (end.state == FinalState::kDone && job == nullptr) return false;
+    if (end.state == TerminalState::kDone && job == nullptr) return false;
     if (job != nullptr) end.tasks = job->spec->tasks;
   }
-  if (end.state == FinalState::kNone) return false;
+  if (end.state == TerminalState::kNone) return false;
   out->found = api::Status::Found::kYes;
-  out->status = wire::NameOf(wire::kFinals, end.state);
-  out->done = end.state == FinalState::kDone ? end.tasks : 0;
+  out->status = wire::NameOf(wire::kTerminalStates, end.state);
+  out->done = end.state == TerminalState::kDone ? end.tasks : 0;
   out->running = 0;
   return true;
 }
 
 // That it has ended can't be old, whatever else can't be read now.
 bool Users::EndTold(const std::string& id, api::Status* out) const {
-  const FinalState end = catalog_.FindFinal(id);
-  if (end == FinalState::kNone) return false;
+  const TerminalState end = catalog_.FindTerminalState(id);
+  if (end == TerminalState::kNone) return false;
   out->found = api::Status::Found::kYes;
-  out->status = wire::NameOf(wire::kFinals, end);
+  out->status = wire::NameOf(wire::kTerminalStates, end);
   return true;
 }
 
 bool Users::UnseenHere(const std::string& id) {
   JobView view;
-  const Controller* leading = dealings_.Leading();
+  const Controller* leading = leader_service_.Leading();
   return leading != nullptr && leading->AllAccounted() &&
          leading->View(id, &view) == JobSight::kUnseen;
 }
 
 JobSight Users::SightOf(const std::string& id, JobView* out) {
-  const Controller* leading = dealings_.Leading();
+  const Controller* leading = leader_service_.Leading();
   return leading == nullptr ? JobSight::kUnseen : leading->View(id, out);
 }
 
@@ -135,10 +136,10 @@
 Telling Users::Tell(const std::string& id, RecordRead read, api::Status* out) {
   JobView view{.status = "pending"};
   const JobSight sight = SightOf(id, &view);
-  const Telling telling = Decide({catalog_.FindFinal(id), sight, read});
+  const Telling telling = Decide({catalog_.FindTerminalState(id), sight, read});
   switch (telling) {
     case Telling::kEnd:
-      if (FinalKnown(id, out)) break;
+      if (TerminalStateKnown(id, out)) break;
       // How many tasks it had is read, if it can be.
       if (read == RecordRead::kNone) return Telling::kReadFirst;
       EndTold(id, out);
@@ -172,7 +173,7 @@
   if (read.status == StateStatus::kNotFound) co_return Accepted::kNo;
   if (!read.ok()) co_return Accepted::kCannotTell;
   follower_.Apply(key, read.items[0].record, read.items[0].stamp);
-  dealings_.Perform();
+  leader_service_.Perform();
   // Released or ended since, by what is known here.
   if (catalog_.FindWaiting(id) == nullptr) co_return Accepted::kNo;
   co_return recovery_.MayTellLive(read.items[0].stamp) ? Accepted::kYes
@@ -209,11 +210,11 @@
   if (live.ok()) {
     follower_.Apply(live.items[0].key, live.items[0].record,
                     live.items[0].stamp);
-    dealings_.Perform();
+    leader_service_.Perform();
     const auto* job = std::get_if<JobRecord>(&live.items[0].record);
     if (job == nullptr) co_return ToldBy(id, RecordRead::kUnclear);
     // The end of this record, or one that beats it.
-    if (catalog_.FindFinal(id) == FinalState::kNone) {
+    if (catalog_.FindTerminalState(id) == TerminalState::kNone) {
       if (recovery_.on() && catalog_.FindJob(id) == nullptr) {
         // The watch has passed it, and it was deleted: an older copy is back.
         recovery_.Sign(LossSign::kStepBack);
@@ -226,12 +227,12 @@
   if (live.status != StateStatus::kNotFound) {
     co_return ToldBy(id, RecordRead::kUnclear);
   }
-  // A job moves to the final states in one step, so one that is missing in
+  // A job moves to the terminal states in one step, so one that is missing in
   // both, read in this order, was not accepted when the first was read.
   const StateResult ended =
-      co_await state_.Get(keys::Of(keys::kFinal, id), Urgency::kUser);
+      co_await state_.Get(keys::Of(keys::kTerminal, id), Urgency::kUser);
   if (ended.ok()) {
-    if (const auto* end = std::get_if<FinalRecord>(&ended.items[0].record)) {
+    if (const auto* end = std::get_if<TerminalRecord>(&ended.items[0].record)) {
       catalog_.RememberEnd(id, *end);
     }
   } else if (ended.status == StateStatus::kNotFound) {
@@ -253,15 +254,15 @@
   }
   const CheckSays says = co_await recovery_.Check();
   if (says != CheckSays::kStands || !recovery_.MayDeny()) co_return status;
-  const RecoveryDesk::Known known = co_await recovery_.AnybodyKnows(id);
-  if (known == RecoveryDesk::Known::kYes || !recovery_.MayDeny()) {
+  const RecoveryCoordinator::Known known = co_await recovery_.AnybodyKnows(id);
+  if (known == RecoveryCoordinator::Known::kYes || !recovery_.MayDeny()) {
     recovery_.Sign(LossSign::kRecordMissing, keys::Of(keys::kJob, id));
     co_return status;
   }
   // After a rebuild that may lack something, a task of it may still be seen by
   // the leader, or the one that remembers it be away.
   if (recovery_.SomeoneMayTell() &&
-      (!unseen || known != RecoveryDesk::Known::kNobody)) {
+      (!unseen || known != RecoveryCoordinator::Known::kNobody)) {
     co_return status;
   }
   co_return ToldBy(id, RecordRead::kMissing);
@@ -312,7 +313,7 @@
 
 net::Task<api::Status> Users::Cancel(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status)) co_return status;
+  if (TerminalStateKnown(id, &status)) co_return status;
   co_return co_await Answer(kCancelRequest, std::move(id));
 }
 
@@ -369,8 +370,8 @@
   if (chain && !versions_.Open()) co_return here;
   PeerMessage relay =
       RelayOf(chain ? PeerKind::kRelayChain : PeerKind::kRelaySubmit, spec->id);
-  relay.text =
-      wire::EncodeRecord(JobRecord{spec, net::WallNow(), FinalState::kNone, 0});
+  relay.text = wire::EncodeRecord(
+      JobRecord{spec, net::WallNow(), TerminalState::kNone, 0});
   PeerMessage answer;
   if (election_.LeaderPeer() != nullptr && !recovery_.MayAccept()) {
     // Only the leader holds all that is remembered, and can tell a new job.
@@ -399,7 +400,7 @@
     co_return status;
   }
   // Nobody can be asked: said at once, so that the user asks another.
-  if (zone_desk_.Apart()) co_return ToldBy(id, RecordRead::kUnclear);
+  if (zone_coordinator_.Apart()) co_return ToldBy(id, RecordRead::kUnclear);
   PeerMessage ask = RelayOf(PeerKind::kPoll, id);
   const auto answer = co_await relays_.AskLeader(
       std::move(ask),
@@ -421,16 +422,16 @@
   using Result = api::Submitted::Result;
   size_t tasks = spec->tasks;
   for (const auto& [id, job] : catalog_.jobs()) {
-    if (job.final_state == FinalState::kNone) tasks += job.spec->tasks;
+    if (job.terminal_state == TerminalState::kNone) tasks += job.spec->tasks;
   }
   const size_t jobs = catalog_.jobs().size() + catalog_.waiting().size();
-  if (!follower_.ever_synced() || zone_desk_.Apart() || jobs >= kMostLiveJobs ||
-      tasks > kMostLiveTasks) {
+  if (!follower_.ever_synced() || zone_coordinator_.Apart() ||
+      jobs >= kMostLiveJobs || tasks > kMostLiveTasks) {
     co_return api::Submitted{Result::kTryLater};
   }
   // Its record is written again when it is released, and when it ends.
   constexpr size_t kGrowth = 64;
-  const JobRecord record{spec, net::WallNow(), FinalState::kNone, 0};
+  const JobRecord record{spec, net::WallNow(), TerminalState::kNone, 0};
   if (wire::EncodeRecord(record).size() + kGrowth >
       settings_.state.most_value_bytes()) {
     co_return api::Submitted{Result::kTooLarge};
@@ -460,7 +461,7 @@
   switch (result.status) {
     case StateStatus::kOk:
       follower_.Apply(acceptance.key, acceptance.record, result.revision);
-      dealings_.Perform();
+      leader_service_.Perform();
       Hint(spec->id, acceptance, result.revision);
       // Who reads a day's log need not guess what each job was.
       spdlog::debug("accepted {}: class {}, team {}, form {}, tasks {}{}",
@@ -499,19 +500,22 @@
 
 net::Task<api::Status> Users::CancelOrPass(std::string id) {
   api::Status status;
-  if (FinalKnown(id, &status) || zone_desk_.Apart()) co_return status;
+  if (TerminalStateKnown(id, &status) || zone_coordinator_.Apart()) {
+    co_return status;
+  }
   if (!KnownHere(id)) {
     status = co_await FreshRead(id);
-    if (status.found != api::Status::Found::kYes || FinalKnown(id, &status)) {
+    if (status.found != api::Status::Found::kYes ||
+        TerminalStateKnown(id, &status)) {
       co_return status;
     }
   }
   api::Status unknown;
-  if (dealings_.Leading() != nullptr) {
-    const FinalState state = co_await dealings_.Cancel(id);
-    if (state == FinalState::kNone) co_return unknown;
+  if (leader_service_.Leading() != nullptr) {
+    const TerminalState state = co_await leader_service_.Cancel(id);
+    if (state == TerminalState::kNone) co_return unknown;
     status.found = api::Status::Found::kYes;
-    status.status = wire::NameOf(wire::kFinals, state);
+    status.status = wire::NameOf(wire::kTerminalStates, state);
     co_return status;
   }
   const auto answer = co_await relays_.AskLeader(
@@ -526,23 +530,23 @@
 }
 
 bool Users::TakeReport(const WorkerReport& report, ReportReply* reply) {
-  const Controller* leading = dealings_.Leading();
+  const Controller* leading = leader_service_.Leading();
   if (leading == nullptr) return false;
-  dealings_.Tell(leading->revision(), [&](Controller& c) {
+  leader_service_.Tell(leading->revision(), [&](Controller& c) {
     *reply = c.OnReport(report, loop_.Now());
   });
   // The report may have ended this leadership; and a copy is not answered.
-  return dealings_.in_office() && !reply->refused && !reply->withheld;
+  return leader_service_.in_office() && !reply->refused && !reply->withheld;
 }
 
 net::Task<api::Reported> Users::Report(WorkerReport report, std::string body) {
   using Result = api::Reported::Result;
   api::Reported out;
   recovery_.TermSeen(report.token >> kTokenBits);
-  if (const Controller* leading = dealings_.Leading()) {
-    out.leader = zone_desk_.BetterPlaceFor(report, leading->revision());
+  if (const Controller* leading = leader_service_.Leading()) {
+    out.leader = zone_coordinator_.BetterPlaceFor(report, leading->revision());
     if (!out.leader.empty()) {
-      dealings_.Tell(leading->revision(), [&](Controller& c) {
+      leader_service_.Tell(leading->revision(), [&](Controller& c) {
         c.OnProbeAnswer(report, loop_.Now());
       });
       out.result = Result::kElsewhere;
@@ -551,8 +555,9 @@
     if (TakeReport(report, &out.reply)) out.result = Result::kAnswered;
     co_return out;
   }
-  if (zone_desk_.Relays(report, body.size())) {
-    ZoneDesk::Relayed relayed = co_await zone_desk_.Relay(std::move(body));
+  if (zone_coordinator_.Relays(report, body.size())) {
+    ZoneCoordinator::Relayed relayed =
+        co_await zone_coordinator_.Relay(std::move(body));
     if (relayed.answered) {
       out.relayed = std::move(relayed.text);
       out.result = Result::kRelayed;
@@ -562,23 +567,23 @@
   // Answered with the token that the worker knows, and without orders: it lives
   // on, and whoever leads next counts from when it takes office.
   const uint64_t term = report.token >> kTokenBits;
-  ZoneDesk::Keeping keeping = ZoneDesk::Keeping::kYes;
-  if (report.token == 0 || !election_.Keeps(term)) {
-    keeping = zone_desk_.Keeps(report);
+  ZoneCoordinator::Renewal renewal = ZoneCoordinator::Renewal::kYes;
+  if (report.token == 0 || !election_.MayRenew(term)) {
+    renewal = zone_coordinator_.MayRenew(report);
   }
-  if (keeping == ZoneDesk::Keeping::kYes) {
+  if (renewal == ZoneCoordinator::Renewal::kYes) {
     out.reply.token = report.token;
     out.result = Result::kAnswered;
     co_return out;
   }
   // A worker sent to one that it can't reach would lose its time there. One
   // that a leader reaches, of the term that is known here, is sent to that one.
-  const bool named = keeping == ZoneDesk::Keeping::kSentOn &&
+  const bool named = renewal == ZoneCoordinator::Renewal::kSentOn &&
                      term == TermOf(catalog_.epoch(), catalog_.leader().stamp);
-  if (named || !zone_desk_.CutOff()) out.leader = election_.LeaderName();
-  if (out.leader.empty() && keeping == ZoneDesk::Keeping::kNo &&
+  if (named || !zone_coordinator_.CutOff()) out.leader = election_.LeaderName();
+  if (out.leader.empty() && renewal == ZoneCoordinator::Renewal::kNo &&
       report.zone == settings_.zone) {
-    out.leader = zone_desk_.Neighbour();
+    out.leader = zone_coordinator_.Neighbour();
   }
   if (out.leader != settings_.node) out.result = Result::kElsewhere;
   co_return out;
@@ -587,11 +592,11 @@
 api::LeaderView Users::Leader() {
   api::LeaderView view;
   view.leader = election_.LeaderName();
-  const Controller* leading = dealings_.Leading();
+  const Controller* leading = leader_service_.Leading();
   if (leading == nullptr) return view;
   view.here = true;
-  view.machines = leading->hearing().recorded;
-  view.silent = leading->hearing().silent;
+  view.machines = leading->reports_heard().recorded;
+  view.silent = leading->reports_heard().silent;
   view.alarms = leading->Alarms();
   view.waiting = leading->WaitingLines();
   return view;
--- a/app/version_desk.h
+++ b/app/version_coordinator.h
@@ -15,7 +15,7 @@
 
 namespace oxbow::app {
 
-class VersionDesk {
+class VersionCoordinator {
  public:
   struct Seams {
     std::function<bool()> synced;
@@ -26,8 +26,9 @@
                        uint64_t stamp)>
         apply;
   };
-  VersionDesk(net::Loop& loop, const Settings& settings, const Catalog& catalog,
-              clients::StateClient& state, Seams seams);
+  VersionCoordinator(net::Loop& loop, const Settings& settings,
+                     const Catalog& catalog, clients::StateClient& state,
+                     Seams seams);
   void Start();
 
   // Whether records may be written that an earlier version can't act on.
--- a/core/chains/chains.cc
+++ b/core/chains/chains.cc
@@ -53,9 +53,9 @@
   job.submitted = submitted;
   bool cancelled = false;
   for (const std::string& need : spec->waits_on) {
-    const FinalState end = end_of(need);
-    if (end == FinalState::kDone) continue;
-    cancelled = cancelled || end == FinalState::kAborted;
+    const TerminalState end = end_of(need);
+    if (end == TerminalState::kDone) continue;
+    cancelled = cancelled || end == TerminalState::kAborted;
     job.open.insert(need);
     dependents_[need].insert(spec->id);
     Invalidate(need);
@@ -66,16 +66,16 @@
   if (due) due_.push_back(spec->id);
 }
 
-void Chains::OnEnd(const std::string& id, FinalState end) {
+void Chains::OnEnd(const std::string& id, TerminalState end) {
   const auto it = dependents_.find(id);
-  if (it == dependents_.end() || end == FinalState::kNone) return;
+  if (it == dependents_.end() || end == TerminalState::kNone) return;
   // A cancelled one stays named: its dependents leave one by one.
   const std::vector<std::string> dependents(it->second.begin(),
                                             it->second.end());
-  if (end == FinalState::kDone) dependents_.erase(it);
+  if (end == TerminalState::kDone) dependents_.erase(it);
   for (const std::string& dependent : dependents) {
     ChainJob& job = jobs_.at(dependent);
-    if (end == FinalState::kDone) {
+    if (end == TerminalState::kDone) {
       job.open.erase(id);
       if (job.open.empty() && Change(job, ChainEvent::kAllDone)) {
         due_.push_back(dependent);
--- a/core/controller/actions.h
+++ b/core/controller/actions.h
@@ -62,9 +62,9 @@
   std::vector<std::string> hosts;
 };
 
-struct JobFinal {  // recorded: whoever waits for it can be answered
+struct JobTerminated {  // recorded: whoever waits for it can be answered
   std::string id;
-  FinalState state = FinalState::kNone;
+  TerminalState state = TerminalState::kNone;
 };
 
 // Ask an instance of a roll-out whether it is well.
@@ -95,7 +95,7 @@
 };
 
 // Read again whose right to keep a zone's workers is recorded.
-struct ReadZoneKeepers {};
+struct ReadDelegates {};
 
 // A task runs whose job is not known here: read how it stands.
 struct AskJob {
@@ -118,10 +118,10 @@
   bool detail = false;
 };
 
-using Action =
-    std::variant<SendOrders, Probe, WriteTransaction, ReadKeys, RentMachines,
-                 DeleteMachines, JobFinal, CheckInstance, AskReach, OfferLead,
-                 AskStandBack, ReadZoneKeepers, AskJob, ReadEnd, Resign, Note>;
+using Action = std::variant<SendOrders, Probe, WriteTransaction, ReadKeys,
+                            RentMachines, DeleteMachines, JobTerminated,
+                            CheckInstance, AskReach, OfferLead, AskStandBack,
+                            ReadDelegates, AskJob, ReadEnd, Resign, Note>;
 
 // --- answers
 
--- a/core/model/job.cc
+++ b/core/model/job.cc
@@ -66,10 +66,11 @@
 
 }  // namespace
 
-JobRecord EndedRecord(const JobRecord& record, FinalState state, bool compact) {
+JobRecord EndedRecord(const JobRecord& record, TerminalState state,
+                      bool compact) {
   constexpr size_t kMostWord = 64;
   JobRecord ended = record;
-  ended.final_state = state;
+  ended.terminal_state = state;
   if (!compact) return ended;
   auto spec = std::make_shared<JobSpec>(*record.spec);
   spec->types.reset();
--- a/core/model/job.h
+++ b/core/model/job.h
@@ -18,7 +18,7 @@
 // In the order of their rank.
 enum class Priority : uint8_t { kProduction, kHigh, kNormal, kLow };
 inline constexpr size_t kPriorities = 4;
-enum class FinalState : uint8_t { kNone, kDone, kAborted };
+enum class TerminalState : uint8_t { kNone, kDone, kAborted };
 
 inline constexpr uint32_t kMaxTasks = 100'000;
 
@@ -90,7 +90,7 @@
 struct JobRecord {
   std::shared_ptr<const JobSpec> spec;
   double submitted_wall = 0;
-  FinalState final_state = FinalState::kNone;
+  TerminalState terminal_state = TerminalState::kNone;
   uint64_t stamp = 0;
   // Of a job that had to wait for others: when they were all recorded as done.
   double released_wall = 0;
@@ -108,7 +108,8 @@
 // The record of a job that has ended. `compact`: without the words that may be
 // long, which what starts no task any more does not need; so one that was
 // accepted when the state service took larger values can still end.
-JobRecord EndedRecord(const JobRecord& record, FinalState state, bool compact);
+JobRecord EndedRecord(const JobRecord& record, TerminalState state,
+                      bool compact);
 
 enum class TaskState : uint8_t {
   kPending,   // nowhere, to be placed
