--- a/app/leader_service.h
+++ b/app/leader_service.h
@@ -76,6 +76,7 @@
   net::Task<void> DoProbe(Probe probe, uint64_t revision);
   net::Task<void> DoWrite(WriteTransaction txn, uint64_t revision);
   net::Task<void> DoRead(ReadKeys read, uint64_t revision);
+  net::Task<void> DoReadEnd(std::string id, uint64_t revision);
   net::Task<void> DoRent(RentMachines rent, uint64_t revision);
   net::Task<void> DoCheck(CheckInstance check, uint64_t revision);
   net::Task<void> DoReadDelegates(uint64_t revision);
--- a/app/users.cc
+++ b/app/users.cc
@@ -598,6 +598,7 @@
   view.machines = leading->reports_heard().recorded;
   view.silent = leading->reports_heard().silent;
   view.alarms = leading->Alarms();
+  view.waiting = leading->WaitingLines();
   return view;
 }
 
--- a/core/controller/actions.h
+++ b/core/controller/actions.h
@@ -102,6 +102,12 @@
   std::string id;
 };
 
+// Another job waits for this one, and nobody here knows how it stands: read its
+// waiting record, its live one and its end, in this order.
+struct ReadEnd {
+  std::string id;
+};
+
 struct Resign {
   std::string reason;
   bool unfit = false;  // others should go first
@@ -112,10 +118,10 @@
   bool detail = false;
 };
 
-using Action =
-    std::variant<SendOrders, Probe, WriteTransaction, ReadKeys, RentMachines,
-                 DeleteMachines, JobTerminated, CheckInstance, AskReach,
-                 OfferLead, AskStandBack, ReadDelegates, AskJob, Resign, Note>;
+using Action = std::variant<SendOrders, Probe, WriteTransaction, ReadKeys,
+                            RentMachines, DeleteMachines, JobTerminated,
+                            CheckInstance, AskReach, OfferLead, AskStandBack,
+                            ReadDelegates, AskJob, ReadEnd, Resign, Note>;
 
 // --- answers
 
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -41,6 +41,7 @@
                      settings.workers.report_s),
       placer_(tuning, seed),
       queue_order_(settings, tuning),
+      chains_(*this),
       writes_(settings, Mandate(catalog, revision), *this, actions_),
       liveness_(settings, tuning, timeouts_, machines_, now, seed, actions_),
       zones_(settings, now, delegates),
@@ -59,6 +60,9 @@
     if (m.recorded_up) actions_.push_back(Probe{host, m.endpoint});
   }
   for (const auto& [id, record] : catalog.jobs()) AddJob(record, now);
+  std::vector<std::string> waiting;
+  for (const auto& [id, record] : catalog.waiting()) waiting.push_back(id);
+  for (const std::string& id : waiting) OnWaitingRecord(id, now);
   for (const auto& [name, record] : catalog.rentals()) {
     // Asked for by an earlier leader, perhaps: repeating the request under its
     // own name gets the same answer, or rents now what will be used.
@@ -93,8 +97,13 @@
       [&](const Team& t) { return t.settings.name == record.spec->team; });
   const int index =
       team == teams_.end() ? -1 : static_cast<int>(team - teams_.begin());
-  auto job = std::make_unique<Job>(
-      record, index, std::min(now, record.submitted_wall - wall_minus_steady_));
+  const Time submitted =
+      std::min(now, record.submitted_wall - wall_minus_steady_);
+  const Time queued_since =
+      record.released_wall > 0
+          ? std::min(now, record.released_wall - wall_minus_steady_)
+          : submitted;
+  auto job = std::make_unique<Job>(record, index, submitted, queued_since);
   if (record.terminal_state == TerminalState::kDone) {
     job->Change(JobState::kDone);
   }
@@ -105,6 +114,7 @@
   job->from_before = record.stamp <= revision_;
   job->tier = tiers_.Classify(job->spec());
   Job& added = *job;
+  added.inherit(chains_.InheritedBy(added.id()));
   jobs_[record.spec->id] = std::move(job);
   // A worker may have told of the job before its record was read here.
   for (auto& m : machines_) {
@@ -122,10 +132,13 @@
       if (Careful() && there && !r.stopping) Claim(added, *m, r, there);
     }
   }
-  if (!added.live()) RetireIfClear(added);
+  if (!added.live()) {
+    RetireIfClear(added);
+    OnEndKnown(added.id(), record.terminal_state, now);
+  }
   quiet_since_ = now;
   queue_order_.Seen(added.spec());
-  fragmentation_.Note(added.spec(), added.submitted());
+  fragmentation_.Note(added.spec(), added.queued_since());
   Resources& shape = accelerator_shape_;
   const Resources& need = added.spec().need;
   if (need.gpus > 0) {
@@ -139,9 +152,11 @@
 void Controller::OnJobRecord(const std::string& id, Time now) {
   const JobRecord* record = catalog_.FindJob(id);
   if (record == nullptr) return;
+  const bool cancelled = WaitsNoMore(id);
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) {
     AddJob(*record, now);
+    if (cancelled) Cancel(id, now);
     ScheduleIfNeeded(now);
   } else if (record->terminal_state != TerminalState::kNone) {
     OnTerminalStateRecorded(id, record->terminal_state, now);
@@ -157,6 +172,7 @@
 bool Controller::Cancel(const std::string& id, Time now) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) {
+    if (CancelWaiting(id, now)) return true;
     const TerminalState known = catalog_.FindTerminalState(id);
     if (known == TerminalState::kNone) return false;
     actions_.push_back(JobTerminated{id, known});
@@ -185,6 +201,7 @@
 
 void Controller::OnTerminalStateRecorded(const std::string& id,
                                          TerminalState state, Time now) {
+  OnEndKnown(id, state, now);
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   Job& job = *it->second;
@@ -221,6 +238,14 @@
 
 JobSight Controller::View(const std::string& id, JobView* out) const {
   const auto it = jobs_.find(id);
+  const ChainJob* chain = chains_.Find(id);
+  if (it == jobs_.end() && chain != nullptr &&
+      catalog_.FindWaiting(id) != nullptr) {
+    *out = {"pending", 0, 0};
+    // The write that ends it may have left, and been read elsewhere.
+    return chain->state == ChainState::kCancelling ? JobSight::kInDoubt
+                                                   : JobSight::kLive;
+  }
   if (it == jobs_.end()) {
     return ViewOrphans(id, out) ? JobSight::kUnrecorded : JobSight::kUnseen;
   }
@@ -318,6 +343,7 @@
                 [now](const auto& e) { return e.second <= now; });
   if (now >= next_supply_) {
     SurveyTiers();
+    SweepNeeds(now);
     PlanSupply(now);
     next_supply_ = now + settings_.workers.report_s;
     TickCalendar(now);
--- a/core/controller/writes.cc
+++ b/core/controller/writes.cc
@@ -142,6 +142,10 @@
     case WriteKind::kRestoreTerminalState:
     case WriteKind::kRebuilt:
       return BuildRestore(op, txn);
+    case WriteKind::kRelease:
+    case WriteKind::kCancelWaiting:
+    case WriteKind::kTidyWaiting:
+      return BuildChainStep(op, txn);
   }
   return false;
 }
@@ -301,6 +305,11 @@
     case WriteKind::kRebuilt:
       RestoreDone(op, revision);
       break;
+    case WriteKind::kRelease:
+    case WriteKind::kCancelWaiting:
+    case WriteKind::kTidyWaiting:
+      ChainStepDone(op, revision, now);
+      break;
   }
 }
 
