--- a/app/zone_desk.cc
+++ b/app/zone_coordinator.cc
@@ -1,4 +1,4 @@
-#include "app/zone_desk.h"
+#include "app/zone_coordinator.h"
 
 #include <spdlog/spdlog.h>
 
@@ -41,30 +41,31 @@
 
 }  // namespace
 
-ZoneDesk::ZoneDesk(net::Loop& loop, const Settings& settings,
-                   const Tuning& tuning, clients::StateClient& state,
-                   const FitnessDesk::Peers& peers, std::string life,
-                   Seams seams)
+ZoneCoordinator::ZoneCoordinator(net::Loop& loop, const Settings& settings,
+                                 const Tuning& tuning,
+                                 clients::StateClient& state,
+                                 const LeaderHealthCoordinator::Peers& peers,
+                                 std::string life, Seams seams)
     : loop_(loop),
       settings_(settings),
-      on_(tuning.keep_zones > 0),
+      on_(tuning.delegate_to_zones > 0),
       state_(state),
       peers_(peers),
       life_(std::move(life)),
       started_(loop.Now()),
       seams_(std::move(seams)),
-      keeper_(settings.workers),
-      record_(keeper_),
+      delegated_lease_(settings.workers),
+      record_(delegated_lease_),
       signs_(settings.workers) {}
 
-void ZoneDesk::Start() {
-  if (!on_ || ZoneRight(settings_.workers) <= 0) return;
+void ZoneCoordinator::Start() {
+  if (!on_ || DelegatedLeaseTerm(settings_.workers) <= 0) return;
   net::Spawn(AskLoop());
   net::Spawn(RecordLoop());
   net::Spawn(NeighbourLoop());
 }
 
-PeerMessage ZoneDesk::Message(PeerKind kind) const {
+PeerMessage ZoneCoordinator::Message(PeerKind kind) const {
   PeerMessage message;
   message.kind = kind;
   message.node = settings_.node;
@@ -73,7 +74,7 @@
   return message;
 }
 
-net::Task<void> ZoneDesk::AskLoop() {
+net::Task<void> ZoneCoordinator::AskLoop() {
   const double lease = settings_.workers.lease_s;
   for (;;) {
     const net::Time sent = loop_.Refresh();
@@ -81,13 +82,17 @@
       // Whoever leads next takes office after the lease has ended, and counts
       // what this one may do from then, as if it had been granted.
       leader_met_ = sent;
-      if (core->ZoneSettled(settings_.zone, sent)) keeper_.Granted(sent);
+      if (core->ZoneSettled(settings_.zone, sent)) {
+        delegated_lease_.Granted(sent);
+      }
     } else if (clients::PeerClient* leader = seams_.leader()) {
       const auto answer =
-          co_await leader->Ask(Message(PeerKind::kKeepZone), kWait * lease);
+          co_await leader->Ask(Message(PeerKind::kDelegateZone), kWait * lease);
       if (answer.ok && answer.message.role == LeaderRole::kLeads) {
         leader_met_ = sent;
-        if (answer.message.answer == PeerAnswer::kYes) keeper_.Granted(sent);
+        if (answer.message.answer == PeerAnswer::kYes) {
+          delegated_lease_.Granted(sent);
+        }
       } else if (!answer.ok) {
         leader_missed_ = sent;
       }
@@ -96,7 +101,7 @@
   }
 }
 
-net::Task<void> ZoneDesk::NeighbourLoop() {
+net::Task<void> ZoneCoordinator::NeighbourLoop() {
   const double lease = settings_.workers.lease_s;
   for (;;) {
     cut_since_ =
@@ -109,11 +114,11 @@
 }
 
 // The question is the one for the right: from a leader its answer does no harm.
-net::Task<void> ZoneDesk::AskNeighbour(clients::PeerClient* peer) {
+net::Task<void> ZoneCoordinator::AskNeighbour(clients::PeerClient* peer) {
   const double lease = settings_.workers.lease_s;
   const net::Time sent = loop_.Refresh();
   const auto answer =
-      co_await peer->Ask(Message(PeerKind::kKeepZone), kWait * lease);
+      co_await peer->Ask(Message(PeerKind::kDelegateZone), kWait * lease);
   if (!answer.ok) co_return;
   peer_heard_ = loop_.Now();
   const bool near = std::any_of(
@@ -126,27 +131,27 @@
   }
 }
 
-std::string ZoneDesk::Neighbour() const {
+std::string ZoneCoordinator::Neighbour() const {
   const bool wanted = CutOff() || LeaderUnknown();
   return wanted && loop_.Now() < neighbour_until_ ? neighbour_ : std::string();
 }
 
 // One that has just started inside a cut waits in vain for the state service:
 // its neighbour knows sooner than it does.
-bool ZoneDesk::LeaderUnknown() const {
+bool ZoneCoordinator::LeaderUnknown() const {
   return seams_.leader() == nullptr && seams_.leading() == nullptr;
 }
 
-bool ZoneDesk::Apart() const {
+bool ZoneCoordinator::Apart() const {
   return !peers_.empty() && CutOff() &&
          loop_.Now() - std::max(cut_since_, peer_heard_) >
              kApartAfter * settings_.workers.lease_s;
 }
 
-net::Task<void> ZoneDesk::Probe() {
+net::Task<void> ZoneCoordinator::Probe() {
   if (!probing_) {
     probing_ = true;
-    net::Spawn([](ZoneDesk* self) -> net::Task<void> {
+    net::Spawn([](ZoneCoordinator* self) -> net::Task<void> {
       co_await self->state_.Get(std::string(keys::kLeader),
                                 clients::Urgency::kLease);
       self->probing_ = false;
@@ -158,7 +163,7 @@
   if (probing_) state_missed_ = loop_.Now();
 }
 
-net::Task<void> ZoneDesk::RecordLoop() {
+net::Task<void> ZoneCoordinator::RecordLoop() {
   for (;;) {
     const RecordStep before = record_.step();
     co_await RecordOnce();
@@ -171,7 +176,7 @@
   }
 }
 
-net::Task<void> ZoneDesk::RecordOnce() {
+net::Task<void> ZoneCoordinator::RecordOnce() {
   using clients::StateResult;
   using clients::StateStatus;
   const net::Time sent = loop_.Refresh();
@@ -185,8 +190,8 @@
       break;
     }
     case RecordStep::kLease: {
-      const StateResult granted =
-          co_await state_.CreateLease(ZoneRecordLease(settings_.workers));
+      const StateResult granted = co_await state_.CreateLease(
+          DelegatedLeaseRecordTerm(settings_.workers));
       if (granted.ok()) record_.LeaseGranted(granted.lease_id, sent);
       break;
     }
@@ -214,7 +219,7 @@
   }
 }
 
-bool ZoneDesk::Relays(const WorkerReport& report, size_t bytes) const {
+bool ZoneCoordinator::Relays(const WorkerReport& report, size_t bytes) const {
   if (!on_ || report.zone != settings_.zone || bytes > kMostBytes) return false;
   const clients::PeerClient* leader = seams_.leader();
   if (leader == nullptr) return false;
@@ -225,7 +230,7 @@
                      });
 }
 
-net::Task<ZoneDesk::Relayed> ZoneDesk::Relay(std::string body) {
+net::Task<ZoneCoordinator::Relayed> ZoneCoordinator::Relay(std::string body) {
   Relayed out;
   clients::PeerClient* leader = seams_.leader();
   if (leader == nullptr || CutOff()) co_return out;
@@ -262,8 +267,8 @@
   co_return out;
 }
 
-std::string ZoneDesk::BetterPlaceFor(const WorkerReport& report,
-                                     uint64_t revision) {
+std::string ZoneCoordinator::BetterPlaceFor(const WorkerReport& report,
+                                            uint64_t revision) {
   if (!on_ || report.zone == settings_.zone) return {};
   if (visited_ != revision) {
     visited_ = revision;
@@ -290,7 +295,7 @@
   return *there[std::hash<std::string>{}(report.host) % there.size()];
 }
 
-bool ZoneDesk::CutOff() const {
+bool ZoneCoordinator::CutOff() const {
   const bool state_out = state_.Failing() || state_missed_ > state_.last_good();
   if (!on_ || !state_out) return false;
   // Its own name in the key is that of a former life, or of a right that it
@@ -299,20 +304,20 @@
   return leader_missed_ > leader_met_;
 }
 
-ZoneDesk::Keeping ZoneDesk::Keeps(const WorkerReport& report) {
+ZoneCoordinator::Renewal ZoneCoordinator::MayRenew(const WorkerReport& report) {
   if (!CutOff()) {
     signs_.Clear();
-    return Keeping::kNo;
+    return Renewal::kNo;
   }
-  if (report.token == 0 || report.zone != settings_.zone) return Keeping::kNo;
+  if (report.token == 0 || report.zone != settings_.zone) return Renewal::kNo;
   const net::Time now = loop_.Refresh();
-  if (signs_.SentOn(report, now)) return Keeping::kSentOn;
-  if (!keeper_.Keep(now)) return Keeping::kNo;
+  if (signs_.SentOn(report, now)) return Renewal::kSentOn;
+  if (!delegated_lease_.Renew(now)) return Renewal::kNo;
   signs_.Kept(report, now);
-  return Keeping::kYes;
+  return Renewal::kYes;
 }
 
-void ZoneDesk::DoAsk(const AskStandBack& ask, uint64_t revision) {
+void ZoneCoordinator::DoAsk(const AskStandBack& ask, uint64_t revision) {
   for (const auto& peer : peers_) {
     if (std::find(ask.peers.begin(), ask.peers.end(), peer->name()) !=
         ask.peers.end()) {
@@ -321,27 +326,28 @@
   }
 }
 
-net::Task<void> ZoneDesk::AskOne(clients::PeerClient* peer, uint64_t revision) {
+net::Task<void> ZoneCoordinator::AskOne(clients::PeerClient* peer,
+                                        uint64_t revision) {
   const net::Time sent = loop_.Refresh();
   const auto answer = co_await peer->Ask(Message(PeerKind::kStandBack),
                                          kWait * settings_.workers.lease_s);
   const PeerMessage& said = answer.message;
   if (!answer.ok || said.answer != PeerAnswer::kYes) co_return;
   // One more than the time, 0 for never.
-  const double kept_ago = said.done == 0 ? -1 : Seconds(said.done - 1);
+  const double renewed_ago = said.done == 0 ? -1 : Seconds(said.done - 1);
   seams_.tell(revision, [&](Controller& c) {
-    c.OnStoodBack(peer->name(), said.text, Seconds(said.running), kept_ago,
+    c.OnStoodBack(peer->name(), said.text, Seconds(said.running), renewed_ago,
                   sent, loop_.Now());
   });
 }
 
-void ZoneDesk::OnPeer(const PeerMessage& message, PeerMessage* reply) {
+void ZoneCoordinator::OnPeer(const PeerMessage& message, PeerMessage* reply) {
   const net::Time now = loop_.Refresh();
   if (message.kind == PeerKind::kStandBack) {
     leader_met_ = now;
-    if (!keeper_.AskedToStandBack(now)) return;
-    const double kept_ago = keeper_.KeptAgo(now);
-    reply->done = kept_ago < 0 ? 0 : Milliseconds(kept_ago) + 1;
+    if (!delegated_lease_.AskedToStandBack(now)) return;
+    const double renewed_ago = delegated_lease_.RenewedAgo(now);
+    reply->done = renewed_ago < 0 ? 0 : Milliseconds(renewed_ago) + 1;
     reply->running = Milliseconds(now - started_);
     reply->text = life_;
     reply->answer = PeerAnswer::kYes;
@@ -349,10 +355,13 @@
   }
   Controller* core = seams_.leading();
   // One that has forgotten its right sends its workers here.
-  if (core == nullptr) reply->done = CutOff() && keeper_.Holds(now) ? 1 : 0;
+  if (core == nullptr) {
+    reply->done = CutOff() && delegated_lease_.Holds(now) ? 1 : 0;
+  }
   if (core != nullptr) peer_met_[message.node] = now;
-  if (core != nullptr && core->OnKeepAsked(message.node, message.text,
-                                           Seconds(message.running), now)) {
+  if (core != nullptr &&
+      core->OnDelegationAsked(message.node, message.text,
+                              Seconds(message.running), now)) {
     reply->answer = PeerAnswer::kYes;
   }
 }
--- a/tests/combined_faults_test.cc
+++ b/tests/combined_faults_test.cc
@@ -214,7 +214,7 @@
   }
 
   bool Ended(const std::string& id) const {
-    return sim_.CountRecords(keys::Of(keys::kFinal, id)) > 0;
+    return sim_.CountRecords(keys::Of(keys::kTerminal, id)) > 0;
   }
 
   // Users repeat a cancellation until they are told that it is true.
@@ -264,11 +264,11 @@
   int submitted_ = 0;
 };
 
-// OXBOW_STORM_SEEDS: so many; OXBOW_STORM_SEED: this one alone.
+// OXBOW_SEEDS: so many; OXBOW_SEED: this one alone.
 TEST(CombinedFaults, EveryPairComesRightAgain) {
   constexpr int kSeeds = 16;  // each fault, with another
-  const char* many = std::getenv("OXBOW_STORM_SEEDS");
-  const char* only = std::getenv("OXBOW_STORM_SEED");
+  const char* many = std::getenv("OXBOW_SEEDS");
+  const char* only = std::getenv("OXBOW_SEED");
   const int seeds = many == nullptr ? kSeeds : std::atoi(many);
   int starts = 0;
   for (int seed = 0; seed < seeds; ++seed) {
