--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -176,6 +176,7 @@
     bool capped() const {
       return settings.cpus_max > 0 || settings.gpus_max > 0;
     }
+    bool LimitAllows(const Resources& want) const;
   };
   struct Rental {
     RentalRecord record;
