--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -1,5 +1,5 @@
-// Three real controllers on loopback, as processes that are killed and started
-// again, against stand-ins for everything else.
+// Real controllers on loopback, three unless told otherwise, as processes that
+// are killed and started again, against stand-ins for everything else.
 #pragma once
 
 #include <fcntl.h>
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,11 +30,25 @@
 inline constexpr double kLease = 6;     // s
 inline constexpr double kReport = 0.3;  // s
 
+// What a controller is run from: a program and the directory with the
+// operators' tuning files that belong to it.
+struct Program {
+  std::string path = OXBOW_PROGRAM;
+  std::string deploy = OXBOW_DEPLOY;
+};
+
 class Cluster {
  public:
-  // `tuning`: the operators' file, of those under deploy/.
-  Cluster(uint64_t seed, std::string tuning)
-      : random(seed), tuning_(std::move(tuning)), state_(loop), cloud_(loop) {
+  // `tuning`: the operators' file, of those under deploy/. `program`: of every
+  // controller until SetProgram says otherwise.
+  Cluster(uint64_t seed, std::string tuning, int controllers = kControllers,
+          const Program& program = {})
+      : random(seed),
+        controllers_(controllers),
+        tuning_(std::move(tuning)),
+        programs_(controllers, program),
+        state_(loop),
+        cloud_(loop) {
     cloud_.listed = [this] {
       std::string all;
       for (const auto& w : workers) {
@@ -54,21 +69,21 @@
         return true;
       });
     };
-    for (int i = 0; i < kControllers; ++i) {
+    for (int i = 0; i < controllers_; ++i) {
       listen_.push_back(Local(FreePort()));
       back_.push_back(Local(FreePort()));
     }
-    for (int i = 0; i < kControllers; ++i) {
+    for (int i = 0; i < controllers_; ++i) {
       const auto way = [this](const net::Address& to) {
         return std::make_unique<Link>(loop, to);
       };
       ways_.emplace_back();
       ways_[i].push_back(way(Local(state_.port())));
-      for (int to = 0; to < kControllers; ++to) {
+      for (int to = 0; to < controllers_; ++to) {
         if (to != i) ways_[i].push_back(way(back_[to]));
       }
     }
-    for (int i = 0; i < kControllers; ++i) {
+    for (int i = 0; i < controllers_; ++i) {
       WriteSettings(i);
       std::remove((ConfigOf(i) + ".log").c_str());
       pids_.push_back(-1);
@@ -79,13 +94,13 @@
     for (int i = 0; i < 6; ++i) AddWorker();
   }
   ~Cluster() {
-    for (int i = 0; i < kControllers; ++i) Kill(i);
+    for (int i = 0; i < controllers_; ++i) Kill(i);
   }
 
   void AddWorker() {
     ++added_;
     std::vector<std::pair<std::string, net::Address>> controllers;
-    for (int i = 0; i < kControllers; ++i) {
+    for (int i = 0; i < controllers_; ++i) {
       controllers.emplace_back(Name(i), listen_[i]);
     }
     workers.push_back(std::make_shared<FakeWorker>(
@@ -101,7 +116,7 @@
   int Leader() const {
     rapidjson::Document doc;
     doc.Parse(state_.Value("ob/live/leader").c_str());
-    for (int i = 0; i < kControllers; ++i) {
+    for (int i = 0; i < controllers_; ++i) {
       if (json::GetString(doc, "node") == Name(i)) return i;
     }
     return -1;
@@ -112,10 +127,13 @@
     waitpid(pids_[i], nullptr, 0);
     pids_[i] = -1;
   }
+  // What a controller runs from its next launch on.
+  void SetProgram(int i, const Program& program) { programs_[i] = program; }
   void Launch(int i) {
     const std::string config = ConfigOf(i);
     const std::string log = config + ".log";
-    const std::string conf = OXBOW_DEPLOY "/" + tuning_;
+    const Program& program = programs_[i];
+    const std::string conf = program.deploy + "/" + tuning_;
     const pid_t pid = fork();
     ASSERT_GE(pid, 0);
     if (pid == 0) {
@@ -123,8 +141,8 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(fd, STDERR_FILENO);
-      execl(OXBOW_PROGRAM, OXBOW_PROGRAM, "serve", "--config", config.c_str(),
-            "--tuning", conf.c_str(), nullptr);
+      execl(program.path.c_str(), program.path.c_str(), "serve", "--config",
+            config.c_str(), "--tuning", conf.c_str(), nullptr);
       _exit(127);
     }
     pids_[i] = pid;
@@ -143,8 +161,8 @@
   // Cuts a controller off from the state service and from the others, both
   // ways, or joins it to them again. Users and workers reach it.
   void Isolate(int i, bool cut) {
-    for (int from = 0; from < kControllers; ++from) {
-      for (int way = 0; way < kControllers; ++way) {
+    for (int from = 0; from < controllers_; ++from) {
+      for (int way = 0; way < controllers_; ++way) {
         // Its way to the state service comes first.
         const int to = way == 0 ? -1 : way <= from ? way - 1 : way;
         if (from == i || to == i) ways_[from][way]->Cut(cut);
@@ -158,8 +176,8 @@
                                    std::string body) {
     net::ClientResult answer;
     for (int i = 0; i < 300; ++i) {
-      answer = co_await clients_[next_++ % kControllers]->Request(method, path,
-                                                                  body, 3);
+      answer = co_await clients_[next_++ % clients_.size()]->Request(
+          method, path, body, 3);
       if (answer.outcome == net::Outcome::kAnswered && answer.status != 503 &&
           answer.status != 429 && answer.status != 504) {
         break;
@@ -198,6 +216,12 @@
     for (const auto& w : workers) n += w->Present(job);
     return n;
   }
+  // Tasks of the job that have completed, wherever.
+  size_t Completed(const std::string& job) const {
+    std::set<uint32_t> tasks;
+    for (const auto& w : workers) tasks.merge(w->Completed(job));
+    return tasks.size();
+  }
 
   net::Loop loop;
   // Free on one address, so hardly taken on another of this machine.
@@ -214,7 +238,7 @@
   }
   void WriteSettings(int i) {
     std::string known;
-    for (int other = 0, way = 1; other < kControllers; ++other) {
+    for (int other = 0, way = 1; other < controllers_; ++other) {
       if (other == i) continue;
       if (!known.empty()) known += ",";
       known +=
@@ -235,10 +259,12 @@
         "clock_error_ms":25.0}}}})",
         Name(i), listen_[i].ToString(), back_[i].ToString(), known,
         Local(cloud_.port()).ToString(), Local(ways_[i][0]->port()).ToString(),
-        kControllers, kReport, kLease);
+        controllers_, kReport, kLease);
   }
 
+  const int controllers_;
   const std::string tuning_;
+  std::vector<Program> programs_;
   FakeState state_;
   FakeCloud cloud_;
   std::vector<net::Address> listen_;
--- a/tests/stand_ins.cc
+++ b/tests/stand_ins.cc
@@ -324,6 +324,7 @@
       ++session_;
       lease_from_ = now;
     }
+    CompleteTasks(now);
     if (notice_ > 0) notice_ = std::max(0.001, notice_ - 0.02);
     if (cut_ || (now < next && !changed_)) continue;
     changed_ = false;
@@ -335,6 +336,22 @@
   }
 }
 
+void FakeWorker::CompleteTasks(double now) {
+  for (auto& [key, i] : instances_) {
+    const auto cue = cues_.find(i.job);
+    if (i.exited || cue == cues_.end()) continue;
+    if (now < i.running_from + cue->second.done_after) continue;
+    i.exited = i.done = true;
+    completed_[i.job].insert(i.task);
+    changed_ = true;
+  }
+}
+
+std::set<uint32_t> FakeWorker::Completed(const std::string& job) const {
+  const auto it = completed_.find(job);
+  return it == completed_.end() ? std::set<uint32_t>() : it->second;
+}
+
 Task<bool> FakeWorker::Report() {
   const double sent = loop_.Now();
   const uint64_t session = session_;
@@ -373,7 +390,9 @@
                                                         : "running";
     legs += fmt::format(R"({{"leg":"{}/{}","try_no":{},"status":"{}"{}}})",
                         i.job, i.task, i.attempt, status,
-                        i.exited ? R"(,"exit_reason":"halted")" : "");
+                        i.done     ? R"(,"exit_reason":"done")"
+                        : i.exited ? R"(,"exit_reason":"halted")"
+                                   : "");
   }
   return fmt::format(
       R"({{"host":"{}","endpoint":"{}:{}","fleet":"g8","yard":"{}",)"
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -106,6 +106,7 @@
 struct Cue {
   double sick_after = 1e18;  // s of running
   double flap_s = 0;
+  double done_after = 1e18;  // s of running; a service never is
   enum class Way { kError, kEmpty, kSilent } way = Way::kError;
 };
 
@@ -141,6 +142,8 @@
   int Well(const std::string& job) const;
   int Present(const std::string& job) const;
   int present() const;  // of all jobs
+  // The tasks of the job that have completed here.
+  std::set<uint32_t> Completed(const std::string& job) const;
   // Instances that run and are not well.
   int Sick(const std::string& job) const;
 
@@ -151,6 +154,7 @@
     uint64_t attempt = 0;
     bool exited = false;
     double running_from = 0;
+    bool done = false;  // how it exited
   };
 
   net::Task<void> UntilOpen();
@@ -159,6 +163,7 @@
   net::Task<net::HttpResponse> Handle(net::HttpRequest request);
   net::Task<net::HttpResponse> Health(net::HttpRequest request);
   std::string Message();
+  void CompleteTasks(double now);
   void Execute(const std::string& body);
   bool IsWell(const Instance& i) const;
 
@@ -174,6 +179,7 @@
   net::HttpServer orders_;
   net::HttpServer health_;
   std::map<std::string, Instance> instances_;
+  std::map<std::string, std::set<uint32_t>> completed_;  // tasks by job
   uint64_t session_ = 1;
   uint64_t seq_ = 0;
   uint64_t token_ = 0;
