The end of a controller that hands on reports doesn't move the lead

Machines in a zone without the leader report by way of a controller of their own zone; when that one is killed, they need a second or two to find another, their reports are overdue, and the leader took that for its own ears although it reached them by itself.

A report that last came by way of another controller counts as overdue only once its worker has had the time to find another. A leader that doesn't hear such machines at all still counts them as silent.

lead-stays-when-a-relay-ends fails without it (leading b, one hand-over), tried with the guard removed.

--- a/app/users_peer.cc
+++ b/app/users_peer.cc
@@ -100,10 +100,9 @@
     case PeerKind::kReport: {
       WorkerReport report;
       ReportReply told;
-      if (!wire::ParseReport(message.text, &report) ||
-          !TakeReport(report, &told)) {
-        break;
-      }
+      if (!wire::ParseReport(message.text, &report)) break;
+      report.relayed = true;
+      if (!TakeReport(report, &told)) break;
       reply->text = wire::EncodeReply(told);
       if (reply->text.size() > ZoneDesk::kMostBytes) {
         reply->text.clear();
--- a/core/controller/ears.cc
+++ b/core/controller/ears.cc
@@ -78,9 +78,12 @@
 
 bool Ears::ReportOverdue(const Machine& m, Time now) const {
   // Until a worker has waited in vain and tried another controller, its silence
-  // says nothing about a leader that has just taken office.
-  const Time from =
-      std::max(m.last_report, started_ + kReportTimeout_s + kRetryPause_s);
+  // says nothing about a leader that has just taken office, nor does that of
+  // one that reports by way of another controller, which may have ended: each
+  // restart of one would else move the lead, for nothing.
+  constexpr double kFindsAnother_s = kReportTimeout_s + kRetryPause_s;
+  const Time from = std::max(m.last_report + (m.relayed ? kFindsAnother_s : 0),
+                             started_ + kFindsAnother_s);
   return now - from > patience_.overdue;
 }
 
--- a/core/controller/machines.cc
+++ b/core/controller/machines.cc
@@ -134,7 +134,10 @@
   Absorb(m, report, /*by_report=*/true, now);
   answering_ = nullptr;
   DropLateStarts(m, now);
-  if (news) m.last_report = now;
+  if (news) {
+    m.last_report = now;
+    m.relayed = report.relayed;
+  }
   if (m.delivery.WantsQuestion(now)) {
     RaiseToken(m);
     m.delivery.Asked(m.token);
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -168,6 +168,7 @@
   uint64_t seen_token = 0;  // the highest the worker has shown
   Time last_heard = -1e9;
   Time last_report = -1e9;   // by which its lease is renewed
+  bool relayed = false;      // that report came by way of another controller
   Time first_answer = -1e9;  // to a report, by this leader
   Time last_answer = -1e9;
   // The other controllers, asked about a silent machine: when last, when one
--- a/core/model/report.h
+++ b/core/model/report.h
@@ -48,6 +48,9 @@
   uint64_t token = 0;
   std::optional<double> notice_s;
   std::vector<TaskReport> tasks;
+  // By way of another controller, which answers the worker for the leader. Not
+  // said by the worker itself.
+  bool relayed = false;
 };
 
 enum class OrderKind : uint8_t { kStart, kStop, kForget };
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -215,6 +215,8 @@
         w.kept = true;
       else if (word == "not-kept")
         w.kept = false;
+      else if (word == "by-way-of")
+        words >> w.by_way;
       else if (word == "sound")
         w.faulty = false;
       else if (word == "faulty")
--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -503,6 +503,7 @@
   r.seq = ++w.seq;
   r.token = w.token;
   r.notice_s = w.notice;
+  r.relayed = !w.by_way.empty();
   for (const auto& [name, t] : w.tasks) {
     r.tasks.push_back({t.job, t.task, t.attempt, t.phase, t.reason, t.saved});
   }
@@ -521,6 +522,12 @@
     w.lease_from = now_;
     return;
   }
+  if (!w.by_way.empty() && controllers_[w.by_way].gone) {
+    // Refused; so is the next one that it tries, perhaps.
+    w.by_way.clear();
+    w.waits_until = now_ + 2 * kRetryPause_s;
+    return;
+  }
   const WorkerReport report = ReportOf(w);
   sent_[w.host] = report;
   if (w.copy_after > 0) Copy(report, w.copy_after);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -46,6 +46,7 @@
   double copy_after = 0;     // each report comes again so much later; 0: none
   bool faulty = false;       // every task errs
   bool kept = false;         // another controller answers, without orders
+  std::string by_way;        // its reports come by way of that controller
   std::optional<double> notice;
   uint64_t session = 1;
   uint64_t seq = 0;
