--- a/app/dealings.cc
+++ b/app/leader_service.cc
@@ -1,11 +1,11 @@
-#include "app/dealings.h"
+#include "app/leader_service.h"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <utility>
 
-#include "app/calendar_desk.h"
+#include "app/calendar_records.h"
 #include "wire/moves_json.h"
 #include "wire/tiers_json.h"
 
@@ -23,12 +23,14 @@
 
 }  // namespace
 
-Dealings::Dealings(net::Loop& loop, const Settings& settings,
-                   const Tuning& tuning, Catalog& catalog,
-                   clients::StateClient& state, clients::CloudClient& cloud,
-                   Follower& follower, Election& election,
-                   FitnessDesk& fitness_desk, ZoneDesk& zone_desk,
-                   RecoveryDesk& recovery)
+LeaderService::LeaderService(net::Loop& loop, const Settings& settings,
+                             const Tuning& tuning, Catalog& catalog,
+                             clients::StateClient& state,
+                             clients::CloudClient& cloud, Follower& follower,
+                             Election& election,
+                             LeaderHealthCoordinator& leader_health_coordinator,
+                             ZoneCoordinator& zone_coordinator,
+                             RecoveryCoordinator& recovery)
     : loop_(loop),
       settings_(settings),
       tuning_(tuning),
@@ -37,29 +39,29 @@
       cloud_(cloud),
       follower_(follower),
       election_(election),
-      fitness_desk_(fitness_desk),
-      zone_desk_(zone_desk),
+      leader_health_coordinator_(leader_health_coordinator),
+      zone_coordinator_(zone_coordinator),
       recovery_(recovery),
       workers_(loop, kOrderTimeoutRatio * settings.workers.lease_s),
       health_(loop) {}
 
-void Dealings::Start() {
+void LeaderService::Start() {
   net::Spawn(TickLoop());
   net::Spawn(ListLoop());
 }
 
-Controller* Dealings::Leading() {
+Controller* LeaderService::Leading() {
   return controller_ != nullptr && election_.Valid() ? controller_.get()
                                                      : nullptr;
 }
 
-void Dealings::LeaveOffice() {
+void LeaderService::LeaveOffice() {
   controller_.reset();
   workers_.Clear();
   health_.Clear();
 }
 
-void Dealings::FollowTiers() {
+void LeaderService::FollowTiers() {
   if (tuning_.tiers <= 0) return;
   const TierSource before = tiers_.source();
   const uint64_t version = tiers_.version();
@@ -81,7 +83,7 @@
   }
 }
 
-void Dealings::RecordTaken(const std::string& key) {
+void LeaderService::RecordTaken(const std::string& key) {
   if (key.starts_with(keys::kOperator) &&
       key.substr(keys::kOperator.size()) == wire::kTiersRecord) {
     FollowTiers();
@@ -108,26 +110,26 @@
   });
 }
 
-void Dealings::TypesKnown(const std::vector<MachineType>& types) {
+void LeaderService::TypesKnown(const std::vector<MachineType>& types) {
   if (controller_) controller_->OnTypes(types);
 }
 
-void Dealings::TellWaiters(const JobFinal& end) {
-  const auto it = final_waiters_.find(end.id);
-  if (it == final_waiters_.end()) return;
+void LeaderService::TellWaiters(const JobTerminated& end) {
+  const auto it = terminal_waiters_.find(end.id);
+  if (it == terminal_waiters_.end()) return;
   for (const auto& waiter : it->second) {
     waiter->state = end.state;
     waiter->event.Set();
   }
-  final_waiters_.erase(it);
+  terminal_waiters_.erase(it);
 }
 
-void Dealings::TakeOffice(uint64_t revision,
-                          const std::optional<std::set<std::string>>& keepers) {
+void LeaderService::TakeOffice(
+    uint64_t revision, const std::optional<std::set<std::string>>& delegates) {
   const net::Time now = loop_.Refresh();
   controller_ =
       std::make_unique<Controller>(settings_, tuning_, catalog_, revision, now,
-                                   net::WallNow() - now, revision, keepers);
+                                   net::WallNow() - now, revision, delegates);
   FollowTiers();
   controller_->UseTiers(tiers_.set());
   if (tuning_.calendar_on > 0) {
@@ -144,8 +146,8 @@
   Perform();
 }
 
-void Dealings::Tell(uint64_t revision,
-                    const std::function<void(Controller&)>& event) {
+void LeaderService::Tell(uint64_t revision,
+                         const std::function<void(Controller&)>& event) {
   if (!controller_ || controller_->revision() != revision) return;
   // The loop's time is that of its last wake-up, which a stall may have put
   // seconds ago; a message read since then may tell of a session that began
@@ -163,14 +165,14 @@
 }
 
 // Between two looks at the steady clock, so that a stall shows.
-void Dealings::LookAtClocks() {
+void LeaderService::LookAtClocks() {
   const net::Time before = loop_.Refresh();
   const double wall = net::WallNow();
   const net::Time after = loop_.Refresh();
   controller_->OnClocks({wall, before, after}, follower_.confirmed(), after);
 }
 
-net::Task<void> Dealings::TickLoop() {
+net::Task<void> LeaderService::TickLoop() {
   for (;;) {
     co_await loop_.Sleep(kTick * settings_.workers.report_s);
     if (Leading() == nullptr) continue;
@@ -179,7 +181,7 @@
   }
 }
 
-net::Task<void> Dealings::ListLoop() {
+net::Task<void> LeaderService::ListLoop() {
   for (;;) {
     co_await loop_.Sleep(0.5 * settings_.cloud.list_lag_s + 0.5);
     if (Leading() == nullptr) continue;
@@ -193,7 +195,7 @@
   }
 }
 
-void Dealings::Perform() {
+void LeaderService::Perform() {
   if (!controller_ || performing_) return;
   performing_ = true;
   const uint64_t revision = controller_->revision();
@@ -217,20 +219,22 @@
       } else if (auto* check = std::get_if<CheckInstance>(&action)) {
         net::Spawn(DoCheck(std::move(*check), revision));
       } else if (auto* ask = std::get_if<AskReach>(&action)) {
-        net::Spawn(fitness_desk_.DoReach(std::move(*ask), revision));
+        net::Spawn(
+            leader_health_coordinator_.DoReach(std::move(*ask), revision));
       } else if (auto* offer = std::get_if<OfferLead>(&action)) {
-        net::Spawn(fitness_desk_.DoOffer(std::move(*offer), revision));
+        net::Spawn(
+            leader_health_coordinator_.DoOffer(std::move(*offer), revision));
       } else if (auto* back = std::get_if<AskStandBack>(&action)) {
-        zone_desk_.DoAsk(*back, revision);
-      } else if (std::holds_alternative<ReadZoneKeepers>(action)) {
-        net::Spawn(DoReadKeepers(revision));
+        zone_coordinator_.DoAsk(*back, revision);
+      } else if (std::holds_alternative<ReadDelegates>(action)) {
+        net::Spawn(DoReadDelegates(revision));
       } else if (auto* job = std::get_if<AskJob>(&action)) {
         net::Spawn(recovery_.AskAboutJob(std::move(job->id)));
       } else if (auto* gone = std::get_if<DeleteMachines>(&action)) {
         to_delete.insert(to_delete.end(), gone->hosts.begin(),
                          gone->hosts.end());
-      } else if (auto* final_state = std::get_if<JobFinal>(&action)) {
-        TellWaiters(*final_state);
+      } else if (auto* terminal_state = std::get_if<JobTerminated>(&action)) {
+        TellWaiters(*terminal_state);
       } else if (auto* quit = std::get_if<Resign>(&action)) {
         resign = quit->reason;
         unfit = quit->unfit;
@@ -253,10 +257,10 @@
   performing_ = false;
   if (resign.empty()) return;
   election_.StepDown(resign);
-  if (unfit) fitness_desk_.Yielded();
+  if (unfit) leader_health_coordinator_.Yielded();
 }
 
-net::Task<void> Dealings::DoSend(SendOrders orders, uint64_t revision) {
+net::Task<void> LeaderService::DoSend(SendOrders orders, uint64_t revision) {
   const std::string host = orders.host;
   const uint64_t batch = orders.batch;
   clients::WorkerClients::Answer answer;
@@ -268,7 +272,7 @@
   });
 }
 
-net::Task<void> Dealings::DoProbe(Probe probe, uint64_t revision) {
+net::Task<void> LeaderService::DoProbe(Probe probe, uint64_t revision) {
   const clients::WorkerClients::Answer answer =
       co_await workers_.Probe(probe.endpoint);
   if (!answer.has_report) co_return;
@@ -276,7 +280,7 @@
        [&](Controller& c) { c.OnProbeAnswer(answer.report, loop_.Now()); });
 }
 
-net::Task<void> Dealings::DoCheck(CheckInstance check, uint64_t revision) {
+net::Task<void> LeaderService::DoCheck(CheckInstance check, uint64_t revision) {
   const std::string rollout = check.rollout;
   const ResidentKey key = check.key;
   const CheckOutcome outcome = co_await health_.Check(std::move(check));
@@ -284,7 +288,8 @@
        [&](Controller& c) { c.OnHealth(rollout, key, outcome, loop_.Now()); });
 }
 
-net::Task<void> Dealings::DoWrite(WriteTransaction txn, uint64_t revision) {
+net::Task<void> LeaderService::DoWrite(WriteTransaction txn,
+                                       uint64_t revision) {
   const uint64_t id = txn.id;
   const StateResult result = co_await state_.Write(
       std::move(txn.conditions), std::move(txn.changes), Urgency::kLeader);
@@ -307,7 +312,7 @@
   });
 }
 
-net::Task<void> Dealings::DoRead(ReadKeys read, uint64_t revision) {
+net::Task<void> LeaderService::DoRead(ReadKeys read, uint64_t revision) {
   bool ok = true;
   for (const std::string& key : read.keys) {
     const StateResult result = co_await state_.Get(key, Urgency::kLeader);
@@ -339,44 +344,46 @@
        [&](Controller& c) { c.OnReadAnswer(read.id, ok, loop_.Now()); });
 }
 
-net::Task<void> Dealings::DoRent(RentMachines rent, uint64_t revision) {
+net::Task<void> LeaderService::DoRent(RentMachines rent, uint64_t revision) {
   clients::CloudClient::Rented answer;
-  if (Leading() != nullptr)
+  if (Leading() != nullptr) {
     answer = co_await cloud_.Rent(rent.name, rent.rental);
+  }
   Tell(revision, [&](Controller& c) {
     c.OnRentAnswer(rent.name, answer.outcome, answer.hosts, loop_.Now());
   });
 }
 
-net::Task<void> Dealings::DoReadKeepers(uint64_t revision) {
+net::Task<void> LeaderService::DoReadDelegates(uint64_t revision) {
   const net::Time sent = loop_.Refresh();
-  const auto keepers = co_await election_.ReadKeepers();
-  if (!keepers) co_return;
-  Tell(revision,
-       [&](Controller& c) { c.OnKeepersRead(*keepers, sent, loop_.Now()); });
+  const auto delegates = co_await election_.ReadDelegates();
+  if (!delegates) co_return;
+  Tell(revision, [&](Controller& c) {
+    c.OnDelegatesRead(*delegates, sent, loop_.Now());
+  });
 }
 
-net::Task<void> Dealings::DoDelete(std::vector<std::string> hosts,
-                                   uint64_t revision) {
+net::Task<void> LeaderService::DoDelete(std::vector<std::string> hosts,
+                                        uint64_t revision) {
   bool ok = false;
   if (Leading() != nullptr) ok = co_await cloud_.Delete(hosts);
   Tell(revision,
        [&](Controller& c) { c.OnDeleteAnswer(hosts, ok, loop_.Now()); });
 }
 
-net::Task<FinalState> Dealings::Cancel(std::string id) {
-  auto waiter = std::make_shared<FinalWaiter>(loop_);
-  final_waiters_[id].push_back(waiter);
+net::Task<TerminalState> LeaderService::Cancel(std::string id) {
+  auto waiter = std::make_shared<TerminalStateWaiter>(loop_);
+  terminal_waiters_[id].push_back(waiter);
   bool known = false;
   Tell(controller_->revision(),
        [&](Controller& c) { known = c.Cancel(id, loop_.Now()); });
   if (known) {
     co_await waiter->event.Wait(kCancelWaitRatio * settings_.workers.lease_s);
   }
-  const auto it = final_waiters_.find(id);
-  if (it != final_waiters_.end()) {
+  const auto it = terminal_waiters_.find(id);
+  if (it != terminal_waiters_.end()) {
     std::erase(it->second, waiter);
-    if (it->second.empty()) final_waiters_.erase(it);
+    if (it->second.empty()) terminal_waiters_.erase(it);
   }
   co_return waiter->state;
 }
--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -7,8 +7,8 @@
 namespace oxbow {
 namespace {
 
-// For how long what was asked for shapes the measure of pieces, in worker
-// leases: some waves of work, not the whole day.
+// For how long what was asked for shapes the measure of fragmentation, in
+// worker leases: some waves of work, not the whole day.
 constexpr double kMixLeases = 15;
 
 using enum RentalState;
@@ -27,7 +27,7 @@
 Controller::Controller(const Settings& settings, const Tuning& tuning,
                        Catalog& catalog, uint64_t revision, Time now,
                        double wall_minus_steady, uint64_t seed,
-                       const std::optional<std::set<std::string>>& keepers)
+                       const std::optional<std::set<std::string>>& delegates)
     : settings_(settings),
       tuning_(tuning),
       catalog_(catalog),
@@ -35,17 +35,20 @@
       term_(TermOf(catalog.epoch(), revision)),
       started_(now),
       wall_minus_steady_(wall_minus_steady),
-      patience_(Patience::From(settings.workers, tuning)),
+      timeouts_(SilenceTimeouts::From(settings.workers, tuning)),
       numbers_(term_),
-      pieces_(kMixLeases * settings.workers.lease_s, settings.workers.report_s),
+      fragmentation_(kMixLeases * settings.workers.lease_s,
+                     settings.workers.report_s),
       placer_(tuning, seed),
       queue_order_(settings, tuning),
       writes_(settings, Mandate(catalog, revision), *this, actions_),
-      ears_(settings, tuning, patience_, machines_, now, seed, actions_),
-      zones_(settings, now, keepers),
+      liveness_(settings, tuning, timeouts_, machines_, now, seed, actions_),
+      zones_(settings, now, delegates),
       tiers_(settings, tuning.tiers > 0),
       calendar_(settings.workers.lease_s, settings.clock_off_ms / 1000) {
-  if (tuning.piece_weight > 0) placer_.SetPieces(&pieces_);
+  if (tuning.fragmentation_weight > 0) {
+    placer_.SetFragmentation(&fragmentation_);
+  }
   for (const TeamSettings& team : settings.teams)
     teams_.push_back({team, {}, {}, {}});
   for (const auto& [host, record] : catalog.machines()) {
@@ -92,8 +95,10 @@
       team == teams_.end() ? -1 : static_cast<int>(team - teams_.begin());
   auto job = std::make_unique<Job>(
       record, index, std::min(now, record.submitted_wall - wall_minus_steady_));
-  if (record.final_state == FinalState::kDone) job->Change(JobState::kDone);
-  if (record.final_state == FinalState::kAborted) {
+  if (record.terminal_state == TerminalState::kDone) {
+    job->Change(JobState::kDone);
+  }
+  if (record.terminal_state == TerminalState::kAborted) {
     job->Change(JobState::kAborted);
   }
   // What is written back gets a new stamp, but is as old as it was.
@@ -120,7 +125,7 @@
   if (!added.live()) RetireIfClear(added);
   quiet_since_ = now;
   queue_order_.Seen(added.spec());
-  pieces_.Note(added.spec(), added.submitted());
+  fragmentation_.Note(added.spec(), added.submitted());
   Resources& shape = accelerator_shape_;
   const Resources& need = added.spec().need;
   if (need.gpus > 0) {
@@ -138,8 +143,8 @@
   if (it == jobs_.end()) {
     AddJob(*record, now);
     ScheduleIfNeeded(now);
-  } else if (record->final_state != FinalState::kNone) {
-    OnFinalRecorded(id, record->final_state, now);
+  } else if (record->terminal_state != TerminalState::kNone) {
+    OnTerminalStateRecorded(id, record->terminal_state, now);
   }
 }
 
@@ -152,64 +157,66 @@
 bool Controller::Cancel(const std::string& id, Time now) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) {
-    const FinalState known = catalog_.FindFinal(id);
-    if (known == FinalState::kNone) return false;
-    actions_.push_back(JobFinal{id, known});
+    const TerminalState known = catalog_.FindTerminalState(id);
+    if (known == TerminalState::kNone) return false;
+    actions_.push_back(JobTerminated{id, known});
     return true;
   }
   Job& job = *it->second;
   if (job.live()) {
     Log("cancel " + id + ": asked by its user");
-    FinishJob(job, FinalState::kAborted);
+    FinishJob(job, TerminalState::kAborted);
     writes_.Flush(now);
   } else if (job.state() == JobState::kDone) {
-    actions_.push_back(JobFinal{id, FinalState::kDone});
+    actions_.push_back(JobTerminated{id, TerminalState::kDone});
   } else if (CancellationStands(job)) {
-    actions_.push_back(JobFinal{id, FinalState::kAborted});
+    actions_.push_back(JobTerminated{id, TerminalState::kAborted});
   }
   return true;
 }
 
 // The record comes first. Nobody is told, and no task stopped, before it
 // stands: a leader that crashes in between must not leave a half-ended job.
-void Controller::FinishJob(Job& job, FinalState state) {
-  job.Change(state == FinalState::kDone ? JobState::kRecordingDone
-                                        : JobState::kRecordingAbort);
+void Controller::FinishJob(Job& job, TerminalState state) {
+  job.Change(state == TerminalState::kDone ? JobState::kRecordingDone
+                                           : JobState::kRecordingAbort);
   writes_.Queue({WriteKind::kFinish, job.id(), state, {}});
 }
 
-void Controller::OnFinalRecorded(const std::string& id, FinalState state,
-                                 Time now) {
+void Controller::OnTerminalStateRecorded(const std::string& id,
+                                         TerminalState state, Time now) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   Job& job = *it->second;
   if (job.ended_by_record()) return;
-  job.Change(state == FinalState::kDone ? JobState::kDone : JobState::kAborted);
+  job.Change(state == TerminalState::kDone ? JobState::kDone
+                                           : JobState::kAborted);
   job.ended = now;
-  Log("job " + id + (state == FinalState::kDone ? " done" : " cancelled") +
+  Log("job " + id + (state == TerminalState::kDone ? " done" : " cancelled") +
       ", recorded");
   // That it is cancelled is told once nothing is left of it (Done, kRetire).
-  if (state == FinalState::kDone) actions_.push_back(JobFinal{id, state});
+  if (state == TerminalState::kDone)
+    actions_.push_back(JobTerminated{id, state});
   StopJob(job, now);
   DropReservation(&job, nullptr);
   RetireIfClear(job);
   dirty_ = true;
 }
 
-// The record moves to the final states once no task of the job can be on any
+// The record moves to the terminal states once no task of the job can be on any
 // machine: until then a new leader needs what its tasks hold. The user of a
 // cancelled job waits for that.
 void Controller::RetireIfClear(Job& job) {
   if (!job.ended_by_record() || job.holding() > 0) return;
   // A machine not heard yet may hold tasks that a former leader has started.
   if (!AllAccounted()) return;
-  writes_.Queue({WriteKind::kRetire, job.id(), FinalState::kNone, {}},
+  writes_.Queue({WriteKind::kRetire, job.id(), TerminalState::kNone, {}},
                 /*lazy=*/job.state() == JobState::kDone);
 }
 
 bool Controller::CancellationStands(const Job& job) const {
   return job.state() == JobState::kAborted &&
-         catalog_.FindFinal(job.id()) == FinalState::kAborted;
+         catalog_.FindTerminalState(job.id()) == TerminalState::kAborted;
 }
 
 bool Controller::View(const std::string& id, JobView* out) const {
@@ -239,12 +246,12 @@
 }
 
 void Controller::OnReach(uint64_t round, std::vector<Reach> answers, Time now) {
-  if (!ears_.OnReach(round, std::move(answers), now)) resigned_ = true;
+  if (!liveness_.OnReach(round, std::move(answers), now)) resigned_ = true;
 }
 
 void Controller::OnOfferAgreed() {
   resigned_ = true;
-  ears_.OnOfferAgreed();
+  liveness_.OnOfferAgreed();
 }
 
 uint64_t Controller::NextNumber() {
@@ -262,33 +269,36 @@
   actions_.push_back(Note{std::move(text), false});
 }
 
-void Controller::LogPieces(Time now) {
-  if (tuning_.piece_weight <= 0 || now < next_pieces_) return;
+void Controller::LogFragmentation(Time now) {
+  if (tuning_.fragmentation_weight <= 0 || now < next_fragmentation_log_) {
+    return;
+  }
   constexpr double kEvery = 60;  // s: for people, whatever the lease
-  next_pieces_ = now + kEvery;
-  const PieceCount n = CountPieces();
+  next_fragmentation_log_ = now + kEvery;
+  const FragmentationCount n = CountFragmentation();
   if (n.accelerators <= 0) return;
   const auto whole = [](double x) {
     return std::to_string(static_cast<int64_t>(std::llround(x)));
   };
-  Log("pieces: of " + whole(n.accelerators) + " accelerators " + whole(n.free) +
-      " free, " + whole(n.useless) + " of these of no use to what is asked " +
-      "for; " + std::to_string(n.whole) + " machines whole, " +
-      std::to_string(n.in_pieces) + " in pieces" +
+  Log("fragmentation: of " + whole(n.accelerators) + " accelerators " +
+      whole(n.free) + " free, " + whole(n.useless) +
+      " of these of no use to what is asked " + "for; " +
+      std::to_string(n.whole) + " machines whole, " +
+      std::to_string(n.fragmented) + " fragmented" +
       (mover_ ? "; moves settled " + std::to_string(mover_->settled()) +
                     ", given up " + std::to_string(mover_->given_up())
               : ""));
 }
 
 void Controller::Tick(Time now, bool by_lease) {
-  ears_.Count(now);
-  in_doubt_ = false;
+  liveness_.Count(now);
+  sessions_unsettled_ = false;
   for (auto& m : machines_) TickMachine(*m, now, by_lease);
-  if (in_doubt_ && now >= next_keepers_) {
-    next_keepers_ = now + StandBackFor(settings_.workers);
-    actions_.push_back(ReadZoneKeepers{});
+  if (sessions_unsettled_ && now >= next_delegates_read_) {
+    next_delegates_read_ = now + StandBackFor(settings_.workers);
+    actions_.push_back(ReadDelegates{});
   }
-  ears_.Ask(now);
+  liveness_.Ask(now);
   for (auto& [name, rental] : rentals_) {
     if (rental.state == kRequesting && now >= rental.next_try) {
       Request(name, now);
@@ -305,7 +315,7 @@
     next_supply_ = now + settings_.workers.report_s;
     TickCalendar(now);
     for (auto& [id, job] : jobs_) RetireIfClear(*job);
-    LogPieces(now);
+    LogFragmentation(now);
     // Backed-off jobs, expired reservations, machines no longer suspect.
     dirty_ = true;
   }
