--- a/core/chains/chains.h
+++ b/core/chains/chains.h
@@ -59,7 +59,7 @@
     virtual DueTimes DueOf(const JobSpec& spec, Time submitted) const = 0;
   };
   // How a job is recorded to have ended; kNone if it has not, or nobody knows.
-  using EndOf = std::function<FinalState(const std::string&)>;
+  using EndOf = std::function<TerminalState(const std::string&)>;
 
   explicit Chains(const Estimates& estimates) : estimates_(estimates) {}
 
@@ -67,10 +67,10 @@
   void Add(const std::shared_ptr<const JobSpec>& spec, Time submitted,
            const EndOf& end_of);
   // A job's end is recorded. Costs no more than the jobs that need it.
-  void OnEnd(const std::string& id, FinalState end);
+  void OnEnd(const std::string& id, TerminalState end);
   // Its user cancels a job that waits. False: none such.
   bool Cancel(const std::string& id);
-  // Its record has moved: to the live jobs, or to the final states.
+  // Its record has moved: to the live jobs, or to the terminal states.
   void Remove(const std::string& id);
 
   bool empty() const { return jobs_.empty(); }
