An acceptance without an answer is sent again after a few round trips

Cause: a submission whose write was carried out and whose answer was lost waited for the whole time of an answer (0.15 of a lease) before it was read.

Change: the client of the state service measures the round trip of its transactions (RFC 6298) and waits a few of them only, twice as long with each silence. An acceptance then goes again under the same conditions, four copies at most; the leader's writes go into their fence and read earlier. The extra requests come out of a tenth of the controller's share of state.rps, as the least urgent; with nothing left there, all is as before. A lost answer among others that came no longer counts as a sign that the service fails.

--- a/app/dealings.cc
+++ b/app/dealings.cc
@@ -286,9 +286,9 @@
 
 net::Task<void> Dealings::DoWrite(WriteTransaction txn, uint64_t revision) {
   const uint64_t id = txn.id;
-  const StateResult result =
-      co_await state_.Write(std::move(txn.conditions), std::move(txn.changes),
-                            Urgency::kLeader, election_.LeaseOf(revision));
+  const StateResult result = co_await state_.Write(
+      std::move(txn.conditions), std::move(txn.changes), Urgency::kLeader,
+      election_.LeaseOf(revision), clients::WhenUnanswered::kGiveUp);
   WriteOutcome outcome = WriteOutcome::kUnknown;
   switch (result.status) {
     case StateStatus::kOk:
--- a/app/users.cc
+++ b/app/users.cc
@@ -373,8 +373,10 @@
                                     {keys::Of(keys::kFinal, spec->id), 0}};
   recovery_.AddGuard(&conditions);
   std::vector<KeyChange> changes{{key, record}};
+  // Of several copies one can be accepted: the rest meet the job, or its end.
   const StateResult result = co_await state_.Write(
-      std::move(conditions), std::move(changes), Urgency::kUser);
+      std::move(conditions), std::move(changes), Urgency::kUser,
+      /*lease_id=*/0, clients::WhenUnanswered::kSendAgain);
   switch (result.status) {
     case StateStatus::kOk: {
       follower_.Apply(key, record, result.revision);
--- a/clients/state.cc
+++ b/clients/state.cc
@@ -12,6 +12,8 @@
 constexpr size_t kAnswerLimit = 768 * 1024;  // a listing holds 512 KiB
 constexpr size_t kWatchLimit = 4 * 1024 * 1024;
 constexpr int kPage = 500;
+// Of this controller's share of the requests a second.
+constexpr double kRetryShare = 0.1;
 
 void ReadItem(const rapidjson::Value& item, StateResult* out) {
   KeyValue entry;
@@ -35,6 +37,47 @@
   out->items.push_back(std::move(entry));
 }
 
+std::string EncodeTransaction(const std::vector<Condition>& conditions,
+                              const std::vector<KeyChange>& changes,
+                              uint64_t lease_id) {
+  rapidjson::StringBuffer buffer;
+  json::Writer w(buffer);
+  w.StartObject();
+  w.Key("if");
+  w.StartArray();
+  for (const Condition& c : conditions) {
+    w.StartObject();
+    json::Field(w, "key", c.key);
+    w.Key("stamp");
+    w.Uint64(c.stamp);
+    w.EndObject();
+  }
+  w.EndArray();
+  w.Key("then");
+  w.StartArray();
+  for (const KeyChange& change : changes) {
+    w.StartObject();
+    if (std::holds_alternative<std::monostate>(change.record)) {
+      json::Field(w, "delete", change.key);
+    } else {
+      json::Field(w, "set", change.key);
+      w.Key("v");
+      const std::string value = wire::EncodeRecord(change.record);
+      w.RawValue(value.data(), value.size(), rapidjson::kObjectType);
+      if (lease_id != 0 &&
+          (change.key == keys::kLeader || change.key.starts_with(keys::kZone) ||
+           change.key.starts_with(keys::kFence))) {
+        w.Key("permit");
+        w.Uint64(lease_id);
+      }
+    }
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return json::Text(buffer);
+}
+
 }  // namespace
 
 StateClient::StateClient(net::Loop& loop, const net::Address& address,
@@ -46,6 +89,8 @@
       // The controllers share the service's limits in equal parts.
       requests_(settings.state.rps / settings.nodes, 1.0),
       writes_(settings.state.write_rps / settings.nodes, 1.0),
+      retries_(kRetryShare * settings.state.rps / settings.nodes, 1.0),
+      round_trip_(0.15 * settings.workers.lease_s),
       timeout_s_(0.15 * settings.workers.lease_s) {}
 
 net::Task<StateResult> StateClient::Call(std::string method, std::string target,
@@ -56,6 +101,7 @@
   net::HttpClient& client = watch ? watch_ : http_;
   const uint64_t highest = highest_;
   const uint64_t generation = generation_;
+  const net::Time sent = loop_.Now();
   const net::ClientResult answer = co_await client.Request(
       std::move(method), std::move(target), std::move(body), timeout_s);
   if (answer.outcome == net::Outcome::kUnknown) {
@@ -92,9 +138,13 @@
   const bool bad =
       result.status == StateStatus::kUnknown ||
       (result.status == StateStatus::kNotExecuted && answer.status != 429);
+  // A lost answer among others that came tells nothing of the service.
+  const bool lost_alone =
+      answer.outcome == net::Outcome::kUnknown && last_good_ > sent;
   if (!bad) {
     last_good_ = loop_.Now();
-  } else if (!watch) {
+    if (kind == Kind::kChange) round_trip_.Answered(last_good_ - sent);
+  } else if (!watch && !lost_alone) {
     last_bad_ = loop_.Now();
   }
   if (doc->IsObject()) result.revision = json::GetUint(*doc, "ledger_no");
@@ -151,51 +201,56 @@
 
 net::Task<StateResult> StateClient::Write(std::vector<Condition> conditions,
                                           std::vector<KeyChange> changes,
-                                          Urgency urgency, uint64_t lease_id) {
+                                          Urgency urgency, uint64_t lease_id,
+                                          WhenUnanswered then) {
   const net::Time now = loop_.Now();
-  const Kind kind = changes.empty() ? Kind::kRead : Kind::kChange;
   const auto amount = static_cast<double>(changes.size());
   if (!writes_.Take(urgency, amount, now) || !requests_.Take(urgency, 1, now)) {
     co_return StateResult{};
   }
-  rapidjson::StringBuffer buffer;
-  json::Writer w(buffer);
-  w.StartObject();
-  w.Key("if");
-  w.StartArray();
-  for (const Condition& c : conditions) {
-    w.StartObject();
-    json::Field(w, "key", c.key);
-    w.Key("stamp");
-    w.Uint64(c.stamp);
-    w.EndObject();
-  }
-  w.EndArray();
-  w.Key("then");
-  w.StartArray();
-  for (const KeyChange& change : changes) {
-    w.StartObject();
-    if (std::holds_alternative<std::monostate>(change.record)) {
-      json::Field(w, "delete", change.key);
-    } else {
-      json::Field(w, "set", change.key);
-      w.Key("v");
-      const std::string value = wire::EncodeRecord(change.record);
-      w.RawValue(value.data(), value.size(), rapidjson::kObjectType);
-      if (lease_id != 0 && (change.key == keys::kLeader ||
-                            change.key.starts_with(keys::kZone) ||
-                            change.key.starts_with(keys::kFence))) {
-        w.Key("permit");
-        w.Uint64(lease_id);
-      }
+  auto sending = std::make_shared<Sending>(loop_);
+  sending->kind = changes.empty() ? Kind::kRead : Kind::kChange;
+  sending->changes = amount;
+  sending->body = EncodeTransaction(conditions, changes, lease_id);
+  const net::Time until = now + timeout_s_;
+  sending->retry.Sent();
+  net::Spawn(Send(sending, timeout_s_));
+  bool hurried = then != WhenUnanswered::kWait;
+  while (!sending->retry.decided() && !sending->retry.silent()) {
+    const double left = until - loop_.Now();
+    if (left <= 0) break;
+    const double patience = hurried ? round_trip_.Patience() : left;
+    sending->news.Clear();
+    co_await sending->news.Wait(std::min(left, patience));
+    const bool missed = !sending->news.IsSet() && patience < left;
+    if (!hurried || !(missed || sending->retry.silent())) continue;
+    if (missed) round_trip_.Missed();
+    if (!sending->retry.MaySendAgain() || !TakeRetry(*sending)) {
+      hurried = false;
+      continue;
     }
-    w.EndObject();
+    if (then == WhenUnanswered::kGiveUp || sending->retry.refused()) break;
+    sending->retry.Sent();
+    net::Spawn(Send(sending, until - loop_.Now()));
   }
-  w.EndArray();
-  w.EndObject();
+  StateResult result = sending->result;
+  if (!sending->retry.decided()) result.status = StateStatus::kUnknown;
+  co_return result;
+}
+
+bool StateClient::TakeRetry(const Sending& sending) {
+  // As the least urgent: what the users and the leader need stays behind.
+  const net::Time now = loop_.Now();
+  return retries_.Take(Urgency::kUser, 1, now) &&
+         writes_.Take(Urgency::kBackground, sending.changes, now) &&
+         requests_.Take(Urgency::kBackground, 1, now);
+}
+
+net::Task<void> StateClient::Send(std::shared_ptr<Sending> sending,
+                                  double timeout_s) {
   rapidjson::Document doc;
-  StateResult result =
-      co_await Call("POST", "/txn", json::Text(buffer), timeout_s_, &doc, kind);
+  StateResult result = co_await Call("POST", "/txn", sending->body, timeout_s,
+                                     &doc, sending->kind);
   if (result.status == StateStatus::kConflict) {
     const auto* failed = json::Find(doc, "failed");
     if (failed != nullptr && failed->IsArray()) {
@@ -204,7 +259,10 @@
       }
     }
   }
-  co_return result;
+  if (sending->retry.decided()) co_return;
+  sending->retry.OnAnswer(result.status);
+  sending->result = std::move(result);
+  sending->news.Set();
 }
 
 net::Task<StateResult> StateClient::CreateLease(double ttl_s) {
--- a/clients/state.h
+++ b/clients/state.h
@@ -5,11 +5,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <unordered_set>
 #include <vector>
 
 #include "clients/budget.h"
+#include "clients/write_retry.h"
 #include "core/controller/actions.h"
 #include "core/controller/catalog.h"
 #include "core/model/settings.h"
@@ -17,15 +19,6 @@
 
 namespace oxbow::clients {
 
-enum class StateStatus {
-  kOk,
-  kNotFound,
-  kConflict,
-  kTooOld,       // the watch has fallen behind what the service keeps
-  kNotExecuted,  // refused or never sent
-  kUnknown,      // sent, no answer
-};
-
 struct KeyValue {
   std::string key;
   Record record;  // monostate: deleted, or of no kind we know
@@ -48,6 +41,13 @@
   bool ok() const { return status == StateStatus::kOk; }
 };
 
+// What follows when a write is not answered after a few round trips.
+enum class WhenUnanswered : uint8_t {
+  kWait,       // nothing, until the time for an answer is over
+  kGiveUp,     // it is told as kUnknown: its sender decides by a read
+  kSendAgain,  // a copy goes under the same conditions, see WriteRetry
+};
+
 class StateClient {
  public:
   StateClient(net::Loop& loop, const net::Address& address,
@@ -58,7 +58,8 @@
   net::Task<StateResult> List(std::string prefix, std::string after);
   net::Task<StateResult> Write(std::vector<Condition> conditions,
                                std::vector<KeyChange> changes, Urgency urgency,
-                               uint64_t lease_id = 0);
+                               uint64_t lease_id = 0,
+                               WhenUnanswered then = WhenUnanswered::kWait);
   net::Task<StateResult> CreateLease(double ttl_s);
   net::Task<StateResult> Renew(uint64_t lease_id, double timeout_s);
   net::Task<StateResult> EndLease(uint64_t lease_id);
@@ -82,6 +83,19 @@
 
  private:
   enum class Kind { kRead, kChange, kWatch };
+  // A transaction under way, and what is known of it.
+  struct Sending {
+    explicit Sending(net::Loop& loop) : news(loop) {}
+    std::string body;
+    Kind kind = Kind::kChange;
+    double changes = 0;
+    WriteRetry retry;
+    StateResult result;  // of the answer that decided it, or of the last
+    net::Event news;
+  };
+  net::Task<void> Send(std::shared_ptr<Sending> sending, double timeout_s);
+  // Within what is left of the limits beside the requests of users.
+  bool TakeRetry(const Sending& sending);
   // Notes that the answer is older than what was known.
   void SteppedBack(bool applied, StateResult* result);
   net::Task<StateResult> Call(std::string method, std::string target,
@@ -94,6 +108,8 @@
   net::HttpClient watch_;
   Budget requests_;
   Budget writes_;
+  Budget retries_;
+  RoundTrip round_trip_;  // of transactions
   double timeout_s_;
   net::Time last_good_ = -1e9;
   net::Time last_bad_ = -1e9;
--- /dev/null
+++ b/clients/write_retry.h
@@ -0,0 +1,83 @@
+// When a transaction whose answer is missing is sent again, and what the
+// answers to its copies mean together. No I/O.
+#pragma once
+
+#include <cstdint>
+
+#include "net/loop.h"
+
+namespace oxbow::clients {
+
+enum class StateStatus {
+  kOk,
+  kNotFound,
+  kConflict,
+  kTooOld,       // the watch has fallen behind what the service keeps
+  kNotExecuted,  // refused or never sent
+  kUnknown,      // sent, no answer
+};
+
+// How long answers take, smoothed as TCP does for its retransmissions
+// (RFC 6298): a service that grows slow is given more time at once, one that
+// stays silent twice as much each time.
+class RoundTrip {
+ public:
+  // `most_s`: the patience while nothing has been measured, and the longest.
+  explicit RoundTrip(double most_s) : most_s_(most_s) {}
+
+  void Answered(double took_s);
+  // No answer within the patience.
+  void Missed();
+  double Patience() const;
+
+ private:
+  double most_s_;
+  double smoothed_s_ = 0;  // 0: not measured yet
+  double variation_s_ = 0;
+  double backoff_ = 1;
+};
+
+// A transaction and the copies of it that have been sent under the same
+// conditions, which hold for the first that arrives only. So one answer that
+// says what became of a copy says enough of all:
+// - kOk: this copy was carried out, and no other will be;
+// - kConflict: something stands that refuses them all, this transaction itself,
+//   carried out before, or another. Its sender has to treat both alike;
+// - kNotExecuted: this copy was not carried out, another may be.
+class WriteRetry {
+ public:
+  enum class Phase : uint8_t {
+    kWaiting,  // for the answer to a copy under way
+    kSilent,   // none is under way, and an answer is missing
+    kDecided,
+  };
+
+  void Sent() {
+    ++sent_;
+    Change(Phase::kWaiting);
+  }
+  void OnAnswer(StateStatus status);
+
+  // A copy is worth sending: whatever was sent may yet arrive.
+  bool MaySendAgain() const { return !decided() && sent_ < kMostCopies; }
+  bool decided() const { return phase_ == Phase::kDecided; }
+  // One was refused: to send more is no use now.
+  bool refused() const { return refused_; }
+  bool silent() const { return phase_ == Phase::kSilent; }
+  // What is known now; kUnknown until it is decided.
+  StateStatus status() const { return status_; }
+
+ private:
+  static constexpr int kMostCopies = 4;
+  // The one function for a change.
+  void Change(Phase next);
+
+  Phase phase_ = Phase::kSilent;
+  StateStatus status_ = StateStatus::kUnknown;
+  int sent_ = 0;
+  int answered_ = 0;
+  bool unanswered_ = false;
+  bool refused_ = false;
+};
+
+}  // namespace oxbow::clients
