--- a/clients/state.cc
+++ b/clients/state.cc
@@ -219,10 +219,10 @@
   while (!sending->retry.decided() && !sending->retry.silent()) {
     const double left = until - loop_.Now();
     if (left <= 0) break;
-    const double patience = hurried ? round_trip_.Patience() : left;
+    const double timeouts = hurried ? round_trip_.SilenceTimeouts() : left;
     sending->news.Clear();
-    co_await sending->news.Wait(std::min(left, patience));
-    const bool missed = !sending->news.IsSet() && patience < left;
+    co_await sending->news.Wait(std::min(left, timeouts));
+    const bool missed = !sending->news.IsSet() && timeouts < left;
     if (!hurried || !(missed || sending->retry.silent())) continue;
     if (missed) round_trip_.Missed();
     if (!sending->retry.MaySendAgain() || !TakeRetry(*sending)) {
--- a/clients/write_retry.cc
+++ b/clients/write_retry.cc
@@ -24,10 +24,10 @@
 }
 
 void RoundTrip::Missed() {
-  if (Patience() < most_s_) backoff_ *= 2;
+  if (SilenceTimeouts() < most_s_) backoff_ *= 2;
 }
 
-double RoundTrip::Patience() const {
+double RoundTrip::SilenceTimeouts() const {
   if (smoothed_s_ <= 0) return most_s_;
   constexpr double kVariations = 4;
   constexpr double kLeastRoundTrips = 8;
--- a/clients/write_retry.h
+++ b/clients/write_retry.h
@@ -22,13 +22,13 @@
 // stays silent twice as much each time.
 class RoundTrip {
  public:
-  // `most_s`: the patience while nothing has been measured, and the longest.
+  // `most_s`: the timeouts while nothing has been measured, and the longest.
   explicit RoundTrip(double most_s) : most_s_(most_s) {}
 
   void Answered(double took_s);
-  // No answer within the patience.
+  // No answer within the timeouts.
   void Missed();
-  double Patience() const;
+  double SilenceTimeouts() const;
 
  private:
   double most_s_;
