--- a/core/controller/ears.h
+++ b/core/controller/liveness_monitor.h
@@ -11,21 +11,21 @@
 #include <vector>
 
 #include "core/controller/actions.h"
-#include "core/fitness/fitness.h"
+#include "core/leader_health/leader_health.h"
 #include "core/limits/loss_limiter.h"
 #include "core/model/machine.h"
-#include "core/model/patience.h"
 #include "core/model/settings.h"
+#include "core/model/timeouts.h"
 
 namespace oxbow {
 
-class Ears {
+class LivenessMonitor {
  public:
   using Machines = std::vector<std::unique_ptr<Machine>>;
 
-  Ears(const Settings& settings, const Tuning& tuning, const Patience& patience,
-       const Machines& machines, Time started, uint64_t seed,
-       std::vector<Action>& actions);
+  LivenessMonitor(const Settings& settings, const Tuning& tuning,
+                  const SilenceTimeouts& timeouts, const Machines& machines,
+                  Time started, uint64_t seed, std::vector<Action>& actions);
 
   // Once in each tick, before anything is decided on it.
   void Count(Time now);
@@ -35,18 +35,18 @@
   // leadership is over.
   [[nodiscard]] bool OnReach(uint64_t round, std::vector<Reach> answers,
                              Time now);
-  void OnOfferAgreed() { fitness_.OfferAgreed(); }
+  void OnOfferAgreed() { leader_health_.OfferAgreed(); }
   void OnOfferRefused(const std::string& why, Time now);
 
   // Whether a machine has been silent, or deaf, for long enough.
-  bool TriesPatience(const Machine& m, Time now) const;
+  bool SilentTooLong(const Machine& m, Time now) const;
   // Whether such a machine may be given up.
   bool MayGiveUp(const Machine& m, Time now) const;
   // Whether it may be taken away for this cause; counts it if so.
   bool LossAllowed(const Machine& m, LossCause cause, Time now);
 
-  FitnessState fitness() const { return fitness_.state(); }
-  const Hearing& hearing() const { return hearing_; }
+  LeaderHealthState leader_health() const { return leader_health_.state(); }
+  const ReportsHeard& reports_heard() const { return reports_heard_; }
   // What is held back at this moment; a line each.
   std::vector<std::string> Alarms() const;
 
@@ -60,15 +60,15 @@
   void Say(std::string text);
 
   const Settings& settings_;
-  const Patience& patience_;
+  const SilenceTimeouts& timeouts_;
   const Machines& machines_;
   const Time started_;
   std::vector<Action>& actions_;
-  Fitness fitness_;
+  LeaderHealth leader_health_;
   LossLimiter limiter_;
-  Hearing hearing_;
+  ReportsHeard reports_heard_;
   uint64_t next_round_ = 1;
-  uint64_t fitness_round_ = 0;  // under way; 0: none
+  uint64_t health_round_ = 0;  // under way; 0: none
   uint64_t silent_round_ = 0;
   struct Question {
     std::vector<Machine*> about;
--- a/tests/combined_faults_test.cc
+++ b/tests/combined_faults_test.cc
@@ -214,7 +214,7 @@
   }
 
   bool Ended(const std::string& id) const {
-    return sim_.CountRecords(keys::Of(keys::kFinal, id)) > 0;
+    return sim_.CountRecords(keys::Of(keys::kTerminal, id)) > 0;
   }
 
   // Users repeat a cancellation until they are told that it is true.
@@ -269,10 +269,10 @@
   return text == nullptr ? fallback : std::atoi(text);
 }
 
-// OXBOW_STORM_SEEDS: so many, from OXBOW_STORM_SEED on.
+// OXBOW_SEEDS: so many, from OXBOW_SEED on.
 TEST(CombinedFaults, EveryPairComesRightAgain) {
-  const int seeds = FromEnvironment("OXBOW_STORM_SEEDS", 16);
-  const int first = FromEnvironment("OXBOW_STORM_SEED", 0);
+  const int seeds = FromEnvironment("OXBOW_SEEDS", 16);
+  const int first = FromEnvironment("OXBOW_SEED", 0);
   int starts = 0;
   for (int i = 0; i < seeds; ++i) {
     CombinedFaults run(static_cast<uint64_t>(first + i));
