--- a/app/users_peer.cc
+++ b/app/users_peer.cc
@@ -63,7 +63,7 @@
   switch (message.kind) {
     case PeerKind::kPoll: {
       api::Status status;
-      if (FinalKnown(message.job_id, &status) ||
+      if (TerminalStateKnown(message.job_id, &status) ||
           ViewHere(message.job_id, &status)) {
         reply->answer = PeerAnswer::kYes;
         reply->text = status.status;
@@ -75,18 +75,19 @@
       break;
     }
     case PeerKind::kCancel: {
-      if (dealings_.Leading() == nullptr) break;
+      if (leader_service_.Leading() == nullptr) break;
       if (!KnownHere(message.job_id)) {
         const api::Status known = co_await FreshRead(message.job_id);
         if (known.found != api::Status::Found::kYes ||
-            dealings_.Leading() == nullptr) {
+            leader_service_.Leading() == nullptr) {
           break;
         }
       }
-      const FinalState state = co_await dealings_.Cancel(message.job_id);
-      if (state == FinalState::kNone) break;
+      const TerminalState state =
+          co_await leader_service_.Cancel(message.job_id);
+      if (state == TerminalState::kNone) break;
       reply->answer = PeerAnswer::kYes;
-      reply->text = wire::NameOf(wire::kFinals, state);
+      reply->text = wire::NameOf(wire::kTerminalStates, state);
       break;
     }
     case PeerKind::kHint: {
@@ -94,7 +95,7 @@
       if (!job) break;
       follower_.Apply(keys::Of(keys::kJob, message.job_id), *job,
                       message.stamp);
-      dealings_.Perform();
+      leader_service_.Perform();
       break;
     }
     case PeerKind::kReport: {
@@ -104,7 +105,7 @@
       report.relayed = true;
       if (!TakeReport(report, &told)) break;
       reply->text = wire::EncodeReply(told);
-      if (reply->text.size() > ZoneDesk::kMostBytes) {
+      if (reply->text.size() > ZoneCoordinator::kMostBytes) {
         reply->text.clear();
         break;
       }
--- a/app/zone_desk.h
+++ b/app/zone_coordinator.h
@@ -1,7 +1,8 @@
 // A controller and the workers of its zone, where the leader is in another one.
 // Their reports are handed on to the leader, so that they stay where they are
 // when the zone is cut off; then they are kept alive by a right that has been
-// asked for before. Gives no orders and leads nothing. See docs/keepers.md.
+// asked for before. Gives no orders and leads nothing. See
+// docs/delegated-lease.md.
 #pragma once
 
 #include <functional>
@@ -10,19 +11,19 @@
 #include <string>
 #include <unordered_map>
 
-#include "app/fitness_desk.h"
+#include "app/leader_health_coordinator.h"
 #include "clients/peer.h"
 #include "clients/state.h"
 #include "core/controller/controller.h"
 #include "core/lease/cut_signs.h"
-#include "core/lease/zone_keeping.h"
-#include "core/lease/zone_record.h"
+#include "core/lease/delegated_lease.h"
+#include "core/lease/delegated_lease_record.h"
 #include "core/model/report.h"
 #include "net/loop.h"
 
 namespace oxbow::app {
 
-class ZoneDesk {
+class ZoneCoordinator {
  public:
   struct Seams {
     // The leader as far as is known; null: this one, or nobody.
@@ -34,9 +35,10 @@
         tell;
   };
 
-  ZoneDesk(net::Loop& loop, const Settings& settings, const Tuning& tuning,
-           clients::StateClient& state, const FitnessDesk::Peers& peers,
-           std::string life, Seams seams);
+  ZoneCoordinator(net::Loop& loop, const Settings& settings,
+                  const Tuning& tuning, clients::StateClient& state,
+                  const LeaderHealthCoordinator::Peers& peers, std::string life,
+                  Seams seams);
   void Start();
 
   // --- reports handed on
@@ -62,18 +64,18 @@
   // Whether it has reached neither the state service nor any controller for a
   // while: nothing that a user asks can be answered here.
   bool Apart() const;
-  enum class Keeping : uint8_t {
+  enum class Renewal : uint8_t {
     kNo,
     kYes,     // the report may be answered here, without orders
     kSentOn,  // a leader reaches the worker: it is to look for that one
   };
-  Keeping Keeps(const WorkerReport& report);
+  Renewal MayRenew(const WorkerReport& report);
 
   // --- as the leader
   void DoAsk(const AskStandBack& ask, uint64_t revision);
 
   static bool Takes(clients::PeerKind kind) {
-    return kind == clients::PeerKind::kKeepZone ||
+    return kind == clients::PeerKind::kDelegateZone ||
            kind == clients::PeerKind::kStandBack;
   }
   void OnPeer(const clients::PeerMessage& message, clients::PeerMessage* reply);
@@ -101,12 +103,12 @@
   const Settings& settings_;
   const bool on_;
   clients::StateClient& state_;
-  const FitnessDesk::Peers& peers_;
+  const LeaderHealthCoordinator::Peers& peers_;
   const std::string life_;  // incarnation of this process
   const net::Time started_;
   Seams seams_;
-  ZoneKeeper keeper_;
-  ZoneRecord record_;
+  DelegatedLease delegated_lease_;
+  DelegatedLeaseRecord record_;
   CutSigns signs_;
   net::Time leader_met_ = -1e9;     // asked when it answered, or was this one
   net::Time leader_missed_ = -1e9;  // asked when it did not
--- a/core/controller/ears.cc
+++ b/core/controller/liveness_monitor.cc
@@ -1,7 +1,7 @@
 // What the leader hears of its machines, what it asks the others about them,
 // and what it may do about those it doesn't hear.
 
-#include "core/controller/ears.h"
+#include "core/controller/liveness_monitor.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,14 +9,15 @@
 namespace oxbow {
 namespace {
 
-Fitness::Limits FitnessLimits(const Settings& settings, const Tuning& tuning,
-                              const Patience& patience) {
+LeaderHealth::Limits LeaderHealthLimits(const Settings& settings,
+                                        const Tuning& tuning,
+                                        const SilenceTimeouts& timeouts) {
   // Of a lease. Most of it must be left: each worker tries a controller that
   // doesn't answer for 4 s, and waits 1 s, until it comes to the next leader.
   constexpr double kBlindAfter = 0.2;
   const double lease = settings.workers.lease_s;
-  Fitness::Limits limits;
-  limits.doubt_share = tuning.doubt_share;
+  LeaderHealth::Limits limits;
+  limits.troubled_share = tuning.troubled_share;
   limits.deaf_share = tuning.deaf_share;
   limits.pause_s = settings.workers.report_s / 2;
   limits.longest_pause_s = lease / 2;
@@ -24,7 +25,7 @@
   // A new leader's first seconds take all of its processor, and its own probes
   // late then say nothing.
   limits.settle_s =
-      std::max(patience.overdue, tuning.leader_lease_ratio * lease);
+      std::max(timeouts.overdue, tuning.leader_lease_ratio * lease);
   return limits;
 }
 
@@ -49,7 +50,7 @@
   return std::max(heard, started);
 }
 
-// Whether the machine says something about this controller's hearing. One that
+// Whether the machine says something about what this controller hears. One that
 // has been given up for its silence goes on counting until the cloud has
 // confirmed: else each deletion would make the rest look healthier. One deleted
 // for another reason falls silent by that.
@@ -60,23 +61,24 @@
 
 }  // namespace
 
-Ears::Ears(const Settings& settings, const Tuning& tuning,
-           const Patience& patience, const Machines& machines, Time started,
-           uint64_t seed, std::vector<Action>& actions)
+LivenessMonitor::LivenessMonitor(const Settings& settings, const Tuning& tuning,
+                                 const SilenceTimeouts& timeouts,
+                                 const Machines& machines, Time started,
+                                 uint64_t seed, std::vector<Action>& actions)
     : settings_(settings),
-      patience_(patience),
+      timeouts_(timeouts),
       machines_(machines),
       started_(started),
       actions_(actions),
-      fitness_(FitnessLimits(settings, tuning, patience), started),
+      leader_health_(LeaderHealthLimits(settings, tuning, timeouts), started),
       limiter_(LossLimits(settings, tuning)),
       sampling_(seed) {}
 
-void Ears::Say(std::string text) {
+void LivenessMonitor::Say(std::string text) {
   actions_.push_back(Note{std::move(text), false});
 }
 
-bool Ears::ReportOverdue(const Machine& m, Time now) const {
+bool LivenessMonitor::ReportOverdue(const Machine& m, Time now) const {
   // Until a worker has waited in vain and tried another controller, its silence
   // says nothing about a leader that has just taken office, nor does that of
   // one that reports by way of another controller, which may have ended: each
@@ -84,20 +86,20 @@
   constexpr double kFindsAnother_s = kReportTimeout_s + kRetryPause_s;
   const Time from = std::max(m.last_report + (m.relayed ? kFindsAnother_s : 0),
                              started_ + kFindsAnother_s);
-  return now - from > patience_.overdue;
+  return now - from > timeouts_.overdue;
 }
 
-void Ears::Count(Time now) {
-  Hearing heard;
+void LivenessMonitor::Count(Time now) {
+  ReportsHeard heard;
   for (const auto& m : machines_) {
     if (!Counts(*m)) continue;
     ++heard.recorded;
-    const bool silent = now - QuietSince(*m, started_) > patience_.overdue;
+    const bool silent = now - QuietSince(*m, started_) > timeouts_.overdue;
     heard.silent += silent;
     heard.troubled += silent || now < m->direct_broken_until ||
                       m->delivery.deaf() || ReportOverdue(*m, now);
   }
-  hearing_ = heard;
+  reports_heard_ = heard;
   // An alarm ends when nothing has been refused for a window: there may never
   // be another act of its kind to be allowed.
   for (size_t i = 0; i < kLossCauses; ++i) {
@@ -105,32 +107,33 @@
       refusals_[i] = LossVerdict::kAllowed;
     }
   }
-  const FitnessState before = fitness_.state();
-  fitness_.Observe(heard, now);
-  if (fitness_.state() == before) return;
-  Say("hearing " + std::string(fitness_.fit() ? "well again" : "little") +
+  const LeaderHealthState before = leader_health_.state();
+  leader_health_.Observe(heard, now);
+  if (leader_health_.state() == before) return;
+  Say(std::string(leader_health_.healthy() ? "enough reports heard again"
+                                           : "few reports heard") +
       ": " + std::to_string(heard.silent) + " silent and " +
       std::to_string(heard.troubled) + " troubled of " +
       std::to_string(heard.recorded) + " machines");
 }
 
-bool Ears::FewSilent() const {
+bool LivenessMonitor::FewSilent() const {
   // One in six may be dead machines; more at once is the network, and they
   // will be back. The last one that is heard tells the leader that it hears.
   constexpr int kShare = 6;
-  return hearing_.silent < hearing_.recorded &&
-         hearing_.silent <= std::max(1, hearing_.recorded / kShare);
+  return reports_heard_.silent < reports_heard_.recorded &&
+         reports_heard_.silent <= std::max(1, reports_heard_.recorded / kShare);
 }
 
 // Machines that go deaf together are seen to be so over the time between two
 // reports and that of a worker's waits; all must count before one is given up.
-bool Ears::TriesPatience(const Machine& m, Time now) const {
+bool LivenessMonitor::SilentTooLong(const Machine& m, Time now) const {
   const double spread = m.delivery.deaf() ? kReportTimeout_s / 2 : 0;
-  return now - QuietSince(m, started_) > patience_.give_up + spread;
+  return now - QuietSince(m, started_) > timeouts_.give_up + spread;
 }
 
 // A single silent machine is given up, if nobody else reaches it either.
-bool Ears::MayGiveUp(const Machine& m, Time now) const {
+bool LivenessMonitor::MayGiveUp(const Machine& m, Time now) const {
   if (!FewSilent()) return false;
   if (settings_.peers.empty()) {
     // A deaf one whose address may be reached is left to its leases.
@@ -138,19 +141,19 @@
   }
   const Time quiet_since = QuietSince(m, started_);
   if (m.reached_by_other > quiet_since &&
-      now - m.reached_by_other < patience_.give_up) {
+      now - m.reached_by_other < timeouts_.give_up) {
     return false;
   }
   // An answer from before many were silent says nothing about now: nobody has
   // been asked since.
-  return m.reached_by_none > std::max(quiet_since, now - patience_.give_up);
+  return m.reached_by_none > std::max(quiet_since, now - timeouts_.give_up);
 }
 
-bool Ears::LossAllowed(const Machine& m, LossCause cause, Time now) {
+bool LivenessMonitor::LossAllowed(const Machine& m, LossCause cause, Time now) {
   const auto index = static_cast<size_t>(cause);
-  // Whoever doubts its own ears takes nothing away for other reasons either:
+  // Whoever doubts its own reach takes nothing away for other reasons either:
   // idle, listed and booted are read off what it hears.
-  if (cause != LossCause::kSilent && !fitness_.fit()) return false;
+  if (cause != LossCause::kSilent && !leader_health_.healthy()) return false;
   int fleet = 0;
   int zone = 0;
   for (const auto& other : machines_) {
@@ -185,13 +188,13 @@
   return verdict == LossVerdict::kAllowed;
 }
 
-std::vector<std::string> Ears::Alarms() const {
+std::vector<std::string> LivenessMonitor::Alarms() const {
   std::vector<std::string> alarms;
-  if (!fitness_.fit()) {
-    alarms.push_back("hears little: " + std::to_string(hearing_.silent) +
-                     " silent and " + std::to_string(hearing_.troubled) +
-                     " troubled of " + std::to_string(hearing_.recorded) +
-                     " machines");
+  if (!leader_health_.healthy()) {
+    alarms.push_back("few reports heard: " +
+                     std::to_string(reports_heard_.silent) + " silent and " +
+                     std::to_string(reports_heard_.troubled) + " troubled of " +
+                     std::to_string(reports_heard_.recorded) + " machines");
   }
   for (size_t i = 0; i < kLossCauses; ++i) {
     if (refusals_[i] == LossVerdict::kAllowed) continue;
@@ -202,7 +205,8 @@
   return alarms;
 }
 
-uint64_t Ears::Ask(const std::vector<Machine*>& about, bool sample, Time now) {
+uint64_t LivenessMonitor::Ask(const std::vector<Machine*>& about, bool sample,
+                              Time now) {
   AskReach ask;
   ask.sample = sample;
   ask.round = next_round_++;
@@ -218,7 +222,7 @@
 
 // Before a machine is given up, everybody is asked about it, early enough for
 // the answer to be there in time.
-void Ears::AskAboutSilent(Time now) {
+void LivenessMonitor::AskAboutSilent(Time now) {
   // Each question costs every controller a connection for a moment.
   constexpr size_t kMostAsked = 64;
   if (settings_.peers.empty() || silent_round_ != 0 || !FewSilent()) return;
@@ -226,7 +230,7 @@
   for (auto& m : machines_) {
     if (!m->recorded_up || m->state() == MachineState::kGone ||
         m->state() == MachineState::kDeleting || m->endpoint.empty() ||
-        now - QuietSince(*m, started_) <= patience_.asked ||
+        now - QuietSince(*m, started_) <= timeouts_.asked ||
         now - m->asked_about < settings_.workers.report_s) {
       continue;
     }
@@ -237,15 +241,15 @@
   if (!about.empty()) silent_round_ = Ask(about, /*sample=*/false, now);
 }
 
-void Ears::Ask(Time now) {
+void LivenessMonitor::Ask(Time now) {
   AskAboutSilent(now);
   AskWhoReaches(now);
 }
 
 // A sample of all machines, heard or not: one that reached only what this
 // controller does not would be no better place to lead from.
-void Ears::AskWhoReaches(Time now) {
-  if (settings_.peers.empty() || !fitness_.WantsRound(now)) return;
+void LivenessMonitor::AskWhoReaches(Time now) {
+  if (settings_.peers.empty() || !leader_health_.WantsRound(now)) return;
   std::vector<Machine*> all;
   for (const auto& m : machines_) {
     if (Counts(*m) && !m->endpoint.empty()) all.push_back(m.get());
@@ -254,11 +258,12 @@
   std::sample(all.begin(), all.end(), std::back_inserter(sample), kReachSample,
               sampling_);
   if (sample.empty()) return;
-  fitness_.RoundAsked(now);
-  fitness_round_ = Ask(sample, /*sample=*/true, now);
+  leader_health_.RoundAsked(now);
+  health_round_ = Ask(sample, /*sample=*/true, now);
 }
 
-bool Ears::OnReach(uint64_t round, std::vector<Reach> answers, Time now) {
+bool LivenessMonitor::OnReach(uint64_t round, std::vector<Reach> answers,
+                              Time now) {
   const auto it = asked_.find(round);
   if (it == asked_.end() || answers.empty()) return true;
   const auto [about, asked] = std::move(it->second);
@@ -283,25 +288,26 @@
     }
   }
   if (round == silent_round_) silent_round_ = 0;
-  if (round != fitness_round_) return true;
-  fitness_round_ = 0;
-  const Fitness::Verdict verdict = fitness_.RoundAnswered(answers, now);
+  if (round != health_round_) return true;
+  health_round_ = 0;
+  const LeaderHealth::Verdict verdict =
+      leader_health_.RoundAnswered(answers, now);
   switch (verdict.kind) {
-    case Fitness::Verdict::Kind::kStay:
+    case LeaderHealth::Verdict::Kind::kStay:
       break;
-    case Fitness::Verdict::Kind::kOffer:
+    case LeaderHealth::Verdict::Kind::kOffer:
       actions_.push_back(OfferLead{verdict.to, verdict.why});
       break;
-    case Fitness::Verdict::Kind::kStepDown:
+    case LeaderHealth::Verdict::Kind::kStepDown:
       actions_.push_back(Resign{verdict.why, /*unfit=*/true});
       return false;
   }
   return true;
 }
 
-void Ears::OnOfferRefused(const std::string& why, Time now) {
+void LivenessMonitor::OnOfferRefused(const std::string& why, Time now) {
   Say("goes on leading: " + why);
-  fitness_.OfferRefused(now);
+  leader_health_.OfferRefused(now);
 }
 
 }  // namespace oxbow
--- a/core/controller/supply.cc
+++ b/core/controller/supply.cc
@@ -28,10 +28,10 @@
     if (m->type == nullptr) continue;
     const bool coming =
         m->state() == MachineState::kBooting &&
-        now - m->rented < tuning_.boot_patience * m->type->boot_s;
+        now - m->rented < tuning_.boot_timeout_ratio * m->type->boot_s;
     const bool up = m->state() == MachineState::kUp && !Suspect(*m, now);
     if (!coming && !up) continue;
-    // Room that is being emptied for a job is as good as there for it.
+    // Room that is being drained for a job is as good as there for it.
     input.rooms.push_back(
         {{m->type_name, m->zone, m->spot}, m->free() + m->leaving});
   }
@@ -53,7 +53,7 @@
                      if (gpus != other) return gpus < other;
                      // Pieces first: a small task counted into a whole machine
                      // would have another one rented for the next large one.
-                     return tuning_.piece_weight > 0 &&
+                     return tuning_.fragmentation_weight > 0 &&
                             a.free.gpus < b.free.gpus;
                    });
   std::vector<const Job*> waiting;
@@ -69,8 +69,9 @@
       return a->spec().priority < b->spec().priority;
     }
     if (a->tier != b->tier) return a->tier < b->tier;
-    if (a->submitted() != b->submitted())
+    if (a->submitted() != b->submitted()) {
       return a->submitted() < b->submitted();
+    }
     return a->id() < b->id();
   });
   SetKeptAside(input);
@@ -115,7 +116,7 @@
       Log("rent " + std::to_string(rental.record.count) + " " + kind.type +
           " in " + kind.zone + (kind.spot ? " (spot)" : "") + " as " + name +
           ": tasks without a place");
-      writes_.Queue({WriteKind::kRental, name, FinalState::kNone, {}});
+      writes_.Queue({WriteKind::kRental, name, TerminalState::kNone, {}});
     }
   }
   // Returning. Only when nothing has come or waited for a while: between two
@@ -142,7 +143,7 @@
   return m.total().gpus <= 0 || Spoilt(m, accelerator_shape_);
 }
 
-// Empties dear machines that only replicas still use, when all of them find
+// Drains dear machines that only replicas still use, when all of them find
 // room and their image elsewhere, and so much stays free that the loss of any
 // one machine could still be made good. Every move is a short gap for its
 // users, so only a small share of all replicas moves at a time.
@@ -158,7 +159,7 @@
     replicas += m->residents.size();
   }
   const double settled = 3 * settings_.workers.lease_s;
-  std::vector<Machine*> emptied;
+  std::vector<Machine*> drained;
   for (Machine* m : usable) {
     if (m->staying.cpus <= 0 || m->batch || !m->queue.empty()) continue;
     const bool only_settled_replicas = std::all_of(
@@ -169,9 +170,9 @@
                   r.job->spec().kind == JobKind::kService &&
                   now - r.running_since > settled);
         });
-    if (only_settled_replicas) emptied.push_back(m);
+    if (only_settled_replicas) drained.push_back(m);
   }
-  std::sort(emptied.begin(), emptied.end(),
+  std::sort(drained.begin(), drained.end(),
             [](const Machine* a, const Machine* b) {
               const double pa = a->type->price;
               const double pb = b->type->price;
@@ -183,7 +184,7 @@
   constexpr double kMovedAtOnce = 0.01;
   const double at_once = kMovedAtOnce * static_cast<double>(replicas);
   size_t moved = 0;
-  for (Machine* m : emptied) {
+  for (Machine* m : drained) {
     const auto more = moved + m->residents.size();
     if (moved > 0 && static_cast<double>(more) > at_once) break;
     if (!CanMoveAll(*m, usable, most_staying)) continue;
@@ -266,8 +267,9 @@
         refused_until_[kind] = now + refusal;
       }
       for (const std::string& host : hosts) {
-        if (FindMachine(host) != nullptr || gone_hosts_.contains(host))
+        if (FindMachine(host) != nullptr || gone_hosts_.contains(host)) {
           continue;
+        }
         Machine& m = AddMachine(host, {kind.type, kind.zone, kind.spot, "",
                                        rental.asked + wall_minus_steady_, 0});
         m.rented = rental.asked;
@@ -281,12 +283,13 @@
   const auto piece =
       static_cast<size_t>(std::max(1, settings_.state.txn_ops - 1));
   if (hosts.size() <= piece) {
-    writes_.Queue({WriteKind::kRentalSettle, name, FinalState::kNone, hosts});
+    writes_.Queue(
+        {WriteKind::kRentalSettle, name, TerminalState::kNone, hosts});
   } else {
     // Left to their reports, which record them as well.
     writes_.Queue({WriteKind::kRentalSettle,
                    name,
-                   FinalState::kNone,
+                   TerminalState::kNone,
                    {hosts.begin(), hosts.begin() + static_cast<long>(piece)}});
   }
   next_supply_ = std::min(next_supply_, now + 0.1 * settings_.workers.report_s);
@@ -307,7 +310,7 @@
     m->Change(MachineState::kGone);
     gone_hosts_.insert(host);
     machine_index_.erase(host);
-    writes_.Queue({WriteKind::kMachineForget, host, FinalState::kNone, {}},
+    writes_.Queue({WriteKind::kMachineForget, host, TerminalState::kNone, {}},
                   /*lazy=*/true);
   }
   if (ok) {
