--- a/app/users.cc
+++ b/app/users.cc
@@ -455,8 +455,10 @@
   std::vector<Condition> conditions = acceptance.conditions;
   recovery_.AddGuard(&conditions);
   std::vector<KeyChange> changes{{acceptance.key, acceptance.record}};
+  // Of several copies one can be accepted: the rest meet the job, or its end.
   const StateResult result = co_await state_.Write(
-      std::move(conditions), std::move(changes), Urgency::kUser);
+      std::move(conditions), std::move(changes), Urgency::kUser,
+      /*lease_id=*/0, clients::WhenUnanswered::kSendAgain);
   switch (result.status) {
     case StateStatus::kOk:
       follower_.Apply(acceptance.key, acceptance.record, result.revision);
