Rentals: the account of the simulations checks that no machine goes unrecorded

A settled rental whose machines are not all recorded breaks a rule of the simulations now, and a scenario has machines that report before their records stand. Answers to copies: one refused for its size counts as not executed, and is told as refused if all were.

--- a/tests/sim.cc
+++ b/tests/sim.cc
@@ -855,6 +855,23 @@
   }
 }
 
+// Who leads next knows of a rental's machines by its record, or by theirs.
+void Sim::CheckSettled(const WriteTransaction& txn) {
+  for (const KeyChange& change : txn.changes) {
+    if (!std::holds_alternative<std::monostate>(change.record) ||
+        !change.key.starts_with(keys::kRental)) {
+      continue;
+    }
+    for (const std::string& host :
+         rented_[change.key.substr(keys::kRental.size())]) {
+      if (workers_.contains(host) &&
+          !store_.contains(keys::Of(keys::kMachine, host))) {
+        Break("rented and not recorded: " + host);
+      }
+    }
+  }
+}
+
 uint64_t Sim::ApplyLate(const WriteTransaction& txn) {
   std::vector<std::string> failed;
   const uint64_t at = Apply(txn, &failed);
@@ -904,6 +921,7 @@
       store_[change.key] = {change.record, revision_};
     }
   }
+  CheckSettled(txn);
   return revision_;
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -310,6 +310,7 @@
   // Revision of the change; 0 with the failed keys when a condition fails.
   uint64_t Apply(const WriteTransaction& txn, std::vector<std::string>* failed);
   void CheckChange(const KeyChange& change);
+  void CheckSettled(const WriteTransaction& txn);
   uint64_t ApplyLate(const WriteTransaction& txn);
   void Rent(const RentMachines& rent);
   void After(double seconds, std::function<void()> what);
--- a/tests/write_retry_test.cc
+++ b/tests/write_retry_test.cc
@@ -37,7 +37,8 @@
 // Every order of answers to up to three copies: only what is certain of all of
 // them is told.
 TEST(WriteRetry, TellsOnlyWhatHoldsWhicheverCopyArrives) {
-  const std::vector<StateStatus> all = {kOk, kConflict, kNotExecuted, kUnknown};
+  const std::vector<StateStatus> all = {kOk, kConflict, kRefused, kNotExecuted,
+                                        kUnknown};
   for (const StateStatus first : all) {
     for (const StateStatus second : all) {
       for (const StateStatus third : all) {
@@ -45,15 +46,19 @@
         for (int i = 0; i < 3; ++i) retry.Sent();
         StateStatus told = kUnknown;
         bool silent = false;
+        bool too_large = false;
         for (const StateStatus answer : {first, second, third}) {
           if (told == kUnknown && (answer == kOk || answer == kConflict)) {
             told = answer;
           }
           silent = silent || answer == kUnknown;
+          too_large = too_large || answer == kRefused;
           retry.OnAnswer(answer);
           EXPECT_EQ(retry.MaySendAgain(), !retry.decided());
         }
-        if (told == kUnknown && !silent) told = kNotExecuted;
+        if (told == kUnknown && !silent) {
+          told = too_large ? kRefused : kNotExecuted;
+        }
         EXPECT_EQ(retry.status(), told);
         EXPECT_EQ(retry.decided(), told != kUnknown);
         EXPECT_EQ(retry.silent(), told == kUnknown);
