--- a/app/record_desk.cc
+++ b/app/record_coordinator.cc
@@ -1,4 +1,4 @@
-#include "app/record_desk.h"
+#include "app/record_coordinator.h"
 
 #include <algorithm>
 #include <map>
@@ -35,16 +35,17 @@
 
 }  // namespace
 
-RecordDesk::RecordDesk(const Settings& settings, const Catalog& catalog,
-                       clients::StateClient& state,
-                       std::vector<RecordKind> kinds, Seams seams)
+RecordCoordinator::RecordCoordinator(const Settings& settings,
+                                     const Catalog& catalog,
+                                     clients::StateClient& state,
+                                     std::vector<RecordKind> kinds, Seams seams)
     : settings_(settings),
       catalog_(catalog),
       state_(state),
       kinds_(std::move(kinds)),
       seams_(std::move(seams)) {}
 
-const RecordKind* RecordDesk::KindOf(const std::string& name) const {
+const RecordKind* RecordCoordinator::KindOf(const std::string& name) const {
   for (const RecordKind& kind : kinds_) {
     if (kind.name.ends_with('/') ? name.starts_with(kind.name)
                                  : name == kind.name) {
@@ -54,7 +55,7 @@
   return nullptr;
 }
 
-net::Task<RecordAnswer> RecordDesk::Get(std::string name) {
+net::Task<RecordAnswer> RecordCoordinator::Get(std::string name) {
   const std::string key = keys::Of(keys::kOperator, name);
   const StateResult read = co_await state_.Get(key, Urgency::kUser);
   if (read.ok()) {
@@ -74,7 +75,8 @@
   co_return Say(Result::kTryLater, "state unknown");
 }
 
-std::optional<RecordDesk::Named> RecordDesk::List(const std::string& prefix) {
+std::optional<RecordCoordinator::Named> RecordCoordinator::List(
+    const std::string& prefix) {
   if (!seams_.synced()) return std::nullopt;
   Named out;
   for (const auto& [name, record] : catalog_.operators()) {
@@ -85,7 +87,8 @@
   return out;
 }
 
-net::Task<std::optional<RecordDesk::Named>> RecordDesk::Past(std::string name) {
+net::Task<std::optional<RecordCoordinator::Named>> RecordCoordinator::Past(
+    std::string name) {
   const std::string prefix = keys::Of(keys::kOperatorPast, name) + "/";
   const StateResult read = co_await state_.List(prefix, "");
   if (!read.ok()) co_return std::nullopt;
@@ -99,8 +102,8 @@
   co_return out;
 }
 
-RecordAnswer RecordDesk::Check(const std::string& name,
-                               const OperatorRecord& record) const {
+RecordAnswer RecordCoordinator::Check(const std::string& name,
+                                      const OperatorRecord& record) const {
   const RecordKind* kind = KindOf(name);
   if (kind == nullptr) return Say(Result::kNotFound);
   if (!record.withdrawn) {
@@ -117,9 +120,9 @@
   return Say(Result::kOk);
 }
 
-void RecordDesk::AddSweep(const std::string& but,
-                          std::vector<Condition>* conditions,
-                          std::vector<KeyChange>* changes) const {
+void RecordCoordinator::AddSweep(const std::string& but,
+                                 std::vector<Condition>* conditions,
+                                 std::vector<KeyChange>* changes) const {
   if (!settings_.state.Takes(changes->size() + 1)) return;
   for (const auto& [name, record] : catalog_.operators()) {
     if (name == but || !record.withdrawn || record.stamp == 0 ||
@@ -133,15 +136,15 @@
   }
 }
 
-bool RecordDesk::Fits(const OperatorRecord& record) const {
+bool RecordCoordinator::Fits(const OperatorRecord& record) const {
   return wire::EncodeRecord(record).size() <=
          settings_.state.most_value_bytes();
 }
 
 // Before the change itself, and under the version that it replaces: whatever
 // becomes of the change, what is written here is true.
-net::Task<bool> RecordDesk::KeepInPieces(std::string name,
-                                         OperatorRecord record) {
+net::Task<bool> RecordCoordinator::KeepInPieces(std::string name,
+                                                OperatorRecord record) {
   const std::vector<HistoryEntry> pieces =
       PiecesOf(name, record, settings_.state.most_value_bytes());
   const auto at_once = static_cast<size_t>(settings_.state.txn_ops);
@@ -162,7 +165,8 @@
 }
 
 // Of a version too old to be kept. What a failure leaves does no harm.
-net::Task<void> RecordDesk::DropPieces(std::string name, uint64_t version) {
+net::Task<void> RecordCoordinator::DropPieces(std::string name,
+                                              uint64_t version) {
   const StateResult there =
       co_await state_.List(PiecesPrefix(name, version), "");
   const auto at_once = static_cast<size_t>(settings_.state.txn_ops);
@@ -180,8 +184,8 @@
   }
 }
 
-net::Task<RecordAnswer> RecordDesk::Change(std::string name,
-                                           wire::OperatorChange change) {
+net::Task<RecordAnswer> RecordCoordinator::Change(std::string name,
+                                                  wire::OperatorChange change) {
   if (!seams_.synced() || !seams_.may_write()) {
     co_return Say(Result::kTryLater, "state unknown");
   }
--- a/app/users_peer.cc
+++ b/app/users_peer.cc
@@ -79,18 +79,19 @@
       break;
     }
     case PeerKind::kCancel: {
-      if (dealings_.Leading() == nullptr) break;
+      if (leader_service_.Leading() == nullptr) break;
       if (!KnownHere(message.job_id)) {
         const api::Status known = co_await FreshRead(message.job_id);
         if (known.found != api::Status::Found::kYes ||
-            dealings_.Leading() == nullptr) {
+            leader_service_.Leading() == nullptr) {
           break;
         }
       }
-      const FinalState state = co_await dealings_.Cancel(message.job_id);
-      if (state == FinalState::kNone) break;
+      const TerminalState state =
+          co_await leader_service_.Cancel(message.job_id);
+      if (state == TerminalState::kNone) break;
       reply->answer = PeerAnswer::kYes;
-      reply->text = wire::NameOf(wire::kFinals, state);
+      reply->text = wire::NameOf(wire::kTerminalStates, state);
       break;
     }
     case PeerKind::kHint: {
@@ -99,7 +100,7 @@
       const Record record = RecordIn(message, key);
       if (std::holds_alternative<std::monostate>(record)) break;
       follower_.Apply(key, record, message.stamp);
-      dealings_.Perform();
+      leader_service_.Perform();
       break;
     }
     case PeerKind::kReport: {
@@ -110,7 +111,7 @@
         break;
       }
       reply->text = wire::EncodeReply(told);
-      if (reply->text.size() > ZoneDesk::kMostBytes) {
+      if (reply->text.size() > ZoneCoordinator::kMostBytes) {
         reply->text.clear();
         break;
       }
--- a/core/answers/answer_gate.h
+++ b/core/answers/answer_gate.h
@@ -37,7 +37,8 @@
 
 // All that a controller has to go by.
 struct Evidence {
-  FinalState end = FinalState::kNone;  // recorded, as far as is known here
+  TerminalState end =
+      TerminalState::kNone;            // recorded, as far as is known here
   JobSight sight = JobSight::kUnseen;  // kUnseen too where it does not lead
   RecordRead read = RecordRead::kNone;
 };
--- a/core/controller/controller.h
+++ b/core/controller/controller.h
@@ -20,19 +20,19 @@
 #include "core/chains/chains.h"
 #include "core/controller/actions.h"
 #include "core/controller/catalog.h"
-#include "core/controller/ears.h"
+#include "core/controller/liveness_monitor.h"
 #include "core/controller/queue_order.h"
 #include "core/controller/write_queue.h"
+#include "core/lease/delegated_lease.h"
 #include "core/lease/token.h"
-#include "core/lease/zone_keeping.h"
 #include "core/limits/loss_limiter.h"
 #include "core/model/job.h"
 #include "core/model/machine.h"
-#include "core/model/patience.h"
 #include "core/model/report.h"
 #include "core/model/settings.h"
+#include "core/model/timeouts.h"
 #include "core/moves/moves.h"
-#include "core/packing/pieces.h"
+#include "core/packing/fragmentation.h"
 #include "core/placement/placement.h"
 #include "core/provision/provision.h"
 #include "core/rollout/rollout.h"
@@ -42,12 +42,12 @@
 
 class Controller : private WriteQueue::Owner, private Chains::Estimates {
  public:
-  // `revision`: of the leader key, in the catalog's epoch. `keepers`: who may
-  // hold a right to keep the workers of its zone (ZoneRights).
+  // `revision`: of the leader key, in the catalog's epoch. `delegates`: who may
+  // hold a right to keep the workers of its zone (DelegatedLeases).
   Controller(const Settings& settings, const Tuning& tuning, Catalog& catalog,
              uint64_t revision, Time now, double wall_minus_steady,
              uint64_t seed,
-             const std::optional<std::set<std::string>>& keepers = {});
+             const std::optional<std::set<std::string>>& delegates = {});
 
   // --- events
   void OnTypes(const std::vector<MachineType>& types);
@@ -90,30 +90,31 @@
   void OnOfferAgreed();
   // It did not, or too many hand-overs were lately.
   void OnOfferRefused(const std::string& why, Time now) {
-    ears_.OnOfferRefused(why, now);
+    liveness_.OnOfferRefused(why, now);
   }
   // A controller asks for the right to keep the workers of its zone, should it
   // be cut off. `life`, `age`: of its process, s.
-  bool OnKeepAsked(const std::string& peer, const std::string& life, double age,
-                   Time now);
+  bool OnDelegationAsked(const std::string& peer, const std::string& life,
+                         double age, Time now);
   // One that was asked at `sent` stands back. Ages as of its answer, s;
-  // `kept_ago` is negative if it never kept.
+  // `renewed_ago` is negative if it never kept.
   void OnStoodBack(const std::string& peer, const std::string& life, double age,
-                   double kept_ago, Time sent, Time now) {
-    zones_.StoodBack(peer, life, age, kept_ago, sent, now);
+                   double renewed_ago, Time sent, Time now) {
+    zones_.StoodBack(peer, life, age, renewed_ago, sent, now);
   }
-  void OnKeepersRead(const std::set<std::string>& recorded, Time sent,
-                     Time now) {
+  void OnDelegatesRead(const std::set<std::string>& recorded, Time sent,
+                       Time now) {
     zones_.RecordsRead(recorded, sent, now);
   }
   // Whether nothing is in a zone that must be gone before a right to keep its
   // workers could run out.
   bool ZoneSettled(const std::string& zone, Time now) const;
-  // Asks for the job to be cancelled; a JobFinal follows. False: unknown job.
+  // Asks for the job to be cancelled; a JobTerminated follows. False: unknown
+  // job.
   bool Cancel(const std::string& id, Time now);
   // How jobs ended that the state service does not hold any more.
   // `whole`: everybody who may have accepted a job was there to tell.
-  void OnEndsOwed(std::vector<std::pair<std::string, FinalState>> ends,
+  void OnEndsOwed(std::vector<std::pair<std::string, TerminalState>> ends,
                   bool whole);
   // `by_lease`: the right to lead rests on the lease of the key at this moment.
   // While it rests on promises somebody who does not know of them may keep
@@ -144,8 +145,10 @@
   // job is not known.
   std::optional<Verdict> CalendarVerdict(const std::string& id, Time now) const;
   const Calendar& calendar() const { return calendar_; }
-  FitnessState fitness() const { return ears_.fitness(); }
-  const Hearing& hearing() const { return ears_.hearing(); }
+  LeaderHealthState leader_health() const { return liveness_.leader_health(); }
+  const ReportsHeard& reports_heard() const {
+    return liveness_.reports_heard();
+  }
   // What the leader keeps from doing at this moment, for whoever asks; a line
   // each.
   std::vector<std::string> Alarms() const;
@@ -157,10 +160,12 @@
   const std::vector<std::unique_ptr<Machine>>& machines() const {
     return machines_;
   }
-  // Accelerators left over in pieces, over all machines.
+  // Fragmentation of accelerators, over all machines.
   // Moves of replicas, where the operators have them turned on; null if not.
   const Mover* mover() const { return mover_ ? &*mover_ : nullptr; }
-  PieceCount CountPieces() const { return pieces_.Count(machines_); }
+  FragmentationCount CountFragmentation() const {
+    return fragmentation_.Count(machines_);
+  }
 
  private:
   struct Team {
@@ -180,7 +185,7 @@
     std::vector<std::string> hosts = {};  // granted; all to be recorded
     void Change(RentalState next);
   };
-  struct Emptying {
+  struct EvictionPlan {
     Machine* machine = nullptr;
     double cost = 0;
     std::vector<ResidentKey> victims;
@@ -236,7 +241,7 @@
   // have kept it alive.
   bool SessionOver(const Machine& m, Time now);
   void Drain(Machine& m, Time now, const char* why);
-  // Stops what has to leave a machine that is being emptied and may now.
+  // Stops what has to leave a machine that is being drained and may now.
   void StopLeaving(Machine& m, Time now);
   // Of its own accord: within the limits. False when they forbid it.
   bool TakeAway(Machine& m, LossCause cause, Time now);
@@ -271,8 +276,9 @@
 
   // controller.cc
   void AddJob(const JobRecord& record, Time now);
-  void FinishJob(Job& job, FinalState state);
-  void OnFinalRecorded(const std::string& id, FinalState state, Time now);
+  void FinishJob(Job& job, TerminalState state);
+  void OnTerminalStateRecorded(const std::string& id, TerminalState state,
+                               Time now);
   void RetireIfClear(Job& job);
   // Whether its user may be told that the job is cancelled: nothing is left.
   bool CancellationStands(const Job& job) const;
@@ -281,7 +287,7 @@
   void Settle(Time now);
   void Log(std::string text);
   // Once a minute, where the operators have the packing turned on.
-  void LogPieces(Time now);
+  void LogFragmentation(Time now);
   // Built only when somebody reads it: there is one for every task.
   template <typename Text>
   void LogDetail(const Text& text) {
@@ -293,9 +299,9 @@
   double PathSeconds(const JobSpec& spec) const override;
   DueTimes DueOf(const JobSpec& spec, Time submitted) const override;
   // How the job is recorded to have ended, as far as is known here.
-  FinalState EndOf(const std::string& id) const;
+  TerminalState EndOf(const std::string& id) const;
   void AskEnd(const std::string& need, Time now);
-  void OnEndKnown(const std::string& id, FinalState end, Time now);
+  void OnEndKnown(const std::string& id, TerminalState end, Time now);
   // Whether jobs that others wait for have ended past every event.
   void SweepNeeds(Time now);
   void QueueChainSteps(Time now);
@@ -335,7 +341,8 @@
   // Whether the job may take that room on the machine.
   bool TierAllows(const Job& job, const Machine& m) const;
   // Whether what makes room for the job would only take kept room.
-  bool TakesKept(const Job& job, const Machine& m, const Emptying& plan) const;
+  bool TakesKept(const Job& job, const Machine& m,
+                 const EvictionPlan& plan) const;
   void SurveyTiers();
   // Room that is kept is not there for those who wait.
   void SetKeptAside(SupplyInput& input) const;
@@ -365,8 +372,8 @@
   void HoldClaims(Time now);
   // The machine that a move holds for the service's next replica; null: none.
   Machine* HeldByMove(const Job& job, const Footprint& where, Time now);
-  bool EmptiedByMove(const Machine& m) const {
-    return mover_ && mover_->Empties(m.host());
+  bool DrainedByMove(const Machine& m) const {
+    return mover_ && mover_->Drains(m.host());
   }
   // Replicas that run, on machines that are heard and obey this leader alone.
   uint32_t RunSurely(const Job& job, Time now) const;
@@ -397,15 +404,15 @@
   void MakeTeamRoom(Job& job, uint32_t tasks, Time now);
   // Stops a task so that another may run.
   void Preempt(Machine& m, Resident& victim, const JobSpec& for_job, Time now);
-  std::optional<Emptying> PlanEmptying(const Job& job, Machine& m,
-                                       Resources taken, Time now) const;
-  void CarryOut(const Emptying& plan, const JobSpec& for_job, Time now);
+  std::optional<EvictionPlan> PlanEviction(const Job& job, Machine& m,
+                                           Resources taken, Time now) const;
+  void CarryOut(const EvictionPlan& plan, const JobSpec& for_job, Time now);
   // Room held on the machine for the job.
   static Resources HeldFor(const Job& job, const Machine& m);
-  // False when there is nothing that could be emptied.
+  // False when there is nothing that could be drained.
   bool MakeRoom(Job& job, const std::vector<Machine*>& usable, Time now);
   struct GangSlot {
-    Emptying plan;
+    EvictionPlan plan;
     bool waits = false;  // for short work to run off
   };
   bool MakeGangRoom(Job& job, const std::vector<Machine*>& usable, Time now);
@@ -442,9 +449,9 @@
   const uint64_t term_;      // the upper part of its tokens
   const Time started_;
   const double wall_minus_steady_;
-  const Patience patience_;
+  const SilenceTimeouts timeouts_;
   NumberSource numbers_;
-  PieceBoard pieces_;
+  FragmentationIndex fragmentation_;
   Placer placer_;
   QueueOrder queue_order_;
   Chains chains_;
@@ -456,7 +463,7 @@
   WriteQueue writes_;
   AnswerGate answers_;
   std::vector<std::unique_ptr<Machine>> machines_;
-  Ears ears_;
+  LivenessMonitor liveness_;
 
   std::map<std::string, MachineType> types_;
   std::vector<Team> teams_;
@@ -466,9 +473,10 @@
   std::map<std::string, ClassStats> class_stats_;
   std::map<std::string, Rental> rentals_;
   std::map<SupplyKey, Time> refused_until_;
-  ZoneRights zones_;
-  bool in_doubt_ = false;  // a silent session may be kept, in this tick
-  Time next_keepers_ = 0;
+  DelegatedLeases zones_;
+  bool sessions_unsettled_ =
+      false;  // a silent session may be kept, in this tick
+  Time next_delegates_read_ = 0;
   std::map<std::string, Rollout> rollouts_;                  // by id
   std::unordered_map<std::string, std::string> in_rollout_;  // by job id
   int checks_in_flight_ = 0;
@@ -477,7 +485,7 @@
   size_t first_checked_ = 0;
   Time next_rollouts_ = 0;
   Time next_supply_ = 0;
-  Time next_pieces_ = 0;
+  Time next_fragmentation_log_ = 0;
   std::optional<Mover> mover_;
   MoveCodec move_codec_;
   Time next_moves_ = 0;
@@ -488,7 +496,7 @@
   Time quiet_since_ = 1e18;  // no job has come or waited since
   uint64_t next_batch_ = 1;
   std::vector<std::string> restore_;  // owed keys, the most urgent last
-  std::vector<std::pair<std::string, FinalState>> ends_owed_;
+  std::vector<std::pair<std::string, TerminalState>> ends_owed_;
   bool ends_compared_ = false;
   bool memory_whole_ = false;
   std::unordered_map<std::string, Time> asked_jobs_;  // not again before
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -43,10 +43,10 @@
   kRentedMachine,  // a machine of the rental that WriteOp::reason names
   kRentalSettle,   // once all of its machines stand
   kRollout,
-  kOperator,       // a record of a subsystem's own, see OperatorRecord
-  kRestore,        // a record that is owed to the state service
-  kRestoreFinal,   // how a job ended, likewise
-  kRebuilt,        // nothing is owed any more
+  kOperator,              // a record of a subsystem's own, see OperatorRecord
+  kRestore,               // a record that is owed to the state service
+  kRestoreTerminalState,  // how a job ended, likewise
+  kRebuilt,               // nothing is owed any more
   kRelease,        // a job that waited for others becomes an ordinary one
   kCancelWaiting,  // one that waits ends
   kTidyWaiting,    // an older copy of a waiting record goes
@@ -56,7 +56,7 @@
 struct WriteOp {
   WriteKind kind;
   std::string name;
-  FinalState final_state = FinalState::kNone;
+  TerminalState terminal_state = TerminalState::kNone;
   // Refused for its size: what it writes goes without what can be spared.
   bool compact = false;
   // Of a roll-out: the step to record, why, and the wish that it fulfils.
@@ -79,7 +79,7 @@
 enum class WriteEvent : uint8_t {
   kSent,
   kAnswered,
-  kDoubt,  // a transaction that creates keys is not answered
+  kOutcomeUnknown,  // a transaction that creates keys is not answered
   kFenceSent,
   kFenceFailed,  // or not answered
   kFixed,        // whatever was under way is carried out, or never will be
--- a/core/fitness/fitness.h
+++ b/core/leader_health/leader_health.h
@@ -1,5 +1,5 @@
 // Whether the leader is the right one to lead. It hears little: is that the
-// machines, the network of all, or only its own ears? No I/O, no clock; safety
+// machines, the network of all, or only its own reach? No I/O, no clock; safety
 // never rests on what is decided here, only on the lease and the tokens.
 #pragma once
 
@@ -8,22 +8,22 @@
 #include <string>
 #include <vector>
 
-#include "core/fitness/reach.h"
+#include "core/leader_health/reach.h"
 #include "core/model/settings.h"
 
 namespace oxbow {
 
-enum class FitnessState : uint8_t {
-  kFit,       // hears as many machines as it should
-  kDoubt,     // hears too few: the others are to be asked
+enum class LeaderHealthState : uint8_t {
+  kHealthy,   // hears as many machines as it should
+  kSuspect,   // hears too few: the others are to be asked
   kAsking,    // a question is under way
   kOffering,  // another is surely better placed, and is asked to take over
   kYielding,  // it has agreed; this leadership ends
 };
 
-enum class FitnessEvent : uint8_t {
-  kHearsLittle,
-  kHearsWell,
+enum class LeaderHealthEvent : uint8_t {
+  kFewReports,
+  kEnoughReports,
   kAsked,
   kNoneBetter,  // or nothing could be compared
   kOneIsBetter,
@@ -33,7 +33,7 @@
 };
 
 // How much of the fleet is heard, counted in one pass over it.
-struct Hearing {
+struct ReportsHeard {
   int recorded = 0;  // machines that may hold tasks
   // Of them: no message, or no report, for longer than one may take, or
   // commands that don't get through.
@@ -41,12 +41,12 @@
   int silent = 0;  // no message for longer than a report may take
 };
 
-class Fitness {
+class LeaderHealth {
  public:
   struct Limits {
-    double doubt_share = 0;  // troubled machines that make it doubt
-    double deaf_share = 0;   // heard so few, it can't lead whoever else can
-    double pause_s = 0;      // between two rounds, at first
+    double troubled_share = 0;  // troubled machines that make it doubt
+    double deaf_share = 0;      // heard so few, it can't lead whoever else can
+    double pause_s = 0;         // between two rounds, at first
     double longest_pause_s = 0;
     double blind_after_s = 0;  // of being deaf with nobody to ask
     double settle_s = 0;       // after taking office, before any hand-over
@@ -58,32 +58,32 @@
     std::string why;
   };
 
-  Fitness(const Limits& limits, Time started)
+  LeaderHealth(const Limits& limits, Time started)
       : limits_(limits), started_(started) {}
 
-  FitnessState state() const { return state_; }
-  bool fit() const { return state_ == FitnessState::kFit; }
+  LeaderHealthState state() const { return state_; }
+  bool healthy() const { return state_ == LeaderHealthState::kHealthy; }
 
   // With each count. A gap in the calls (the process stood still) is no time in
   // which anything could have been heard.
-  void Observe(const Hearing& hearing, Time now);
+  void Observe(const ReportsHeard& heard, Time now);
   // Whether a round should be asked now; the caller asks it.
   bool WantsRound(Time now) const;
   void RoundAsked(Time now);
   // The answers, this controller's first.
   Verdict RoundAnswered(const std::vector<Reach>& answers, Time now);
   void OfferRefused(Time now);
-  void OfferAgreed() { Change(FitnessEvent::kAgreed); }
+  void OfferAgreed() { Change(LeaderHealthEvent::kAgreed); }
 
  private:
   // The one function for a change.
-  void Change(FitnessEvent event);
+  void Change(LeaderHealthEvent event);
   bool Deaf() const;
 
   Limits limits_;
   Time started_;
-  FitnessState state_ = FitnessState::kFit;
-  Hearing hearing_;
+  LeaderHealthState state_ = LeaderHealthState::kHealthy;
+  ReportsHeard reports_heard_;
   Time observed_ = -1e9;
   Time next_round_ = 0;
   Time deaf_since_ = 1e18;
--- a/tests/fitness_test.cc
+++ b/tests/leader_health_test.cc
@@ -1,12 +1,12 @@
-// Who is fit to lead, what may be destroyed, and the order of patience, each by
+// Who is fit to lead, what may be destroyed, and the order of timeouts, each by
 // itself.
 
-#include "core/fitness/fitness.h"
+#include "core/leader_health/leader_health.h"
 
 #include <gtest/gtest.h>
 
 #include "core/limits/loss_limiter.h"
-#include "core/model/patience.h"
+#include "core/model/timeouts.h"
 
 namespace oxbow {
 namespace {
@@ -32,51 +32,51 @@
   EXPECT_FALSE(IsReachText("012", 3));
 }
 
-Fitness::Limits SomeLimits() { return {0.125, 0.2, 0.5, 5, 4, 2}; }
+LeaderHealth::Limits SomeLimits() { return {0.125, 0.2, 0.5, 5, 4, 2}; }
 
 // Deaf from the start, at a time when hand-overs are allowed.
-Fitness Deaf(Time until) {
-  Fitness fitness(SomeLimits(), 0);
-  for (Time t = 0; t <= until; t += 0.05) fitness.Observe({20, 20, 20}, t);
-  return fitness;
+LeaderHealth Deaf(Time until) {
+  LeaderHealth health(SomeLimits(), 0);
+  for (Time t = 0; t <= until; t += 0.05) health.Observe({20, 20, 20}, t);
+  return health;
 }
 
-TEST(Fitness, AsksOnlyAfterItHasSettled) {
-  Fitness fitness = Deaf(1.0);
-  EXPECT_EQ(fitness.state(), FitnessState::kDoubt);
-  EXPECT_FALSE(fitness.WantsRound(1.0));
-  EXPECT_TRUE(fitness.WantsRound(2.0));
+TEST(LeaderHealth, AsksOnlyAfterItHasSettled) {
+  LeaderHealth health = Deaf(1.0);
+  EXPECT_EQ(health.state(), LeaderHealthState::kSuspect);
+  EXPECT_FALSE(health.WantsRound(1.0));
+  EXPECT_TRUE(health.WantsRound(2.0));
 }
 
-TEST(Fitness, OffersToTheOneThatReachesMostAndMayLead) {
-  Fitness fitness = Deaf(3);
-  fitness.RoundAsked(3);
+TEST(LeaderHealth, OffersToTheOneThatReachesMostAndMayLead) {
+  LeaderHealth health = Deaf(3);
+  health.RoundAsked(3);
   const std::string none(20, '0');
   const std::string all(20, '1');
   const std::string most = all.substr(0, 15) + none.substr(0, 5);
-  const auto verdict = fitness.RoundAnswered(
-      {{"a", true, false, none},
-       {"b", true, true, most},
-       {"c", true, false, all},  // can't: no state service
-       {"d", true, true, all}},
-      4);
-  EXPECT_EQ(verdict.kind, Fitness::Verdict::Kind::kOffer);
+  const auto verdict =
+      health.RoundAnswered({{"a", true, false, none},
+                            {"b", true, true, most},
+                            {"c", true, false, all},  // can't: no state service
+                            {"d", true, true, all}},
+                           4);
+  EXPECT_EQ(verdict.kind, LeaderHealth::Verdict::Kind::kOffer);
   EXPECT_EQ(verdict.to, "d");
-  fitness.OfferRefused(4);
-  EXPECT_EQ(fitness.state(), FitnessState::kDoubt);
+  health.OfferRefused(4);
+  EXPECT_EQ(health.state(), LeaderHealthState::kSuspect);
 }
 
-TEST(Fitness, AsksLessOftenTheLongerNobodyIsBetter) {
-  Fitness fitness = Deaf(3);
+TEST(LeaderHealth, AsksLessOftenTheLongerNobodyIsBetter) {
+  LeaderHealth health = Deaf(3);
   const std::string none(20, '0');
   int rounds = 0;
   for (Time t = 3; t < 23; t += 0.05) {
-    fitness.Observe({20, 20, 20}, t);
-    if (!fitness.WantsRound(t)) continue;
-    fitness.RoundAsked(t);
-    const auto verdict = fitness.RoundAnswered(
+    health.Observe({20, 20, 20}, t);
+    if (!health.WantsRound(t)) continue;
+    health.RoundAsked(t);
+    const auto verdict = health.RoundAnswered(
         {{"a", true, false, none}, {"b", true, true, none}}, t);
-    EXPECT_EQ(verdict.kind, Fitness::Verdict::Kind::kStay);
+    EXPECT_EQ(verdict.kind, LeaderHealth::Verdict::Kind::kStay);
     ++rounds;
   }
   EXPECT_GE(rounds, 4);
@@ -84,35 +84,35 @@
 }
 
 // A leader in doubt for long over one dead machine asked seldom, and found out
-// late that it had grown deaf meanwhile (storm seed 1256).
-TEST(Fitness, GrowingDeafEndsALongPause) {
-  Fitness fitness(SomeLimits(), 0);
+// late that it had grown deaf meanwhile (seed 1256).
+TEST(LeaderHealth, GrowingDeafEndsALongPause) {
+  LeaderHealth health(SomeLimits(), 0);
   const std::string none(20, '0');
   Time t = 0;
   for (; t < 30; t += 0.05) {
-    fitness.Observe({20, 3, 3}, t);
-    if (!fitness.WantsRound(t)) continue;
-    fitness.RoundAsked(t);
-    fitness.RoundAnswered({{"a", true, false, none}, {"b", true, true, none}},
-                          t);
+    health.Observe({20, 3, 3}, t);
+    if (!health.WantsRound(t)) continue;
+    health.RoundAsked(t);
+    health.RoundAnswered({{"a", true, false, none}, {"b", true, true, none}},
+                         t);
   }
-  EXPECT_FALSE(fitness.WantsRound(t));
+  EXPECT_FALSE(health.WantsRound(t));
   const Time deaf = t;
-  for (; !fitness.WantsRound(t); t += 0.05) fitness.Observe({20, 20, 20}, t);
+  for (; !health.WantsRound(t); t += 0.05) health.Observe({20, 20, 20}, t);
   EXPECT_LT(t - deaf, SomeLimits().pause_s);
 }
 
-TEST(Fitness, ADeafnessThatWasNotWatchedHasNotLasted) {
-  Fitness fitness = Deaf(3);
+TEST(LeaderHealth, ADeafnessThatWasNotWatchedHasNotLasted) {
+  LeaderHealth health = Deaf(3);
   const std::string none(20, '0');
   // The process stood still for ten seconds: no reason to step down blindly.
-  fitness.Observe({20, 20, 20}, 13);
-  fitness.RoundAsked(13);
-  EXPECT_EQ(fitness
+  health.Observe({20, 20, 20}, 13);
+  health.RoundAsked(13);
+  EXPECT_EQ(health
                 .RoundAnswered(
                     {{"a", true, false, none}, {"b", false, false, ""}}, 13)
                 .kind,
-            Fitness::Verdict::Kind::kStay);
+            LeaderHealth::Verdict::Kind::kStay);
 }
 
 TEST(HandOverLog, AllowsSoManyWithinItsWindow) {
@@ -179,7 +179,7 @@
 }
 
 // The two thresholds that lay the wrong way round at a report of 0.18 lease.
-TEST(Patience, IsInOrderForEveryRatioOfReportToLease) {
+TEST(SilenceTimeouts, IsInOrderForEveryRatioOfReportToLease) {
   for (double ratio = 0.05; ratio <= 1.0 / 3; ratio += 0.005) {
     for (const double suspect : {0.1, 0.3, 0.6, 1.0}) {
       for (const double give_up : {0.2, 0.45, 1.0}) {
@@ -189,15 +189,15 @@
         Tuning tuning;
         tuning.suspect_ratio = suspect;
         tuning.give_up_ratio = give_up;
-        const Patience patience = Patience::From(workers, tuning);
-        EXPECT_EQ(patience.Check(workers), "") << ratio;
+        const SilenceTimeouts timeouts = SilenceTimeouts::From(workers, tuning);
+        EXPECT_EQ(timeouts.Check(workers), "") << ratio;
       }
     }
   }
   WorkerSettings workers;
   workers.report_s = 8;
   workers.lease_s = 10;
-  EXPECT_NE(Patience::From(workers, {}).Check(workers), "");
+  EXPECT_NE(SilenceTimeouts::From(workers, {}).Check(workers), "");
 }
 
 }  // namespace
--- a/tests/write_retry_test.cc
+++ b/tests/write_retry_test.cc
@@ -13,25 +13,25 @@
 
 TEST(RoundTrip, AFewOfThemAreWaitedForMoreWhenTheyVary) {
   RoundTrip steady(3);
-  EXPECT_EQ(steady.Patience(), 3);  // nothing is known
+  EXPECT_EQ(steady.SilenceTimeouts(), 3);  // nothing is known
   for (int i = 0; i < 50; ++i) steady.Answered(0.004);
-  EXPECT_GT(steady.Patience(), 4 * 0.004);
-  EXPECT_LT(steady.Patience(), 10 * 0.004);
+  EXPECT_GT(steady.SilenceTimeouts(), 4 * 0.004);
+  EXPECT_LT(steady.SilenceTimeouts(), 10 * 0.004);
   RoundTrip varied = steady;
   varied.Answered(0.3);
-  EXPECT_GT(varied.Patience(), 0.3);
+  EXPECT_GT(varied.SilenceTimeouts(), 0.3);
 }
 
 TEST(RoundTrip, SilenceDoublesThePatienceUntilThereIsAnAnswer) {
   RoundTrip trip(3);
   trip.Answered(0.01);
-  const double usual = trip.Patience();
+  const double usual = trip.SilenceTimeouts();
   trip.Missed();
-  EXPECT_DOUBLE_EQ(trip.Patience(), 2 * usual);
+  EXPECT_DOUBLE_EQ(trip.SilenceTimeouts(), 2 * usual);
   for (int i = 0; i < 100; ++i) trip.Missed();
-  EXPECT_EQ(trip.Patience(), 3);
+  EXPECT_EQ(trip.SilenceTimeouts(), 3);
   trip.Answered(0.01);
-  EXPECT_LE(trip.Patience(), usual);
+  EXPECT_LE(trip.SilenceTimeouts(), usual);
 }
 
 // Every order of answers to up to three copies: only what is certain of all of
--- a/wire/records.cc
+++ b/wire/records.cc
@@ -21,7 +21,7 @@
   void operator()(const LeaderRecord& r) const {
     Field(w, "node", r.node);
     Field(w, "incarnation", r.incarnation);
-    if (r.keeping) {
+    if (r.renews_only) {
       Key(w, "keeping");
       w.Bool(true);
     }
@@ -31,8 +31,8 @@
     WriteSpec(w, *r.spec);
     Key(w, "t");
     w.Double(r.submitted_wall);
-    if (r.final_state != FinalState::kNone) {
-      Field(w, "final", NameOf(kFinals, r.final_state));
+    if (r.terminal_state != TerminalState::kNone) {
+      Field(w, "final", NameOf(kTerminalStates, r.terminal_state));
     }
     if (r.released_wall > 0) {
       Key(w, "released");
@@ -62,8 +62,8 @@
     Key(w, "count");
     w.Int(r.count);
   }
-  void operator()(const FinalRecord& r) const {
-    Field(w, "final", NameOf(kFinals, r.state));
+  void operator()(const TerminalRecord& r) const {
+    Field(w, "final", NameOf(kTerminalStates, r.state));
     Key(w, "tasks");
     w.Uint(r.tasks);
   }
@@ -79,7 +79,7 @@
     Key(w, "t");
     w.Double(r.declared_wall);
   }
-  void operator()(const EpochRecord& r) const {
+  void operator()(const StoreEpoch& r) const {
     Key(w, "number");
     w.Uint64(r.number);
     Field(w, "id", r.id);
@@ -121,13 +121,13 @@
 bool DecodeRecord(std::string_view key, const rapidjson::Value& value,
                   Record* out) {
   if (!value.IsObject()) return false;
-  const auto final_state = [&] {
-    FinalState state = FinalState::kNone;
-    TermOf(kFinals, json::GetString(value, "final"), &state);
+  const auto terminal_state = [&] {
+    TerminalState state = TerminalState::kNone;
+    TermOf(kTerminalStates, json::GetString(value, "final"), &state);
     return state;
   };
   if (key == keys::kEpoch) {
-    EpochRecord epoch;
+    StoreEpoch epoch;
     epoch.number = json::GetUint(value, "number");
     epoch.id = json::GetString(value, "id");
     epoch.base = json::GetUint(value, "base");
@@ -152,7 +152,7 @@
     if (key.starts_with(keys::kWaiting)) {
       *out = WaitingRecord{parsed, submitted, 0};
     } else {
-      *out = JobRecord{parsed, submitted, final_state(), 0,
+      *out = JobRecord{parsed, submitted, terminal_state(), 0,
                        json::GetDouble(value, "released")};
     }
   } else if (key.starts_with(keys::kMachine)) {
@@ -190,8 +190,9 @@
     OperatorRecord record;
     if (!ReadOperator(value, &record)) return false;
     *out = std::move(record);
-  } else if (key.starts_with(keys::kFinal)) {
-    *out = FinalRecord{final_state(),
+  } else if (key.starts_with(keys::kTerminal)) {
+    *out =
+        TerminalRecord{terminal_state(),
                        static_cast<uint32_t>(json::GetUint(value, "tasks")), 0};
   } else {
     return false;
