--- a/clients/write_retry.cc
+++ b/clients/write_retry.cc
@@ -55,9 +55,8 @@
       status_ = status;
       return Change(Phase::kDecided);
     case StateStatus::kRefused:
-      malformed_ = true;
-      refused_ = true;
-      break;
+      too_large_ = true;
+      [[fallthrough]];
     case StateStatus::kNotExecuted:
       refused_ = true;
       break;
@@ -70,7 +69,7 @@
   if (answered_ < sent_) return;
   if (unanswered_) return Change(Phase::kSilent);
   // Refused, all of them: nothing can come late.
-  status_ = malformed_ ? StateStatus::kRefused : StateStatus::kNotExecuted;
+  status_ = too_large_ ? StateStatus::kRefused : StateStatus::kNotExecuted;
   Change(Phase::kDecided);
 }
 
--- a/clients/write_retry.h
+++ b/clients/write_retry.h
@@ -44,7 +44,8 @@
 // - kOk: this copy was carried out, and no other will be;
 // - kConflict: something stands that refuses them all, this transaction itself,
 //   carried out before, or another. Its sender has to treat both alike;
-// - kNotExecuted, kRefused: this copy was not carried out, another may be.
+// - kNotExecuted, kRefused: this copy was not carried out, another may be, also
+//   one that came before the service lowered its limits.
 class WriteRetry {
  public:
   enum class Phase : uint8_t {
@@ -79,7 +80,7 @@
   int answered_ = 0;
   bool unanswered_ = false;
   bool refused_ = false;
-  bool malformed_ = false;  // by the service's limits
+  bool too_large_ = false;
 };
 
 }  // namespace oxbow::clients
