Write queue: what was put back is not queued a second time

A lazy write that was put back waits among the urgent ones, where it was not looked for: a retirement stood twice in a transaction, with twice its changes, which count against the service's limits. Both queues are looked through now.

--- a/core/controller/write_queue.cc
+++ b/core/controller/write_queue.cc
@@ -70,31 +70,28 @@
 }
 
 void WriteQueue::Queue(WriteOp op, bool lazy) {
-  std::deque<WriteOp>& queue = lazy ? lazy_ : urgent_;
   const auto same = [&](const WriteOp& o) {
     return o.kind == op.kind && o.name == op.name;
   };
   // What a roll-out or a subsystem wants may change while the state service is
   // out.
-  const auto waits = std::find_if(queue.begin(), queue.end(), same);
   const bool renews =
       op.kind == WriteKind::kRollout || op.kind == WriteKind::kOperator;
-  if (renews && waits != queue.end()) {
-    *waits = std::move(op);
+  // In either: what was put back waits among the urgent ones.
+  for (std::deque<WriteOp>* queue : {&urgent_, &lazy_}) {
+    const auto waits = std::find_if(queue->begin(), queue->end(), same);
+    if (waits == queue->end()) continue;
+    if (renews) *waits = std::move(op);
     return;
   }
   const auto aside = std::find_if(aside_.begin(), aside_.end(),
                                   [&](const Aside& a) { return same(a.op); });
-  if (renews && aside != aside_.end()) {
+  if (aside != aside_.end()) {
+    if (!renews) return;
     aside_.erase(aside);
-  } else if (aside != aside_.end()) {
-    return;
-  }
-  if (waits != queue.end() ||
-      std::any_of(in_flight_.begin(), in_flight_.end(), same)) {
-    return;
   }
-  queue.push_back(std::move(op));
+  if (std::any_of(in_flight_.begin(), in_flight_.end(), same)) return;
+  (lazy ? lazy_ : urgent_).push_back(std::move(op));
 }
 
 bool WriteQueue::Fits(const WriteTransaction& txn) const {
--- a/tests/write_queue_test.cc
+++ b/tests/write_queue_test.cc
@@ -190,6 +190,16 @@
   EXPECT_EQ(Last<WriteTransaction>().changes.size(), 9U);
 }
 
+// A lazy one that was put back waits among the urgent ones.
+TEST_F(Writes, WhatWaitsIsNotQueuedASecondTime) {
+  Ask("a", /*lazy=*/true);
+  queue_.Flush(0);
+  EXPECT_TRUE(queue_.OnAnswer(Last<WriteTransaction>().id,
+                              WriteOutcome::kNotExecuted, 0, {}, 0));
+  Ask("a", /*lazy=*/true);
+  EXPECT_EQ(queue_.waiting(), 1U);
+}
+
 // As it is, the same transaction would be refused for ever.
 TEST_F(Writes, WhatIsRefusedForItsSizeIsSplitAndHoldsUpNothing) {
   for (const char* name : {"a", "b", "large", "c"}) Ask(name);
