--- a/core/answers/answer_gate.cc
+++ b/core/answers/answer_gate.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 Telling Decide(const Evidence& evidence) {
-  if (evidence.end != FinalState::kNone) return Telling::kEnd;
+  if (evidence.end != TerminalState::kNone) return Telling::kEnd;
   switch (evidence.read) {
     case RecordRead::kNone:
       return evidence.sight == JobSight::kLive ? Telling::kLive
--- a/core/controller/chains.cc
+++ b/core/controller/chains.cc
@@ -27,7 +27,7 @@
 }
 
 JobRecord Released(const WaitingRecord& waiting, const WriteOp& op) {
-  JobRecord job{waiting.spec, waiting.submitted_wall, FinalState::kNone, 0,
+  JobRecord job{waiting.spec, waiting.submitted_wall, TerminalState::kNone, 0,
                 op.released_wall};
   if (op.compact) {
     // Too large with the names, which it does not need any more.
@@ -40,12 +40,12 @@
 
 }  // namespace
 
-FinalState Controller::EndOf(const std::string& id) const {
-  const FinalState end = catalog_.FindFinal(id);
-  if (end != FinalState::kNone) return end;
+TerminalState Controller::EndOf(const std::string& id) const {
+  const TerminalState end = catalog_.FindTerminalState(id);
+  if (end != TerminalState::kNone) return end;
   // A recorded cancellation decides, long before its user can be told.
   const JobRecord* job = catalog_.FindJob(id);
-  return job == nullptr ? FinalState::kNone : job->final_state;
+  return job == nullptr ? TerminalState::kNone : job->terminal_state;
 }
 
 double Controller::PathSeconds(const JobSpec& spec) const {
@@ -80,7 +80,8 @@
 // A job that is neither live here, nor waiting, nor known to have ended. That
 // it is missing proves nothing: only a record found counts.
 void Controller::AskEnd(const std::string& need, Time now) {
-  if (EndOf(need) != FinalState::kNone || catalog_.FindJob(need) != nullptr ||
+  if (EndOf(need) != TerminalState::kNone ||
+      catalog_.FindJob(need) != nullptr ||
       catalog_.FindWaiting(need) != nullptr) {
     end_reads_.erase(need);
     return;
@@ -100,8 +101,9 @@
   OnEndKnown(id, EndOf(id), now);
 }
 
-void Controller::OnEndKnown(const std::string& id, FinalState end, Time now) {
-  if (end == FinalState::kNone) return;
+void Controller::OnEndKnown(const std::string& id, TerminalState end,
+                            Time now) {
+  if (end == TerminalState::kNone) return;
   end_reads_.erase(id);
   if (chains_.empty()) return;
   chains_.OnEnd(id, end);
@@ -111,8 +113,8 @@
 
 void Controller::SweepNeeds(Time now) {
   for (const std::string& need : chains_.NextNeeds(kNeedsAtOnce)) {
-    const FinalState end = EndOf(need);
-    if (end != FinalState::kNone) {
+    const TerminalState end = EndOf(need);
+    if (end != TerminalState::kNone) {
       OnEndKnown(need, end, now);
     } else {
       AskEnd(need, now);
@@ -146,7 +148,7 @@
   const bool waits = catalog_.FindWaiting(op.name) != nullptr;
   const ChainJob* chain = chains_.Find(op.name);
   const std::string job_key = keys::Of(keys::kJob, op.name);
-  const std::string final_key = keys::Of(keys::kFinal, op.name);
+  const std::string final_key = keys::Of(keys::kTerminal, op.name);
   const std::string key = WaitingKey(op.name);
   switch (op.kind) {
     case WriteKind::kRelease:
@@ -166,8 +168,9 @@
       }
       txn->conditions.push_back({key, waiting.stamp});
       txn->conditions.push_back({job_key, 0});
-      txn->changes.push_back({final_key, FinalRecord{FinalState::kAborted,
-                                                     waiting.spec->tasks, 0}});
+      txn->changes.push_back(
+          {final_key,
+           TerminalRecord{TerminalState::kAborted, waiting.spec->tasks, 0}});
       break;
     case WriteKind::kTidyWaiting: {
       if (waits) return false;
@@ -179,8 +182,8 @@
         txn->conditions.push_back({job_key, job->stamp});
       } else {
         txn->changes.push_back(
-            {final_key,
-             FinalRecord{catalog_.FindFinal(op.name), waiting.spec->tasks, 0}});
+            {final_key, TerminalRecord{catalog_.FindTerminalState(op.name),
+                                       waiting.spec->tasks, 0}});
       }
       break;
     }
@@ -200,7 +203,8 @@
     if (op.kind == WriteKind::kRelease) {
       catalog_.Put(keys::Of(keys::kJob, id), Released(waiting, op), revision);
     } else if (op.kind == WriteKind::kCancelWaiting) {
-      catalog_.RememberEnd(id, {FinalState::kAborted, waiting.spec->tasks, 0});
+      catalog_.RememberEnd(id,
+                           {TerminalState::kAborted, waiting.spec->tasks, 0});
     }
     catalog_.Erase(WaitingKey(id), revision);
   }
@@ -210,15 +214,15 @@
 
 // By the records as they are known now, whoever wrote them.
 void Controller::SettleChainJob(const std::string& id, Time now) {
-  const FinalState end = catalog_.FindFinal(id);
+  const TerminalState end = catalog_.FindTerminalState(id);
   if (catalog_.FindJob(id) != nullptr) {
     OnJobRecord(id, now);
-  } else if (end != FinalState::kNone) {
+  } else if (end != TerminalState::kNone) {
     if (chains_.Find(id) != nullptr) {
       Log("job " + id + " waited for others, " +
-          (end == FinalState::kDone ? "done" : "cancelled"));
+          (end == TerminalState::kDone ? "done" : "cancelled"));
       chains_.Remove(id);
-      actions_.push_back(JobFinal{id, end});
+      actions_.push_back(JobTerminated{id, end});
     }
     OnEndKnown(id, end, now);
   } else if (!catalog_.waiting().contains(id)) {
@@ -272,8 +276,9 @@
   Resources soon;
   if (chains_.empty()) return soon;
   double boot_s = 0;
-  for (const auto& [name, type] : types_)
+  for (const auto& [name, type] : types_) {
     boot_s = std::max(boot_s, type.boot_s);
+  }
   const auto ends_soon = [&](const std::string& id) {
     const auto it = jobs_.find(id);
     if (it == jobs_.end()) return false;
--- a/core/controller/write_queue.cc
+++ b/core/controller/write_queue.cc
@@ -56,7 +56,7 @@
   switch (event) {
     case WriteEvent::kSent:
       return CheckedChange(phase_, kWriting, kChanges, "writes");
-    case WriteEvent::kDoubt:
+    case WriteEvent::kOutcomeUnknown:
     case WriteEvent::kFenceFailed:
       return CheckedChange(phase_, kDoubtful, kChanges, "writes");
     case WriteEvent::kFenceSent:
@@ -262,7 +262,8 @@
     case WriteOutcome::kUnknown:
       // It may have been applied, or may yet be. What rests on stamps alone is
       // refused by them after whatever is written next.
-      Change(in_flight_creates_ ? WriteEvent::kDoubt : WriteEvent::kFixed);
+      Change(in_flight_creates_ ? WriteEvent::kOutcomeUnknown
+                                : WriteEvent::kFixed);
       if (!in_flight_creates_) ReadInFlight();
       break;
   }
--- a/tests/chain_memory.cc
+++ b/tests/chain_memory.cc
@@ -1,4 +1,4 @@
-// What 20,000 waiting jobs and 1,000,000 final states take of a controller's
+// What 20,000 waiting jobs and 1,000,000 terminal states take of a controller's
 // memory: the catalog's records, the graph, the index of ends. Built by hand,
 // without the sanitizers: the figures stand in docs/chains.md.
 
@@ -19,7 +19,9 @@
   DueTimes DueOf(const JobSpec&, Time) const override { return {}; }
 };
 
-std::string IdOf(int n) { return FinalsIndex::IdOf(static_cast<uint32_t>(n)); }
+std::string IdOf(int n) {
+  return TerminalStateIndex::IdOf(static_cast<uint32_t>(n));
+}
 
 double Mib() {
   return static_cast<double>(mallinfo2().uordblks + mallinfo2().hblkhd) /
@@ -38,9 +40,9 @@
     const int id = static_cast<int>((n * 7919LL) % 1'500'000);
     catalog.RememberEnd(
         IdOf(id),
-        {id % 12 == 0 ? FinalState::kAborted : FinalState::kDone, 8, 0});
+        {id % 12 == 0 ? TerminalState::kAborted : TerminalState::kDone, 8, 0});
   }
-  std::printf("%d final states: %.1f MiB\n", kEnded, Mib() - before);
+  std::printf("%d terminal states: %.1f MiB\n", kEnded, Mib() - before);
   before = Mib();
   for (int n = 0; n < kWaiting; ++n) {
     JobSpec spec;
@@ -60,7 +62,7 @@
   Chains chains(estimates);
   for (const auto& [id, record] : catalog.waiting()) {
     chains.Add(record.spec, 0,
-               [](const std::string&) { return FinalState::kNone; });
+               [](const std::string&) { return TerminalState::kNone; });
   }
   std::printf("graph of them, at the leader: %.1f MiB\n", Mib() - before);
   before = Mib();
--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -42,14 +42,14 @@
   spec->job_class = std::string(500, 'c');
   for (int i = 0; spec->image.size() < 3000; ++i) spec->image += "\u00e9";
   spec->types = std::vector<std::string>(200, "a-machine-type");
-  const JobRecord ended =
-      EndedRecord({spec, 0, FinalState::kNone, 0}, FinalState::kDone, true);
+  const JobRecord ended = EndedRecord({spec, 0, TerminalState::kNone, 0},
+                                      TerminalState::kDone, true);
   EXPECT_LE(wire::EncodeRecord(ended).size(), kMostBytes);
   rapidjson::Document doc;
   doc.Parse(wire::EncodeRecord(ended).c_str());
   Record read;
   ASSERT_TRUE(wire::DecodeRecord(keys::Of(keys::kJob, spec->id), doc, &read));
-  EXPECT_EQ(std::get<JobRecord>(read).final_state, FinalState::kDone);
+  EXPECT_EQ(std::get<JobRecord>(read).terminal_state, TerminalState::kDone);
 }
 
 }  // namespace
--- a/tests/zone_storm_test.cc
+++ b/tests/zone_simulation_test.cc
@@ -1,6 +1,6 @@
-// Random storms round zones that are cut off and controllers that are out of
-// reach: zones cut, controllers without state service and peers but with their
-// workers (one, several, all), outages, controllers that end and are back
+// Randomized simulations round zones that are cut off and controllers that are
+// out of reach: zones cut, controllers without state service and peers but with
+// their workers (one, several, all), outages, controllers that end and are back
 // within a fraction of a second, messages late and lost, writes to the state
 // service that arrive long after they were given up. A seed makes a run.
 //
@@ -8,20 +8,20 @@
 // task is gone within `cancel_s`, and where a leader leads that reaches a
 // worker both ways, nobody else keeps that worker for long.
 
+#include "tests/zone_simulation.h"
+
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <cstdlib>
 #include <tuple>
 
-#include "tests/zone_world.h"
-
 namespace oxbow::test::zones {
 namespace {
 
-class Storm : public World {
+class RandomSimulation : public Simulation {
  public:
-  using World::World;
+  using Simulation::Simulation;
 
   int over() const { return over_; }
   int kept() const { return kept_; }
@@ -79,7 +79,8 @@
     n.office = std::make_unique<Office>();
     n.office->revision = n.revision;
     n.office->since = now_;
-    n.office->rights = std::make_unique<ZoneRights>(settings_, now_, recorded);
+    n.office->rights =
+        std::make_unique<DelegatedLeases>(settings_, now_, recorded);
     ++led_;
     for (int w = 0; w < kWorkers; ++w) {
       View& v = n.office->views[w];
@@ -102,7 +103,7 @@
     n.next_ask = now_ + 0.3;
     if (Leads(i)) {
       n.met = now_;
-      if (Settled(i, kZoneOf[i])) n.keeper->Granted(now_);
+      if (Settled(i, kZoneOf[i])) n.lease->Granted(now_);
       return;
     }
     const int leader = n.leader;
@@ -119,7 +120,7 @@
         },
         [sent](Node& me, int said) {
           if (said > 0) me.met = std::max(me.met, sent + 0.3);
-          if (said == 2) me.keeper->Granted(sent);
+          if (said == 2) me.lease->Granted(sent);
         });
   }
   bool CutOff(int i) const {
@@ -194,7 +195,7 @@
       if (workers_[w].zone != zone) continue;
       if (!v.reported) return false;
       if (v.task && now_ - workers_[w].task_cancelled >=
-                        ZoneMargin(settings_.workers) / 2) {
+                        CancellationMargin(settings_.workers) / 2) {
         return false;
       }
     }
@@ -221,7 +222,7 @@
         AskToStandBack(i, name[0] - 'a');
       }
       if (now_ <= v.session.MayLiveUntil(lease) ||
-          office.rights->MayBeKept(zone, now_)) {
+          office.rights->MayBeRenewed(zone, now_)) {
         continue;
       }
       v.session.Change(SessionEvent::kRanOut, 0, now_);
@@ -249,9 +250,9 @@
         i, to,
         [this, to](Node& there) {
           there.met = now_ + 0.3;
-          const bool yes = there.keeper->AskedToStandBack(now_);
+          const bool yes = there.lease->AskedToStandBack(now_);
           return std::tuple{yes, Life(to), Age(to),
-                            there.keeper->KeptAgo(now_)};
+                            there.lease->RenewedAgo(now_)};
         },
         [this, i, to, sent = now_](Node& me, const auto& said) {
           if (!std::get<0>(said) || !Leads(i)) return;
@@ -373,7 +374,7 @@
       if (r.token > 0 && kZoneOf[i] == workers_[w].zone && CutOff(i)) {
         if (me.signs->SentOn(r, now_)) {
           ++sent_on_;
-        } else if (me.keeper->Keep(now_)) {
+        } else if (me.lease->Renew(now_)) {
           me.signs->Kept(r, now_);
           keeps = true;
           ++kept_;
@@ -422,11 +423,11 @@
         me.task = true;  // started again
         me.task_cancelled = 1e18;
       }
-      NoteWhoKeeps(w, from, raised);
+      NoteWhoRenews(w, from, raised);
     });
   }
-  // For how long a worker is held by a keeper whom a leader waits for.
-  void NoteWhoKeeps(int w, int from, bool raised) {
+  // For how long a worker is held by a delegate whom a leader waits for.
+  void NoteWhoRenews(int w, int from, bool raised) {
     Worker& me = workers_[w];
     const int leader = holder_;
     const bool waits = leader >= 0 && leader != from && Leads(leader) &&
@@ -455,15 +456,15 @@
   double longest_kept_ = 0;
 };
 
-class ZoneStorms : public testing::TestWithParam<int> {};
+class ZoneSimulations : public testing::TestWithParam<int> {};
 
 constexpr int kParts = 8;
 // Leases. A right alone would keep them for three.
 constexpr double kLongest = 2;
 
-TEST_P(ZoneStorms, NothingKeptIsTakenForOverAndNoneIsKeptFromALeader) {
-  const char* text = std::getenv("OXBOW_STORM_SEEDS");
-  const char* only = std::getenv("OXBOW_STORM_SEED");
+TEST_P(ZoneSimulations, NothingKeptIsTakenForOverAndNoneIsKeptFromALeader) {
+  const char* text = std::getenv("OXBOW_SEEDS");
+  const char* only = std::getenv("OXBOW_SEED");
   const int seeds = text == nullptr ? 30 : std::atoi(text);
   int over = 0;
   int kept = 0;
@@ -473,14 +474,15 @@
   for (int i = 0; i < seeds; ++i) {
     const auto seed = static_cast<uint64_t>(GetParam() + kParts * i);
     if (only != nullptr && std::to_string(seed) != only) continue;
-    Storm storm(seed);
-    ASSERT_EQ(storm.Play(), "") << "seed " << seed << ", after " << i;
-    over += storm.over();
-    kept += storm.kept();
-    led += storm.led();
-    sent_on += storm.sent_on();
-    longest = std::max(longest, storm.longest_kept());
-    ASSERT_LT(storm.longest_kept(), kLongest * Deployment().workers.lease_s)
+    RandomSimulation simulation(seed);
+    ASSERT_EQ(simulation.Play(), "") << "seed " << seed << ", after " << i;
+    over += simulation.over();
+    kept += simulation.kept();
+    led += simulation.led();
+    sent_on += simulation.sent_on();
+    longest = std::max(longest, simulation.longest_kept());
+    ASSERT_LT(simulation.longest_kept(),
+              kLongest * Deployment().workers.lease_s)
         << "seed " << seed << ", after " << i;
   }
   std::printf(
@@ -494,7 +496,7 @@
   EXPECT_GT(led, 3 * seeds);
 }
 
-INSTANTIATE_TEST_SUITE_P(Parts, ZoneStorms, testing::Range(0, kParts));
+INSTANTIATE_TEST_SUITE_P(Parts, ZoneSimulations, testing::Range(0, kParts));
 
 }  // namespace
 }  // namespace oxbow::test::zones
