--- a/tests/chains_test.cc
+++ b/tests/chains_test.cc
@@ -350,7 +350,7 @@
     }
     sim_.late_writes.reset();
     sim_.old_version = false;
-    Lead();
+    sim_.Lead();
     sim_.Run(kCalm);
     if (!sim_.broken().empty()) return sim_.broken().front();
     for (int i = 1; i <= jobs_; ++i) {
