--- a/app/recovery_desk.cc
+++ b/app/recovery_coordinator.cc
@@ -1,4 +1,4 @@
-#include "app/recovery_desk.h"
+#include "app/recovery_coordinator.h"
 
 #include <fmt/format.h>
 #include <rapidjson/document.h>
@@ -45,10 +45,10 @@
 
 }  // namespace
 
-RecoveryDesk::RecoveryDesk(net::Loop& loop, const Settings& settings,
-                           const Tuning& tuning, Catalog& catalog,
-                           clients::StateClient& state, Follower& follower,
-                           const FitnessDesk::Peers& peers, Seams seams)
+RecoveryCoordinator::RecoveryCoordinator(
+    net::Loop& loop, const Settings& settings, const Tuning& tuning,
+    Catalog& catalog, clients::StateClient& state, Follower& follower,
+    const LeaderHealthCoordinator::Peers& peers, Seams seams)
     : loop_(loop),
       settings_(settings),
       tuning_(tuning),
@@ -58,7 +58,7 @@
       peers_(peers),
       seams_(std::move(seams)) {}
 
-void RecoveryDesk::Start() {
+void RecoveryCoordinator::Start() {
   if (!on()) return;
   state_.on_step_back = [this] { Sign(LossSign::kStepBack); };
   leader_heard_ = loop_.Now();
@@ -67,31 +67,31 @@
   if (tuning_.recovery_pages > 0) net::Spawn(AuditLoop());
 }
 
-bool RecoveryDesk::MayDeny() const {
+bool RecoveryCoordinator::MayDeny() const {
   if (!on()) return true;
   // A first epoch may have been founded in a service that has lost everything,
   // together with all controllers: the workers would tell within a lease.
   const double lease = settings_.workers.lease_s;
-  return trust_.MayDeny() && loop_.Now() > founded_ + lease &&
+  return verification_.MayDeny() && loop_.Now() > founded_ + lease &&
          (catalog_.epoch().whole ||
           (rebuilt_epoch_ == catalog_.epoch().number &&
            loop_.Now() > rebuilt_since_ + kToldRatio * lease));
 }
 
-bool RecoveryDesk::SomeoneMayTell() const {
+bool RecoveryCoordinator::SomeoneMayTell() const {
   return on() && !catalog_.epoch().whole &&
          !(rebuilt_epoch_ == catalog_.epoch().number &&
            loop_.Now() >
                rebuilt_since_ + kForgottenRatio * settings_.workers.lease_s);
 }
 
-void RecoveryDesk::AddGuard(std::vector<Condition>* conditions) const {
+void RecoveryCoordinator::AddGuard(std::vector<Condition>* conditions) const {
   if (!on()) return;
   auto [key, stamp] = catalog_.Guard();
   conditions->push_back({std::move(key), stamp});
 }
 
-bool RecoveryDesk::GuardFailed(const std::vector<std::string>& failed) {
+bool RecoveryCoordinator::GuardFailed(const std::vector<std::string>& failed) {
   if (!on()) return false;
   const auto [key, stamp] = catalog_.Guard();
   if (std::find(failed.begin(), failed.end(), key) == failed.end()) {
@@ -103,17 +103,17 @@
 
 // --- signs
 
-void RecoveryDesk::Sign(LossSign sign, const std::string& key) {
+void RecoveryCoordinator::Sign(LossSign sign, const std::string& key) {
   // Nothing was ever known that could be missing.
   if (!on() || catalog_.epoch().number == 0) return;
-  if (!trust_.Note(sign)) return;
+  if (!verification_.Note(sign)) return;
   sign_key_ = key;
   spdlog::info("the state service may have lost data: {}{}{}", NameOf(sign),
                key.empty() ? "" : ", ", key);
   net::Spawn(Settle());
 }
 
-void RecoveryDesk::TermSeen(uint64_t term) {
+void RecoveryCoordinator::TermSeen(uint64_t term) {
   if (!on() || term <= foreign_term_) return;
   foreign_term_ = term;
   if (catalog_.epoch().number > 0 && term > HighestTerm()) {
@@ -122,22 +122,23 @@
 }
 
 // Mostly a leader that has just won, of which this controller has not read.
-net::Task<void> RecoveryDesk::LookAtTerm() {
+net::Task<void> RecoveryCoordinator::LookAtTerm() {
   const CheckSays says = co_await Check();
   if (says == CheckSays::kStands && foreign_term_ > HighestTerm()) {
     Sign(LossSign::kTermAbove);
   }
 }
 
-net::Task<void> RecoveryDesk::AskAboutJob(std::string id) {
+net::Task<void> RecoveryCoordinator::AskAboutJob(std::string id) {
   const CheckSays says = co_await LookForJob(id);
   // Where jobs may have been lost it is no news.
-  if (says == CheckSays::kGone && trust_.MayDeny() && catalog_.epoch().whole) {
+  if (says == CheckSays::kGone && verification_.MayDeny() &&
+      catalog_.epoch().whole) {
     Sign(LossSign::kUnknownTask, id);
   }
 }
 
-net::Task<CheckSays> RecoveryDesk::IsDeleted(std::string key) {
+net::Task<CheckSays> RecoveryCoordinator::IsDeleted(std::string key) {
   if (!key.starts_with(keys::kJob)) co_return CheckSays::kStands;
   if (catalog_.owed().contains(key)) {
     // It was never there; but it may have ended, which its write stumbles over.
@@ -150,14 +151,14 @@
   co_return says;
 }
 
-uint64_t RecoveryDesk::HighestTerm() const {
+uint64_t RecoveryCoordinator::HighestTerm() const {
   return TermOf(catalog_.epoch(), state_.highest());
 }
 
-void RecoveryDesk::EpochSeen() {
-  const EpochRecord& epoch = catalog_.epoch();
+void RecoveryCoordinator::EpochSeen() {
+  const StoreEpoch& epoch = catalog_.epoch();
   if (!on() || epoch.number == 0) return;
-  const TrustState before = trust_.state();
+  const StoreVerificationState before = verification_.state();
   if (epoch.number != seen_epoch_) {
     const bool first = seen_epoch_ == 0;
     seen_epoch_ = epoch.number;
@@ -181,12 +182,12 @@
     rebuilt_epoch_ = epoch.number;
     rebuilt_since_ = loop_.Now();
   }
-  trust_.OnEpoch(epoch.number, epoch.rebuilt);
+  verification_.OnEpoch(epoch.number, epoch.rebuilt);
   if (epoch.rebuilt && !catalog_.owed().empty() && !seams_.leading() &&
       handing_in_ != epoch.number) {
     handing_in_ = epoch.number;
     // One that has just been met is read anew already.
-    if (before == TrustState::kRebuilding) follower_.Reread();
+    if (before == StoreVerificationState::kRebuilding) follower_.Reread();
     net::Spawn(HandIn(epoch.number));
   }
 }
@@ -196,17 +197,18 @@
 // recorded as a submission is, on the condition that neither it nor its end
 // stands there, and an operators' record if there is none of its name; of all
 // else the leader knows what there is.
-net::Task<void> RecoveryDesk::HandIn(uint64_t epoch) {
+net::Task<void> RecoveryCoordinator::HandIn(uint64_t epoch) {
   const double pause = kRoundPause * settings_.workers.report_s;
   const auto stale = [this, epoch] {
     return catalog_.epoch().number != epoch ||
-           trust_.state() == TrustState::kLost;
+           verification_.state() == StoreVerificationState::kLost;
   };
-  while (!follower_.synced() || trust_.state() != TrustState::kSound) {
+  while (!follower_.synced() ||
+         verification_.state() != StoreVerificationState::kVerified) {
     co_await loop_.Sleep(pause);
     if (stale()) co_return;
   }
-  co_await GatherFromAll(&RecoveryDesk::GatherEnds);
+  co_await GatherFromAll(&RecoveryCoordinator::GatherEnds);
   if (stale()) co_return;
   std::vector<std::string> handed;
   for (const auto& [key, version] : catalog_.owed()) {
@@ -233,17 +235,18 @@
   follower_.Reread();
 }
 
-net::Task<bool> RecoveryDesk::HandInRecord(std::string key, size_t* count) {
+net::Task<bool> RecoveryCoordinator::HandInRecord(std::string key,
+                                                  size_t* count) {
   const bool is_job = key.starts_with(keys::kJob);
   const std::string id = is_job ? key.substr(keys::kJob.size()) : "";
   const Record record = catalog_.RecordOf(key);
   if (!catalog_.owed().contains(key) ||
       std::holds_alternative<std::monostate>(record) ||
-      (is_job && catalog_.FindFinal(id) != FinalState::kNone)) {
+      (is_job && catalog_.FindTerminalState(id) != TerminalState::kNone)) {
     co_return true;
   }
   std::vector<Condition> conditions{{key, 0}};
-  if (is_job) conditions.push_back({keys::Of(keys::kFinal, id), 0});
+  if (is_job) conditions.push_back({keys::Of(keys::kTerminal, id), 0});
   AddGuard(&conditions);
   std::vector<KeyChange> changes{{key, record}};
   const StateResult written = co_await state_.Write(
@@ -260,7 +263,7 @@
   co_return says == CheckSays::kStands;
 }
 
-net::Task<CheckSays> RecoveryDesk::Check() {
+net::Task<CheckSays> RecoveryCoordinator::Check() {
   const uint64_t number = catalog_.epoch().number;
   const std::string id = catalog_.epoch().id;
   std::vector<Condition> conditions;
@@ -278,7 +281,7 @@
       co_await state_.Get(std::string(keys::kEpoch), Urgency::kLease);
   if (catalog_.epoch().number != number) co_return CheckSays::kStands;
   if (there.ok()) {
-    const auto* epoch = std::get_if<EpochRecord>(&there.items[0].record);
+    const auto* epoch = std::get_if<StoreEpoch>(&there.items[0].record);
     if (epoch != nullptr && epoch->number > number) {
       const StateResult mark = co_await state_.Get(
           keys::Of(keys::kEpochMark, epoch->id), Urgency::kLease);
@@ -301,17 +304,19 @@
   co_return CheckSays::kGone;
 }
 
-net::Task<void> RecoveryDesk::CheckLoop() {
+net::Task<void> RecoveryCoordinator::CheckLoop() {
   const double pause = settings_.workers.lease_s / tuning_.recovery_checks;
   for (;;) {
     co_await loop_.Sleep(pause);
     if (catalog_.epoch().number == 0) continue;
-    if (trust_.state() == TrustState::kDoubt) continue;
-    if (trust_.state() == TrustState::kLost) {
+    if (verification_.state() == StoreVerificationState::kSuspected) continue;
+    if (verification_.state() == StoreVerificationState::kLost) {
       // Who can open the next epoch may not have seen the sign.
       co_await AskAll();
       const CheckSays still = co_await Examine();
-      if (trust_.state() == TrustState::kLost) trust_.OnRound(still, false);
+      if (verification_.state() == StoreVerificationState::kLost) {
+        verification_.OnRound(still, false);
+      }
       continue;
     }
     const CheckSays says = co_await Check();
@@ -322,7 +327,7 @@
   }
 }
 
-net::Task<CheckSays> RecoveryDesk::LookForJob(std::string id) {
+net::Task<CheckSays> RecoveryCoordinator::LookForJob(std::string id) {
   // In this order an end that is recorded meanwhile is not missed.
   const StateResult live =
       co_await state_.Get(keys::Of(keys::kJob, id), Urgency::kLeader);
@@ -331,8 +336,8 @@
                     live.items[0].stamp);
     // Recorded as live though somebody knows its end: an older copy.
     const auto* job = std::get_if<JobRecord>(&live.items[0].record);
-    if (job != nullptr && job->final_state == FinalState::kNone &&
-        catalog_.FindFinal(id) != FinalState::kNone) {
+    if (job != nullptr && job->terminal_state == TerminalState::kNone &&
+        catalog_.FindTerminalState(id) != TerminalState::kNone) {
       co_return CheckSays::kGone;
     }
   }
@@ -340,9 +345,9 @@
     co_return live.ok() ? CheckSays::kStands : CheckSays::kNoAnswer;
   }
   const StateResult ended =
-      co_await state_.Get(keys::Of(keys::kFinal, id), Urgency::kLeader);
+      co_await state_.Get(keys::Of(keys::kTerminal, id), Urgency::kLeader);
   if (ended.ok()) {
-    if (const auto* end = std::get_if<FinalRecord>(&ended.items[0].record)) {
+    if (const auto* end = std::get_if<TerminalRecord>(&ended.items[0].record)) {
       catalog_.RememberEnd(id, *end);
     }
     co_return CheckSays::kStands;
@@ -351,7 +356,7 @@
                                                    : CheckSays::kNoAnswer;
 }
 
-net::Task<CheckSays> RecoveryDesk::LookForRecord(std::string key) {
+net::Task<CheckSays> RecoveryCoordinator::LookForRecord(std::string key) {
   if (key.starts_with(keys::kJob)) {
     std::string id = key.substr(keys::kJob.size());
     co_return co_await LookForJob(std::move(id));
@@ -365,18 +370,19 @@
                                                         : CheckSays::kGone;
 }
 
-net::Task<bool> RecoveryDesk::Finds(std::string key, uint64_t stamp) {
+net::Task<bool> RecoveryCoordinator::Finds(std::string key, uint64_t stamp) {
   const StateResult there = co_await state_.Get(key, Urgency::kLeader);
   if (there.ok()) co_return there.items[0].stamp >= stamp;
   if (!key.starts_with(keys::kJob)) co_return false;
   const StateResult ended = co_await state_.Get(
-      keys::Of(keys::kFinal, key.substr(keys::kJob.size())), Urgency::kLeader);
+      keys::Of(keys::kTerminal, key.substr(keys::kJob.size())),
+      Urgency::kLeader);
   co_return ended.ok();
 }
 
 // A revision that has stepped back may have grown past what was seen before
 // anybody looks again; what was recorded in between is missing all the same.
-net::Task<CheckSays> RecoveryDesk::LookForNewest() {
+net::Task<CheckSays> RecoveryCoordinator::LookForNewest() {
   constexpr size_t kLooked = 4;
   std::vector<std::string> looked = catalog_.NewestKeys(kLooked);
   // What is still to be written back is no sign: with a newcomer asking all the
@@ -402,11 +408,11 @@
   co_return all;
 }
 
-net::Task<CheckSays> RecoveryDesk::Examine() {
+net::Task<CheckSays> RecoveryCoordinator::Examine() {
   const std::string key = sign_key_;
   const CheckSays stands = co_await Check();
   if (stands != CheckSays::kStands) co_return stands;
-  switch (trust_.sign()) {
+  switch (verification_.sign()) {
     case LossSign::kTermAbove:
       co_return foreign_term_ > HighestTerm() ? CheckSays::kGone
                                               : CheckSays::kStands;
@@ -427,30 +433,33 @@
   }
 }
 
-net::Task<void> RecoveryDesk::Settle() {
+net::Task<void> RecoveryCoordinator::Settle() {
   const double pause = kRoundPause * settings_.workers.report_s;
-  while (trust_.state() == TrustState::kDoubt) {
+  while (verification_.state() == StoreVerificationState::kSuspected) {
     const CheckSays mine = co_await Examine();
     bool others_stand = false;
-    const bool whole_service = trust_.sign() == LossSign::kStepBack ||
-                               trust_.sign() == LossSign::kEpochMissing;
+    const bool whole_service = verification_.sign() == LossSign::kStepBack ||
+                               verification_.sign() == LossSign::kEpochMissing;
     if (mine == CheckSays::kGone && whole_service) {
       const std::vector<PeerMessage> answers = co_await AskAll();
       others_stand = std::any_of(
           answers.begin(), answers.end(),
           [](const auto& a) { return a.answer == PeerAnswer::kYes; });
     }
-    const bool stepped = trust_.sign() == LossSign::kStepBack;
-    trust_.OnRound(mine, others_stand);
-    if (stepped && trust_.MaySeek()) {
+    const bool stepped = verification_.sign() == LossSign::kStepBack;
+    verification_.OnRound(mine, others_stand);
+    if (stepped && verification_.MaySeek()) {
       catalog_.FollowAnew();
       follower_.Reread();
     }
-    if (trust_.state() == TrustState::kDoubt) co_await loop_.Sleep(pause);
+    if (verification_.state() == StoreVerificationState::kSuspected) {
+      co_await loop_.Sleep(pause);
+    }
   }
-  if (trust_.state() == TrustState::kLost) {
+  if (verification_.state() == StoreVerificationState::kLost) {
     net::Spawn(SpreadWord());
-    spdlog::error("the state service has lost data: {}", NameOf(trust_.sign()));
+    spdlog::error("the state service has lost data: {}",
+                  NameOf(verification_.sign()));
     seams_.lost();
   } else {
     spdlog::info("the state service stands");
@@ -458,11 +467,11 @@
 }
 
 // Whoever leads may have nothing that tells it.
-net::Task<void> RecoveryDesk::SpreadWord() { co_await AskAll(); }
+net::Task<void> RecoveryCoordinator::SpreadWord() { co_await AskAll(); }
 
 // --- a new epoch
 
-RecoveryDesk::Opening RecoveryDesk::Found() const {
+RecoveryCoordinator::Opening RecoveryCoordinator::Found() const {
   Opening opening;
   if (!on() || catalog_.epoch().number > 0) return opening;
   opening.epoch.number = 1;
@@ -475,11 +484,11 @@
   return opening;
 }
 
-net::Task<bool> RecoveryDesk::Orphaned(const clients::KeyValue& leader) {
+net::Task<bool> RecoveryCoordinator::Orphaned(const clients::KeyValue& leader) {
   // Asking lengthens a lease that is there, so each controller asks once, when
   // the lease of one that is gone must have ended.
   const double ttl = tuning_.leader_lease_ratio * settings_.workers.lease_s;
-  constexpr double kPatience = 1.2;
+  constexpr double kLeaseMargin = 1.2;
   constexpr double kAgain = 10;  // worker leases
   const uint64_t lease = leader.lease;
   const net::Time now = loop_.Now();
@@ -489,7 +498,9 @@
     leader_since_ = now;
     leader_probed_ = false;
   }
-  if (leader_probed_ || now < leader_since_ + kPatience * ttl) co_return false;
+  if (leader_probed_ || now < leader_since_ + kLeaseMargin * ttl) {
+    co_return false;
+  }
   leader_probed_ = true;
   const StateResult there = co_await state_.Renew(lease, ttl / 3);
   if (there.status == StateStatus::kNotFound) {
@@ -500,7 +511,7 @@
   co_return false;
 }
 
-net::Task<void> RecoveryDesk::Introduce() {
+net::Task<void> RecoveryCoordinator::Introduce() {
   const double pause = kRoundPause * settings_.workers.report_s;
   const net::Time until = loop_.Now() + settings_.workers.lease_s;
   while (!introduced_) {
@@ -509,7 +520,7 @@
     PeerMessage ask = Ledger();
     ask.running = static_cast<uint32_t>(LossSign::kStepBack);
     const std::vector<PeerMessage> answers = co_await AskAll(std::move(ask));
-    const EpochRecord& mine = catalog_.epoch();
+    const StoreEpoch& mine = catalog_.epoch();
     uint64_t term = 0;
     bool elder = false;
     for (const PeerMessage& a : answers) {
@@ -527,7 +538,7 @@
     }
     // How jobs have ended is followed from the start on; what was before that
     // the others know, and the state service may lose it once they are gone.
-    co_await GatherFromAll(&RecoveryDesk::GatherEnds);
+    co_await GatherFromAll(&RecoveryCoordinator::GatherEnds);
     // An older copy may hold as live what the others know to have ended: who
     // leads by it runs a cancelled job again.
     while (!follower_.ever_synced()) co_await loop_.Sleep(pause);
@@ -543,17 +554,17 @@
   }
 }
 
-std::string RecoveryDesk::Revived() const {
+std::string RecoveryCoordinator::Revived() const {
   for (const auto& [id, job] : catalog_.jobs()) {
-    if (job.final_state == FinalState::kNone &&
-        catalog_.FindFinal(id) != FinalState::kNone) {
+    if (job.terminal_state == TerminalState::kNone &&
+        catalog_.FindTerminalState(id) != TerminalState::kNone) {
       return keys::Of(keys::kJob, id);
     }
   }
   return {};
 }
 
-net::Task<void> RecoveryDesk::WatchLeader() {
+net::Task<void> RecoveryCoordinator::WatchLeader() {
   const LeaderRecord leader = catalog_.leader();
   clients::PeerClient* named = nullptr;
   for (const auto& peer : peers_) {
@@ -569,7 +580,8 @@
   const double ttl = tuning_.leader_lease_ratio * settings_.workers.lease_s;
   const auto answer = co_await named->Ask(std::move(hello), ttl / 3);
   const LeaderRole role = answer.message.role;
-  if (answer.ok && (role == LeaderRole::kLeads || role == LeaderRole::kKeeps)) {
+  if (answer.ok &&
+      (role == LeaderRole::kLeads || role == LeaderRole::kRenewsByKey)) {
     leader_heard_ = loop_.Now();
   }
   if (loop_.Now() < leader_heard_ + ttl) co_return;
@@ -580,7 +592,8 @@
   if (orphaned) seams_.orphaned(leader.stamp);
 }
 
-net::Task<RecoveryDesk::Known> RecoveryDesk::AnybodyKnows(std::string id) {
+net::Task<RecoveryCoordinator::Known> RecoveryCoordinator::AnybodyKnows(
+    std::string id) {
   PeerMessage ask;
   ask.kind = PeerKind::kKnown;
   ask.node = settings_.node;
@@ -594,7 +607,7 @@
                                             : Known::kNobodyHeard;
 }
 
-net::Task<bool> RecoveryDesk::Prepare(Opening* out, bool led) {
+net::Task<bool> RecoveryCoordinator::Prepare(Opening* out, bool led) {
   const uint64_t known = catalog_.epoch().number;
   const std::string epoch_key(keys::kEpoch);
   const std::string leader_key(keys::kLeader);
@@ -608,11 +621,11 @@
     return Answered(r) || r.stepped_back;
   };
   if (!answered(epoch) || !answered(leader) ||
-      trust_.state() != TrustState::kLost) {
+      verification_.state() != StoreVerificationState::kLost) {
     co_return false;
   }
-  const EpochRecord* there =
-      epoch.ok() ? std::get_if<EpochRecord>(&epoch.items[0].record) : nullptr;
+  const StoreEpoch* there =
+      epoch.ok() ? std::get_if<StoreEpoch>(&epoch.items[0].record) : nullptr;
   if (there != nullptr && there->number > known) {
     co_await Check();  // takes it in
     co_return false;
@@ -652,7 +665,7 @@
   co_return true;
 }
 
-void RecoveryDesk::Opened(const Opening& opening, uint64_t revision) {
+void RecoveryCoordinator::Opened(const Opening& opening, uint64_t revision) {
   if (opening.epoch.number == 0) return;
   for (size_t i : {1, 0}) {  // the mark first, so that it is known with it
     follower_.Apply(opening.changes[i].key, opening.changes[i].record,
@@ -663,7 +676,7 @@
   net::Spawn(SpreadWord());
 }
 
-bool RecoveryDesk::Gathered(uint64_t revision) {
+bool RecoveryCoordinator::Gathered(uint64_t revision) {
   // By its term: after a second loss the revision may be the same again, and
   // the leader would wait for ever for what it took to be under way.
   const uint64_t term = TermOf(catalog_.epoch(), revision);
@@ -678,14 +691,15 @@
   return false;
 }
 
-net::Task<void> RecoveryDesk::Gather(uint64_t term) {
+net::Task<void> RecoveryCoordinator::Gather(uint64_t term) {
   // A controller that was not there before the loss does not know what it, in
   // its former life, may have accepted last.
   bool whole = whole_before_ && first_epoch_ < catalog_.epoch().number;
   // All ends first: what has ended is not revived by another's older memory.
-  const bool told = co_await GatherFromAll(&RecoveryDesk::GatherEnds);
+  const bool told = co_await GatherFromAll(&RecoveryCoordinator::GatherEnds);
   catalog_.ApplyEnds();
-  const bool witnessed = co_await GatherFromAll(&RecoveryDesk::GatherMemory);
+  const bool witnessed =
+      co_await GatherFromAll(&RecoveryCoordinator::GatherMemory);
   whole = whole && told && witnessed;
   if (gathering_ != term || TermOf(catalog_.epoch(), 0) > term) co_return;
   gathered_ = term;
@@ -697,7 +711,7 @@
   net::Spawn(CompareEnded(term, whole));
 }
 
-net::Task<bool> RecoveryDesk::GatherFromAll(Gatherer what) {
+net::Task<bool> RecoveryCoordinator::GatherFromAll(Gatherer what) {
   if (peers_.empty()) co_return true;
   auto ask = std::make_shared<Ask>(loop_);
   ask->left = peers_.size();
@@ -710,17 +724,19 @@
   co_return whole;
 }
 
-net::Task<void> RecoveryDesk::GatherOne(std::shared_ptr<Ask> ask, Gatherer what,
-                                        clients::PeerClient* peer,
-                                        bool* whole) {
+net::Task<void> RecoveryCoordinator::GatherOne(std::shared_ptr<Ask> ask,
+                                               Gatherer what,
+                                               clients::PeerClient* peer,
+                                               bool* whole) {
   const bool told = co_await (this->*what)(peer);
   *whole = *whole && told;
   if (--ask->left == 0) ask->done.Set();
 }
 
-net::Task<bool> RecoveryDesk::GatherEnds(clients::PeerClient* peer) {
+net::Task<bool> RecoveryCoordinator::GatherEnds(clients::PeerClient* peer) {
   const double timeout = kPageRatio * settings_.workers.lease_s;
-  for (const FinalState part : {FinalState::kDone, FinalState::kAborted}) {
+  for (const TerminalState part :
+       {TerminalState::kDone, TerminalState::kAborted}) {
     std::string bytes;
     for (bool more = true; more;) {
       PeerMessage ask;
@@ -740,7 +756,7 @@
   co_return true;
 }
 
-net::Task<bool> RecoveryDesk::GatherMemory(clients::PeerClient* peer) {
+net::Task<bool> RecoveryCoordinator::GatherMemory(clients::PeerClient* peer) {
   const double timeout = kPageRatio * settings_.workers.lease_s;
   bool witness = false;
   std::string after;
@@ -775,13 +791,13 @@
   co_return witness;
 }
 
-net::Task<void> RecoveryDesk::CompareEnded(uint64_t term, bool whole) {
+net::Task<void> RecoveryCoordinator::CompareEnded(uint64_t term, bool whole) {
   const uint64_t epoch = catalog_.epoch().number;
-  FinalsIndex there;
+  TerminalStateIndex there;
   std::string after;
   for (;;) {
     const StateResult page =
-        co_await state_.List(std::string(keys::kFinal), after);
+        co_await state_.List(std::string(keys::kTerminal), after);
     if (catalog_.epoch().number != epoch || gathered_ != term) co_return;
     if (!page.ok()) {
       co_await loop_.Sleep(kRoundPause * settings_.workers.report_s);
@@ -789,13 +805,13 @@
     }
     for (const clients::KeyValue& item : page.items) {
       after = item.key;
-      const auto* end = std::get_if<FinalRecord>(&item.record);
+      const auto* end = std::get_if<TerminalRecord>(&item.record);
       if (end == nullptr) continue;
-      there.Add(item.key.substr(keys::kFinal.size()), end->state);
+      there.Add(item.key.substr(keys::kTerminal.size()), end->state);
     }
     if (!page.more || page.items.empty()) break;
   }
-  std::vector<std::pair<std::string, FinalState>> owed;
+  std::vector<std::pair<std::string, TerminalState>> owed;
   catalog_.ended().ForEachMissing(there, [&](const auto& id, auto state) {
     // One that is still live here moves there by itself.
     if (catalog_.FindJob(id) == nullptr) owed.emplace_back(id, state);
@@ -813,14 +829,15 @@
 
 // --- what is compared always
 
-net::Task<void> RecoveryDesk::AuditLoop() {
+net::Task<void> RecoveryCoordinator::AuditLoop() {
   const double pause = settings_.workers.lease_s / tuning_.recovery_pages;
   std::string live;
   std::string ended;
   for (bool turn = false;; turn = !turn) {
     co_await loop_.Sleep(pause);
     // The leader has enough to do; its writes tell it as well.
-    if (seams_.leading() || trust_.state() != TrustState::kSound ||
+    if (seams_.leading() ||
+        verification_.state() != StoreVerificationState::kVerified ||
         !follower_.synced()) {
       continue;
     }
@@ -832,7 +849,7 @@
   }
 }
 
-net::Task<void> RecoveryDesk::AuditLive(std::string* after) {
+net::Task<void> RecoveryCoordinator::AuditLive(std::string* after) {
   const StateResult page =
       co_await state_.List(std::string(keys::kLive), *after);
   if (!page.ok()) co_return;
@@ -847,7 +864,7 @@
     co_await loop_.Sleep(pause);
   }
   if (catalog_.followed() < page.revision ||
-      trust_.state() != TrustState::kSound) {
+      verification_.state() != StoreVerificationState::kVerified) {
     co_return;
   }
   std::string missing;
@@ -874,18 +891,18 @@
   Sign(LossSign::kRecordMissing, missing);
 }
 
-net::Task<void> RecoveryDesk::AuditEnded(std::string* after) {
+net::Task<void> RecoveryCoordinator::AuditEnded(std::string* after) {
   if (after->empty()) {
     present_ = {};
     known_ = catalog_.ended();
   }
   const StateResult page =
-      co_await state_.List(std::string(keys::kFinal), *after);
+      co_await state_.List(std::string(keys::kTerminal), *after);
   if (!page.ok()) co_return;
   for (const clients::KeyValue& item : page.items) {
-    const auto* end = std::get_if<FinalRecord>(&item.record);
+    const auto* end = std::get_if<TerminalRecord>(&item.record);
     if (end == nullptr) continue;
-    const std::string id = item.key.substr(keys::kFinal.size());
+    const std::string id = item.key.substr(keys::kTerminal.size());
     present_.Add(id, end->state);
     catalog_.ended().Add(id, end->state);
   }
@@ -895,7 +912,7 @@
   }
   after->clear();
   std::string missing;
-  known_.ForEachMissing(present_, [&](const std::string& id, FinalState) {
+  known_.ForEachMissing(present_, [&](const std::string& id, TerminalState) {
     if (catalog_.FindJob(id) == nullptr) missing = id;
   });
   if (missing.empty()) co_return;
@@ -907,15 +924,15 @@
 
 // --- among the controllers
 
-PeerMessage RecoveryDesk::Ledger() const {
+PeerMessage RecoveryCoordinator::Ledger() const {
   PeerMessage message;
   message.kind = PeerKind::kLedger;
   message.node = settings_.node;
   message.done = static_cast<uint32_t>(catalog_.epoch().number);
   message.text = catalog_.epoch().id;
   message.term = foreign_term_;
-  if (!trust_.MaySeek()) {
-    message.running = static_cast<uint32_t>(trust_.sign());
+  if (!verification_.MaySeek()) {
+    message.running = static_cast<uint32_t>(verification_.sign());
     message.job_id = sign_key_;
     // Found in its place is only what is as new: one that knows but the older
     // copy would stand by it, and the doubt of the one that remembers more
@@ -927,9 +944,9 @@
   return message;
 }
 
-net::Task<void> RecoveryDesk::AskOne(std::shared_ptr<Ask> ask,
-                                     clients::PeerClient* peer,
-                                     PeerMessage message, bool waited) {
+net::Task<void> RecoveryCoordinator::AskOne(std::shared_ptr<Ask> ask,
+                                            clients::PeerClient* peer,
+                                            PeerMessage message, bool waited) {
   const auto answer = co_await peer->Ask(std::move(message),
                                          kAskRatio * settings_.workers.lease_s);
   if (answer.ok) {
@@ -941,8 +958,8 @@
   if (waited && --ask->left == 0) ask->done.Set();
 }
 
-net::Task<std::vector<PeerMessage>> RecoveryDesk::AskAll(PeerMessage message,
-                                                         bool hurried) {
+net::Task<std::vector<PeerMessage>> RecoveryCoordinator::AskAll(
+    PeerMessage message, bool hurried) {
   if (peers_.empty()) co_return std::vector<PeerMessage>{};
   auto ask = std::make_shared<Ask>(loop_);
   std::vector<bool> waited;
@@ -958,17 +975,18 @@
   co_return ask->answers;
 }
 
-bool RecoveryDesk::IsPeer(const std::string& node) const {
+bool RecoveryCoordinator::IsPeer(const std::string& node) const {
   return std::any_of(peers_.begin(), peers_.end(),
                      [&](const auto& peer) { return peer->name() == node; });
 }
 
-bool RecoveryDesk::Takes(PeerKind kind) {
+bool RecoveryCoordinator::Takes(PeerKind kind) {
   return kind == PeerKind::kLedger || kind == PeerKind::kMemory ||
          kind == PeerKind::kEnded || kind == PeerKind::kKnown;
 }
 
-net::Task<void> RecoveryDesk::OnPeer(PeerMessage message, PeerMessage* reply) {
+net::Task<void> RecoveryCoordinator::OnPeer(PeerMessage message,
+                                            PeerMessage* reply) {
   if (!on()) co_return;
   switch (message.kind) {
     case PeerKind::kLedger: {
@@ -1004,7 +1022,7 @@
     }
     case PeerKind::kKnown:
       if (catalog_.FindJob(message.job_id) != nullptr ||
-          catalog_.FindFinal(message.job_id) != FinalState::kNone) {
+          catalog_.FindTerminalState(message.job_id) != TerminalState::kNone) {
         reply->answer = PeerAnswer::kYes;
       }
       break;
@@ -1019,7 +1037,7 @@
   }
 }
 
-void RecoveryDesk::FillLedger(CheckSays says, PeerMessage* reply) const {
+void RecoveryCoordinator::FillLedger(CheckSays says, PeerMessage* reply) const {
   if (says == CheckSays::kStands) reply->answer = PeerAnswer::kYes;
   reply->done = static_cast<uint32_t>(catalog_.epoch().number);
   reply->running = static_cast<uint32_t>(says);
@@ -1028,7 +1046,8 @@
   reply->term = foreign_term_;
 }
 
-void RecoveryDesk::FillMemory(const PeerMessage& ask, PeerMessage* reply) {
+void RecoveryCoordinator::FillMemory(const PeerMessage& ask,
+                                     PeerMessage* reply) {
   std::vector<std::string>& order = sending_[ask.node].memory_keys;
   const std::string& after = ask.job_id;
   if (after.empty() || order.empty()) {
@@ -1059,9 +1078,10 @@
   reply->text = clients::EncodeMemory(page);
 }
 
-void RecoveryDesk::FillEnded(const PeerMessage& ask, PeerMessage* reply) {
-  const auto part = static_cast<FinalState>(ask.done);
-  if (part != FinalState::kDone && part != FinalState::kAborted) return;
+void RecoveryCoordinator::FillEnded(const PeerMessage& ask,
+                                    PeerMessage* reply) {
+  const auto part = static_cast<TerminalState>(ask.done);
+  if (part != TerminalState::kDone && part != TerminalState::kAborted) return;
   if (!IsPeer(ask.node)) return;
   std::string& bytes = sending_[ask.node].ended_parts[ask.done];
   if (ask.stamp == 0) bytes = catalog_.ended().Encode(part);
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -27,10 +27,10 @@
   kRental,
   kRentalSettle,
   kRollout,
-  kOperator,       // a record of a subsystem's own, see OperatorRecord
-  kRestore,        // a record that is owed to the state service
-  kRestoreFinal,   // how a job ended, likewise
-  kRebuilt,        // nothing is owed any more
+  kOperator,              // a record of a subsystem's own, see OperatorRecord
+  kRestore,               // a record that is owed to the state service
+  kRestoreTerminalState,  // how a job ended, likewise
+  kRebuilt,               // nothing is owed any more
   kRelease,        // a job that waited for others becomes an ordinary one
   kCancelWaiting,  // one that waits ends
   kTidyWaiting,    // an older copy of a waiting record goes
@@ -40,7 +40,7 @@
 struct WriteOp {
   WriteKind kind;
   std::string name;
-  FinalState final_state = FinalState::kNone;
+  TerminalState terminal_state = TerminalState::kNone;
   std::vector<std::string> hosts = {};
   // Of a roll-out: the step to record, why, and the wish that it fulfils.
   RolloutStep step = RolloutStep::kDeclared;
@@ -57,7 +57,7 @@
   kReading,  // its outcome is not known: what it changes is read afresh
 };
 
-enum class WriteEvent : uint8_t { kSent, kAnswered, kDoubt, kRead };
+enum class WriteEvent : uint8_t { kSent, kAnswered, kOutcomeUnknown, kRead };
 
 class WriteQueue {
  public:
--- a/core/model/settings.h
+++ b/core/model/settings.h
@@ -88,16 +88,16 @@
   double accelerator_weight = 0.6;
   double price_weight = 0.2;
   // Every job is to begin within so long, s, wherever the room is there: the
-  // operators' rule. 0: the floor of the queue's order is off.
+  // operators' rule. 0: the minimum share of the queue's order is off.
   double begin_within_s = 0;
   // Of a class's work that is placed while some waits: for the largest and
   // those that have waited longest.
-  double floor_share = 0.2;
-  // Weight of what a task adds to the accelerators left over in pieces, as a
-  // share of a machine's; 0: pieces are not looked at.
-  double piece_weight = 0;
+  double minimum_share = 0.2;
+  // Weight of what a task adds to the fragmented accelerators, as a
+  // share of a machine's; 0: fragmentation is not looked at.
+  double fragmentation_weight = 0;
   // Moves of replicas with accelerators under way, so that large work finds
-  // whole machines; 0: none. Needs piece_weight.
+  // whole machines; 0: none. Needs fragmentation_weight.
   double moves_at_once = 0;
   // Moves begun until their services have cooled off, and for how many worker
   // leases these do.
@@ -113,10 +113,10 @@
   // How long the others promise one who keeps workers alive in an outage of
   // the state service not to seek, as a share of the workers' lease; 0: nobody
   // keeps workers alive without leading.
-  double keeper_ratio = 0;
+  double delegation_ratio = 0;
   // Whether controllers ask for the right to keep the workers of their zone
   // when it is cut off; 0: no.
-  double keep_zones = 0;
+  double delegate_to_zones = 0;
   // A machine that has not reported for this share of its lease gets nothing
   // new; after the second share it is given up.
   double suspect_ratio = 0.3;
@@ -125,10 +125,10 @@
   double idle_return_leases = 4.0;
   // A machine still booting after this many times its nominal boot time is
   // replaced.
-  double boot_patience = 2.5;
+  double boot_timeout_ratio = 2.5;
   // Who is fit to lead. A leader that hears so little of the recorded machines
   // asks the other controllers what they reach.
-  double doubt_share = 0.125;
+  double troubled_share = 0.125;
   // One that hears less than this can't lead, whoever else can.
   double deaf_share = 0.2;
   // Hand-overs that are let happen within a worker lease.
--- a/tests/chains_test.cc
+++ b/tests/chains_test.cc
@@ -42,7 +42,7 @@
 }
 
 const Chains::EndOf kNobodyEnded = [](const std::string&) {
-  return FinalState::kNone;
+  return TerminalState::kNone;
 };
 
 TEST(Chains, InheritAlongTheLongestPathThatIsLeft) {
@@ -80,11 +80,11 @@
   EXPECT_EQ(chains.InheritedBy("job-000000").due.first,
             1e6 - 10.0 * (kLength - 1));
   // Each of the chain goes with the one before it.
-  chains.OnEnd("job-000000", FinalState::kAborted);
+  chains.OnEnd("job-000000", TerminalState::kAborted);
   int gone = 0;
   for (std::string id = chains.TakeDue(); !id.empty(); id = chains.TakeDue()) {
     chains.Remove(id);
-    chains.OnEnd(id, FinalState::kAborted);
+    chains.OnEnd(id, TerminalState::kAborted);
     ++gone;
   }
   EXPECT_EQ(gone, kLength - 1);
@@ -108,7 +108,7 @@
 
 // The records, a leader with the real Chains, its write under way, and one
 // write without an answer that may be carried out at any later time.
-struct World {
+struct Simulation {
   std::vector<std::vector<int>> needs;
   std::array<Rec, 3> rec{};
   std::array<int, 3> stamp{};
@@ -122,10 +122,10 @@
   static std::string Id(int job) {
     return std::string(1, static_cast<char>('0' + job));
   }
-  FinalState EndOf(int job) const {
-    return rec[job] == Rec::kDone      ? FinalState::kDone
-           : rec[job] == Rec::kAborted ? FinalState::kAborted
-                                       : FinalState::kNone;
+  TerminalState EndOf(int job) const {
+    return rec[job] == Rec::kDone      ? TerminalState::kDone
+           : rec[job] == Rec::kAborted ? TerminalState::kAborted
+                                       : TerminalState::kNone;
   }
   void TakeUp() {
     for (int job = 0; job < 3; ++job) {
@@ -203,52 +203,52 @@
 
 // Follows every event from every state; returns how many states there are.
 size_t Explore(const std::vector<std::vector<int>>& needs) {
-  World first;
+  Simulation first;
   first.needs = needs;
   for (int job = 0; job < 3; ++job) {
     first.rec[job] = needs[job].empty() ? Rec::kLive : Rec::kWaiting;
   }
   first.TakeUp();
   std::set<std::string> seen = {first.Key()};
-  std::deque<World> open = {first};
+  std::deque<Simulation> open = {first};
   while (!open.empty() && !testing::Test::HasFailure()) {
-    const World from = std::move(open.front());
+    const Simulation from = std::move(open.front());
     open.pop_front();
     const auto visit = [&](const auto& event) {
-      World next = from;
+      Simulation next = from;
       event(next);
       if (seen.insert(next.Key()).second) open.push_back(std::move(next));
     };
     for (int job = 0; job < 3; ++job) {
       if (from.rec[job] == Rec::kLive) {
-        visit([job](World& w) {
+        visit([job](Simulation& w) {
           w.Set(job, Rec::kDone);
-          w.chains.OnEnd(World::Id(job), FinalState::kDone);
+          w.chains.OnEnd(Simulation::Id(job), TerminalState::kDone);
           w.Next();
         });
       }
       if (from.rec[job] == Rec::kLive || from.rec[job] == Rec::kWaiting) {
-        visit([job](World& w) {
+        visit([job](Simulation& w) {
           w.user_cancelled[job] = true;
           if (w.rec[job] == Rec::kLive) {
             w.Set(job, Rec::kAborted);
-            w.chains.OnEnd(World::Id(job), FinalState::kAborted);
+            w.chains.OnEnd(Simulation::Id(job), TerminalState::kAborted);
           } else {
-            w.chains.Cancel(World::Id(job));
+            w.chains.Cancel(Simulation::Id(job));
           }
           w.Next();
         });
       }
     }
     if (from.write) {
-      visit([](World& w) {  // carried out, and answered
+      visit([](Simulation& w) {  // carried out, and answered
         const Txn txn = *std::exchange(w.write, std::nullopt);
         w.Apply(txn);
         w.Settle(txn.job);
       });
       if (!from.lost_one) {
         for (const bool at_once : {true, false}) {
-          visit([at_once](World& w) {  // no answer: the record is read
+          visit([at_once](Simulation& w) {  // no answer: the record is read
             const Txn txn = *std::exchange(w.write, std::nullopt);
             w.lost_one = true;
             if (at_once) {
@@ -274,14 +274,14 @@
       }
     }
     if (from.late) {
-      visit([](World& w) {
+      visit([](Simulation& w) {
         const Txn txn = *std::exchange(w.late, std::nullopt);
         // Its record is seen by the watch.
         if (w.Apply(txn)) w.Settle(txn.job);
       });
     }
     if (from.leader == 1) {
-      visit([](World& w) {
+      visit([](Simulation& w) {
         w.leader = 2;
         if (w.write && !w.late) w.late = w.write;
         w.write.reset();
@@ -407,7 +407,7 @@
 };
 
 TEST(ChainStorm, NoneTooEarlyAndNoneOrphaned) {
-  const char* runs = std::getenv("OXBOW_STORM_SEEDS");
+  const char* runs = std::getenv("OXBOW_SEEDS");
   const uint64_t seeds =
       runs == nullptr ? 12 : std::strtoull(runs, nullptr, 10);
   for (uint64_t seed = 1; seed <= seeds; ++seed) {
