--- a/core/controller/controller.cc
+++ b/core/controller/controller.cc
@@ -156,7 +156,11 @@
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) {
     AddJob(*record, now);
-    if (cancelled) Cancel(id, now);
+    // Not sent from here: this may follow from a write that is being built.
+    const auto added = jobs_.find(id);
+    if (cancelled && added->second->live()) {
+      FinishJob(*added->second, TerminalState::kAborted);
+    }
     ScheduleIfNeeded(now);
   } else if (record->terminal_state != TerminalState::kNone) {
     OnTerminalStateRecorded(id, record->terminal_state, now);
