Answer gate: a job that stands twice in a transaction is one write

A move to the terminal records that was put back is asked for again and stands twice in the next transaction.

--- a/core/answers/answer_gate.cc
+++ b/core/answers/answer_gate.cc
@@ -1,5 +1,6 @@
 #include "core/answers/answer_gate.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -72,16 +73,22 @@
 }
 
 void AnswerGate::Left(uint64_t txn, std::vector<EndWrite> ends) {
+  Unanswered(txn_);
   txn_ = txn;
   for (const EndWrite& end : ends) {
+    // What was put back and is asked for again stands twice in a transaction.
+    const bool twice =
+        std::any_of(under_way_.begin(), under_way_.end(),
+                    [&](const EndWrite& e) { return e.job == end.job; });
+    if (twice) continue;
     const auto earlier = writes_.find(end.job);
     if (earlier != writes_.end() && earlier->second.stamp != end.stamp) {
       Change(end.job, Event::kStands);  // void: the record has changed since
     }
     Change(end.job, Event::kLeaves);
     writes_.at(end.job).stamp = end.stamp;
+    under_way_.push_back(end);
   }
-  under_way_ = std::move(ends);
 }
 
 std::vector<EndWrite> AnswerGate::Take(uint64_t txn) {
--- a/core/controller/write_queue.h
+++ b/core/controller/write_queue.h
@@ -73,7 +73,7 @@
 enum class WriteEvent : uint8_t {
   kSent,
   kAnswered,
-  kDoubt,  // a transaction that creates keys is not answered
+  kOutcomeUnknown,  // a transaction that creates keys is not answered
   kFenceSent,
   kFenceFailed,  // or not answered
   kFixed,        // whatever was under way is carried out, or never will be
--- a/tests/answer_gate_test.cc
+++ b/tests/answer_gate_test.cc
@@ -50,6 +50,15 @@
   EXPECT_EQ(gate.StateOf(kId), State::kClear);
 }
 
+// Seen in an outage storm: a move that was put back was asked for again.
+TEST(AnswerGate, AJobMayStandTwiceInATransaction) {
+  AnswerGate gate;
+  gate.Left(1, {{kId, 7}, {kId, 7}});
+  EXPECT_EQ(gate.StateOf(kId), State::kSent);
+  gate.Unanswered(1);
+  EXPECT_EQ(gate.StateOf(kId), State::kLoose);
+}
+
 TEST(AnswerGate, WhatStandsOnAnotherStampIsVoid) {
   AnswerGate gate;
   gate.Left(1, End(7));
