--- a/tests/fair_queueing_test.cc
+++ b/tests/fair_queueing_test.cc
@@ -62,7 +62,8 @@
     spec->need = {8, 0, 1};
     spec->estimate_s = 100;
     if (kind == JobKind::kArray) spec->deadline_s = 60;
-    return {JobRecord{spec, 0, TerminalState::kNone, 1}, -1, submitted};
+    return {JobRecord{spec, 0, TerminalState::kNone, 1}, -1, submitted,
+            submitted};
   }
   Settings settings;
   Tuning tuning;
--- a/tests/packing_test.cc
+++ b/tests/packing_test.cc
@@ -56,7 +56,7 @@
   Machine* Choose(const JobSpec& spec, double aim_s = 1e18) {
     JobRecord record;
     record.spec = std::make_shared<JobSpec>(spec);
-    const Job job(record, -1, 0);
+    const Job job(record, -1, 0, 0);
     std::vector<Machine*> fitting;
     for (Machine* m : all_) {
       if (spec.need.FitsIn(m->free())) fitting.push_back(m);
@@ -164,7 +164,7 @@
   Machine* other = Add(2);
   JobRecord record;
   record.spec = std::make_shared<JobSpec>(Spec(JobKind::kService, 2, 2));
-  const Job job(record, -1, 0);
+  const Job job(record, -1, 0, 0);
   EXPECT_EQ(placer_.Choose(
                 job, all_, {},
                 [&](const Machine& m) { return &m == fuller ? 1 : 0; }, 0.25),
@@ -202,7 +202,7 @@
     const JobSpec small = Spec(JobKind::kService, 2, 8);
     JobRecord record;
     record.spec = std::make_shared<JobSpec>(small);
-    const Job job(record, -1, 0);
+    const Job job(record, -1, 0, 0);
     for (const double weight : {0.0, 2.0}) {
       tuning_.fragmentation_weight = weight;
       constexpr int kTimes = 20;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -72,7 +72,7 @@
   auto spec = std::make_shared<JobSpec>();
   spec->tasks = 1;
   record.spec = spec;
-  Job job(record, -1, 0);
+  Job job(record, -1, 0, 0);
   job.ChangeTask(0, TaskState::kStarting);
   job.ChangeTask(0, TaskState::kDone);
   EXPECT_THROW(job.ChangeTask(0, TaskState::kRunning), IllegalTransition);
