--- a/tests/tiers_test.cc
+++ b/tests/tiers_test.cc
@@ -27,7 +27,7 @@
 
 Job MakeJob(const JobSpec& spec) {
   return Job(
-      {std::make_shared<const JobSpec>(spec), 0, TerminalState::kNone, 0}, 0,
+      {std::make_shared<const JobSpec>(spec), 0, TerminalState::kNone, 0}, 0, 0,
       0);
 }
 
