--- a/api/rollout_routes.cc
+++ b/api/rollout_routes.cc
@@ -69,8 +69,8 @@
     for (size_t i = 0; i < all->size(); ++i) {
       const RolloutState& state = (*all)[i];
       response.body += i == 0 ? "\n" : ",\n";
-      response.body +=
-          wire::RolloutBody(state.record, state.counts ? &*state.counts : nullptr);
+      response.body += wire::RolloutBody(
+          state.record, state.counts ? &*state.counts : nullptr);
     }
     response.body += "]}\n";
     co_return response;
