--- a/app/users.cc
+++ b/app/users.cc
@@ -227,8 +227,8 @@
   if (live.status != StateStatus::kNotFound) {
     co_return ToldBy(id, RecordRead::kUnclear);
   }
-  // Each move is one step, so a job that is missing in all of them, read in this
-  // order, was not accepted when the first was read.
+  // Each move is one step, so a job that is missing in all of them, read in
+  // this order, was not accepted when the first was read.
   const StateResult ended =
       co_await state_.Get(keys::Of(keys::kTerminal, id), Urgency::kUser);
   if (ended.ok()) {
