Store writes: a read of the fence key ends the doubt that no answer ends

Cause: after an unanswered creation the queue writes its fence, and only an answer to that, success or conflict, could end kFencing. Without one it was sent again for ever. Mend: a fence key belongs to one leadership and one number and nobody else writes it, so a linearizable read that finds it proves that it stands. After an unanswered fence its key is read (ReadFence) while the fence is sent again (kRefencing); whichever proves it first counts. A read that does not find it, or fails, proves nothing. The first repetition goes at once, as before, each later one after a pause that doubles, up to 0.8 heartbeat intervals. Reads are taken from the leader's share of the store's request limit, as all of its requests.

--- a/app/action_executor.cc
+++ b/app/action_executor.cc
@@ -58,6 +58,9 @@
   void operator()(ReadKeys& read) {
     net::Spawn(executor.ReadStoreKeys(std::move(read), revision));
   }
+  void operator()(ReadFence& read) {
+    net::Spawn(executor.ReadFenceKey(std::move(read), revision));
+  }
   void operator()(RequestScaleOut& request) {
     net::Spawn(executor.RequestMachines(std::move(request), revision));
   }
@@ -184,6 +187,17 @@
   });
 }
 
+net::Task<void> ActionExecutor::ReadFenceKey(ReadFence read,
+                                             uint64_t revision) {
+  const StoreResult found =
+      co_await services_.store.Get(read.key, Urgency::kLeader);
+  const FenceReadResult result =
+      found.ok() ? FenceReadResult::kExists : FenceReadResult::kNotShown;
+  callbacks_.deliver(revision, [&](Leader& leader) {
+    leader.OnFenceRead(read.number, result, services_.loop.Now());
+  });
+}
+
 net::Task<bool> ActionExecutor::ReadStoreKey(std::string key) {
   const StoreResult result =
       co_await services_.store.Get(key, Urgency::kLeader);
--- a/app/action_executor.h
+++ b/app/action_executor.h
@@ -82,6 +82,7 @@
   net::Task<void> ExecuteCompareAndSwap(CompareAndSwap transaction,
                                         uint64_t revision);
   net::Task<void> ReadStoreKeys(ReadKeys read, uint64_t revision);
+  net::Task<void> ReadFenceKey(ReadFence read, uint64_t revision);
   // Takes one record into the catalog; false if it can't be read, or is missing
   // though the store may have lost data.
   net::Task<bool> ReadStoreKey(std::string key);
--- a/core/leader/leader.cc
+++ b/core/leader/leader.cc
@@ -340,6 +340,10 @@
   modules_.writes.OnRead(id, succeeded, now);
 }
 
+void Leader::OnFenceRead(uint64_t number, FenceReadResult result, Time now) {
+  modules_.writes.OnFenceRead(number, result, now);
+}
+
 void Leader::OnTerminalStateRead(const std::string& id, Time now) {
   modules_.dependencies.OnTerminalStateRead(id, now);
 }
--- a/core/leader/leader.h
+++ b/core/leader/leader.h
@@ -50,6 +50,7 @@
                      const std::vector<std::string>& failed, Time now);
   // To ReadKeys; the catalog holds what was read.
   void OnReadAnswer(uint64_t id, bool succeeded, Time now);
+  void OnFenceRead(uint64_t number, FenceReadResult result, Time now);
   // To ReadTerminalState; likewise.
   void OnTerminalStateRead(const std::string& id, Time now);
   // Job ends that the store has lost. `complete`: every controller that may
--- a/core/leader_context/actions.h
+++ b/core/leader_context/actions.h
@@ -62,6 +62,18 @@
   std::vector<std::string> keys;
 };
 
+// Whether this key of a write fence exists. Answered by Leader::OnFenceRead.
+struct ReadFence {
+  uint64_t number = 0;  // of the fence, within this leadership
+  std::string key;
+};
+
+// What a read of a fence key has shown.
+enum class FenceReadResult : uint8_t {
+  kExists,
+  kNotShown,  // not there, or not read: it may yet be written
+};
+
 // Request machines of the cloud. Repeated under the same name, the request
 // grants the same machines.
 struct RequestScaleOut {
@@ -128,10 +140,11 @@
 };
 
 using Action =
-    std::variant<SendCommands, Probe, CompareAndSwap, ReadKeys, RequestScaleOut,
-                 DeleteMachines, JobTerminated, CheckInstance, AskReach,
-                 OfferLeadershipTransfer, RequestLeaseYield, ReadDelegates,
-                 RequestJobRecord, ReadTerminalState, Resign, LogEvent>;
+    std::variant<SendCommands, Probe, CompareAndSwap, ReadKeys, ReadFence,
+                 RequestScaleOut, DeleteMachines, JobTerminated, CheckInstance,
+                 AskReach, OfferLeadershipTransfer, RequestLeaseYield,
+                 ReadDelegates, RequestJobRecord, ReadTerminalState, Resign,
+                 LogEvent>;
 
 // --- answers
 
--- a/core/store_writes/write_queue.cc
+++ b/core/store_writes/write_queue.cc
@@ -13,10 +13,18 @@
 using enum WritePhase;
 
 constexpr std::array kTransitions = {
-    std::pair{kIdle, kWriting},           std::pair{kWriting, kIdle},
-    std::pair{kWriting, kOutcomeUnknown}, std::pair{kOutcomeUnknown, kFencing},
-    std::pair{kFencing, kOutcomeUnknown}, std::pair{kFencing, kReading},
-    std::pair{kWriting, kReading},        std::pair{kReading, kIdle},
+    std::pair{kIdle, kWriting},
+    std::pair{kWriting, kIdle},
+    std::pair{kWriting, kOutcomeUnknown},
+    std::pair{kOutcomeUnknown, kFencing},
+    std::pair{kFencing, kOutcomeUnknown},
+    std::pair{kFencing, kReading},
+    std::pair{kWriting, kReading},
+    std::pair{kReading, kIdle},
+    std::pair{kOutcomeUnknown, kReading},
+    std::pair{kOutcomeUnknown, kRefencing},
+    std::pair{kRefencing, kReading},
+    std::pair{kRefencing, kOutcomeUnknown},
 };
 
 // The store's protocol: preconditions per transaction, for each mutation.
@@ -32,6 +40,9 @@
 // Before the next attempt when the store did not execute a transaction, in
 // heartbeat intervals.
 constexpr double kPauseHeartbeats = 0.1;
+// The longest pause between two fences that are not answered, in heartbeat
+// intervals.
+constexpr double kMaxFencePauseHeartbeats = 0.8;
 
 // Estimates of encoded sizes; only the parts of variable length count.
 size_t VariableBytes(const JobSpec& spec) {
@@ -206,10 +217,31 @@
 void WriteQueue::SendFence() {
   CompareAndSwap txn;
   txn.mutations.push_back({FenceKey(), WriteFence{fence_number_}});
-  ChangePhase(kFencing);
+  ChangePhase(unanswered_fences_ == 0 ? kFencing : kRefencing);
   Send(std::move(txn));
 }
 
+void WriteQueue::OnFenceStands() {
+  ++fence_number_;
+  unanswered_fences_ = 0;
+  ChangePhase(kReading);
+  ReadInFlight();
+}
+
+// Where no answer to a transaction arrives, refusals included, sending it again
+// alone would never show that it was applied.
+void WriteQueue::OnFenceUnanswered(Time now) {
+  if (unanswered_fences_ > 0) {
+    double pause = kPauseHeartbeats;
+    for (uint32_t n = 1;
+         n < unanswered_fences_ && pause < kMaxFencePauseHeartbeats; ++n)
+      pause *= 2;
+    PauseFrom(now, std::min(pause, kMaxFencePauseHeartbeats));
+  }
+  ++unanswered_fences_;
+  actions_.push_back(ReadFence{fence_number_, FenceKey()});
+}
+
 void WriteQueue::ReadInFlight() {
   actions_.push_back(ReadKeys{++request_id_, in_flight_keys_});
 }
@@ -233,9 +265,8 @@
           std::to_string(fence_number_));
 }
 
-void WriteQueue::PauseFrom(Time now) {
-  not_before_ =
-      now + kPauseHeartbeats * settings_.workers.heartbeat_interval_seconds;
+void WriteQueue::PauseFrom(Time now, double heartbeats) {
+  not_before_ = now + heartbeats * settings_.workers.heartbeat_interval_seconds;
 }
 
 void WriteQueue::RequeueInFlight() {
@@ -275,13 +306,12 @@
 
 bool WriteQueue::OnAnswer(uint64_t id, WriteOutcome outcome, uint64_t revision,
                           const std::vector<std::string>& failed, Time now) {
-  const bool expected =
-      id == request_id_ && (phase_ == kWriting || phase_ == kFencing);
-  if (!expected) return true;
+  const bool fencing = phase_ == kFencing || phase_ == kRefencing;
+  if (id != request_id_ || (phase_ != kWriting && !fencing)) return true;
   if (outcome == WriteOutcome::kConflict && LeadershipLost(failed)) {
     return false;
   }
-  if (phase_ == kFencing) {
+  if (fencing) {
     OnFenceAnswer(outcome, failed, now);
   } else {
     OnTransactionAnswer(outcome, revision, failed, now);
@@ -293,13 +323,15 @@
                                const std::vector<std::string>& failed,
                                Time now) {
   if (outcome == WriteOutcome::kApplied || FenceExists(failed)) {
-    ++fence_number_;
-    ChangePhase(kReading);
-    ReadInFlight();
+    OnFenceStands();
     return;
   }
   ChangePhase(kOutcomeUnknown);
-  if (outcome != WriteOutcome::kUnknown) PauseFrom(now);
+  if (outcome == WriteOutcome::kUnknown) {
+    OnFenceUnanswered(now);
+  } else {
+    PauseFrom(now, kPauseHeartbeats);
+  }
   Flush(now);
 }
 
@@ -312,7 +344,7 @@
       break;
     case WriteOutcome::kNotExecuted:
       ChangePhase(kIdle);
-      PauseFrom(now);
+      PauseFrom(now, kPauseHeartbeats);
       RequeueInFlight();
       break;
     case WriteOutcome::kRefused:
@@ -340,6 +372,14 @@
   for (const Operation& operation : done) operation->OnRecorded(revision, now);
 }
 
+void WriteQueue::OnFenceRead(uint64_t number, FenceReadResult result,
+                             Time now) {
+  const bool undecided = phase_ == kOutcomeUnknown || phase_ == kRefencing;
+  if (number != fence_number_ || !undecided) return;
+  if (result == FenceReadResult::kExists) OnFenceStands();
+  Flush(now);
+}
+
 void WriteQueue::OnRead(uint64_t id, bool succeeded, Time now) {
   if (id != request_id_ || phase_ != kReading) return;
   if (!succeeded) {
--- a/core/store_writes/write_queue.h
+++ b/core/store_writes/write_queue.h
@@ -18,8 +18,12 @@
 //   good: because of the fence, or because of the leader key.
 // - What is read after the fence is written is therefore the outcome of the
 //   unanswered transaction, not a state before it.
-// - An unanswered fence is sent again. If it has been written already, the next
-//   one gets a conflict, which is just as good.
+// - An unanswered fence is sent again, and its key is read meanwhile. If it has
+//   been written already, the next one gets a conflict, which is just as good,
+//   and so is a linearizable read that finds the key: nobody else writes it. A
+//   read that does not find it proves nothing: the fence may be applied later.
+// - Only the first repetition is sent at once; each later one waits twice as
+//   long as the one before, up to a bound.
 // A transaction that was answered is not applied again.
 #pragma once
 
@@ -42,7 +46,8 @@
   kWriting,         // a transaction is in flight
   kOutcomeUnknown,  // a creating transaction is unanswered: the fence is next
   kFencing,         // the fence is in flight
-  kReading,         // the outcome is final: the changed keys are being read
+  kRefencing,  // as kFencing; an earlier one is unanswered, its key is read
+  kReading,    // the outcome is final: the changed keys are being read
 };
 
 // The order in which operations are sent.
@@ -74,6 +79,8 @@
                               const std::vector<std::string>& failed, Time now);
   // The answer to ReadKeys; the catalog holds what was read.
   void OnRead(uint64_t id, bool succeeded, Time now);
+  // The answer to ReadFence.
+  void OnFenceRead(uint64_t number, FenceReadResult result, Time now);
 
   WritePhase phase() const { return phase_; }
   // Operations that wait to be sent.
@@ -99,6 +106,10 @@
   void NoteInFlightKeys(const CompareAndSwap& txn);
   void Send(CompareAndSwap txn);
   void SendFence();
+  // The current fence key exists: whatever was sent before is decided.
+  void OnFenceStands();
+  // The fence in flight has not been answered.
+  void OnFenceUnanswered(Time now);
   void ReadInFlight();
   // The operations in flight wait again, in front of all others.
   void RequeueInFlight();
@@ -112,7 +123,7 @@
   void OnFenceAnswer(WriteOutcome outcome,
                      const std::vector<std::string>& failed, Time now);
   void CompleteInFlight(uint64_t revision, Time now);
-  void PauseFrom(Time now);
+  void PauseFrom(Time now, double heartbeats);
 
   bool LeadershipLost(const std::vector<std::string>& failed) const;
   bool FenceExists(const std::vector<std::string>& failed) const;
@@ -133,6 +144,7 @@
 
   WritePhase phase_ = WritePhase::kIdle;
   uint64_t fence_number_ = 0;         // of the current fence key
+  uint32_t unanswered_fences_ = 0;    // with that number
   size_t max_operations_ = SIZE_MAX;  // in one transaction; lowered by refusals
   Time not_before_ = 0;
 };
--- a/tests/behavior_trail.cc
+++ b/tests/behavior_trail.cc
@@ -105,6 +105,9 @@
   void operator()(const ReadKeys& read) const {
     TrailEvent(now, "read", fmt::format("{}", fmt::join(read.keys, " ")));
   }
+  void operator()(const ReadFence& read) const {
+    TrailEvent(now, "read fence", read.key);
+  }
   void operator()(const RequestScaleOut& rent) const {
     TrailEvent(now, "rent",
                rent.name + " " + wire::EncodeRecord(Record(rent.scale_out)));
--- a/tests/simulation/actions.cc
+++ b/tests/simulation/actions.cc
@@ -70,6 +70,16 @@
                 leader_->OnReadAnswer(id, !state_down, now_);
                 ExecuteActions();
               });
+      } else if (const auto* fence = std::get_if<ReadFence>(&action)) {
+        After(kLatencySeconds, [this, leader, read = *fence] {
+          const bool exists = !state_down && store_.contains(read.key);
+          OnLeader(leader, [this, number = read.number, exists] {
+            leader_->OnFenceRead(
+                number,
+                exists ? FenceReadResult::kExists : FenceReadResult::kNotShown,
+                now_);
+          });
+        });
       } else if (const auto* check = std::get_if<CheckInstance>(&action)) {
         Check(*check);
       } else if (const auto* rent = std::get_if<RequestScaleOut>(&action)) {
