Scheduler: a quota held for a waiting job leaves what the job will not need

Cause: PreemptWithinQuota kept the whole need of a gang on top of all that the team uses at present. Where an earlier array takes turns, its part is counted twice for as long as it does: once as in use, once as what the gang waits for. Mend: what is held must fit with what will still be in use when the job starts: the team's services, and the tasks that were started beside the hold. So later jobs may use what is left over, and since each of their tasks counts until it ends, however many come, they do not keep the gang out. What would not fit beside an earlier hold is not held: that job can't start before the earlier one has ended.

--- a/core/cluster_state/cluster_state.cc
+++ b/core/cluster_state/cluster_state.cc
@@ -25,7 +25,7 @@
       keeps_unknown_tasks_(keeps_unknown_tasks),
       observer_(observer) {
   for (const TeamQuota& team : settings.teams) {
-    quotas_.push_back({team, {}, {}, {}});
+    quotas_.push_back({team, {}, {}, {}, {}});
   }
 }
 
@@ -308,8 +308,11 @@
 bool ClusterState::QuotaAllows(const Job& job, double tasks) const {
   if (job.team() < 0) return true;
   const QuotaUsage& usage = quota(job.team());
-  return usage.WithinMaximum(usage.used + usage.held + usage.orphaned_tasks +
-                             job.spec().need * tasks);
+  const Resources used_now =
+      usage.used + usage.orphaned_tasks + job.spec().need * tasks;
+  const Resources used_then =
+      used_now - usage.released_before_held + usage.held;
+  return usage.WithinMaximum(used_now) && usage.WithinMaximum(used_then);
 }
 
 Resources ClusterState::OrphanedTasksUpperBound() const {
--- a/core/cluster_state/cluster_state.h
+++ b/core/cluster_state/cluster_state.h
@@ -26,10 +26,14 @@
   TeamQuota quota;
   Resources used;  // by attempts that are, or may be, on a machine
   // Within one scheduling pass:
-  Resources held;            // for jobs that wait for the quota
+  Resources held;  // for jobs that wait for the quota
+  // Of `used`, what is released before those jobs can start: with this much
+  // less in use, what is held must fit.
+  Resources released_before_held;
   Resources orphaned_tasks;  // what tasks without a known job may use
 
   bool has_maximum() const { return quota.cpus_max > 0 || quota.gpus_max > 0; }
+  bool holds_for_waiting_jobs() const { return held.cpus > 0 || held.gpus > 0; }
   // Whether the team may use so much in all.
   bool WithinMaximum(const Resources& total) const;
 };
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -92,6 +92,9 @@
   bool holds = false;  // its need is charged to machine, team and job
   Time started = 0;
   Time running_since = 0;
+  // Started although the team's quota was held for another job: it fits beside
+  // that job. Known to the leader that started it alone.
+  bool beside_held_quota = false;
   bool stopping = false;
   double stop_grace = 0;
   Time stop_sent = 0;
--- a/core/scheduler/preemption_planner.cc
+++ b/core/scheduler/preemption_planner.cc
@@ -149,11 +149,14 @@
 
 // Where the team's services leave less than a gang needs, keeping the quota
 // for it made all other jobs of the team wait for as long as the services ran
-// (docs/incidents/2026-12-02-limit-held-in-vain.md).
+// (docs/incidents/2026-12-02-limit-held-in-vain.md). For as long as earlier
+// work takes its turns, what the job will not need once it has started is left
+// to later jobs. The tasks so started count against that share until they end:
+// however many such jobs come, they do not keep the waiting one from starting.
 void PreemptionPlanner::PreemptWithinQuota(Job& job, uint32_t tasks, Time now) {
   QuotaUsage& team = cluster_.quota(job.team());
   TeamUsage usage = UsageOfTeam(job, now);
-  tasks = TasksWithinMaximum(job, tasks, usage.persistent);
+  tasks = TasksWithinMaximum(job, tasks, usage.persistent + team.held);
   if (tasks == 0) return;
   std::sort(usage.victims.begin(), usage.victims.end());
   Resources released = usage.released;
@@ -169,6 +172,8 @@
   }
   // All or nothing: a stop that does not let the job start helps nobody.
   const bool enough = fits();
+  if (!team.holds_for_waiting_jobs())
+    team.released_before_held = usage.released + usage.transient;
   team.held += job.spec().need * tasks;
   if (enough) StopVictims(chosen, job.spec(), now);
 }
@@ -187,6 +192,8 @@
         usage.victims.push_back({CostOf(attempt, now), machine.get(), key});
       } else if (attempt.job->spec().kind == JobKind::kService) {
         usage.persistent += attempt.need;
+      } else if (attempt.holds && !attempt.beside_held_quota) {
+        usage.transient += attempt.need;
       }
     }
   }
--- a/core/scheduler/preemption_planner.h
+++ b/core/scheduler/preemption_planner.h
@@ -37,8 +37,9 @@
 
   // The maximum of the team's quota keeps `tasks` tasks of the job waiting.
   // Stops less important work of the team if that lets the job start, and keeps
-  // the quota from later jobs of the team for the rest of the pass. Does
-  // neither if the job could not start even then.
+  // the quota from later jobs of the team for the rest of the pass, except for
+  // what fits beside this job once it has started. Does neither if the job
+  // could not start even then, or not beside what is held for earlier ones.
   void PreemptWithinQuota(Job& job, uint32_t tasks, Time now);
 
  private:
@@ -55,6 +56,7 @@
   struct TeamUsage {
     Resources released;    // by tasks that are stopping
     Resources persistent;  // of tasks that neither end nor may be stopped
+    Resources transient;   // of other tasks that started before later jobs
     std::vector<Victim> victims;
   };
 
--- a/core/scheduler/scheduler.cc
+++ b/core/scheduler/scheduler.cc
@@ -127,6 +127,7 @@
   const Resources orphaned_tasks = cluster_.OrphanedTasksUpperBound();
   for (QuotaUsage& team : cluster_.quotas()) {
     team.held = {};
+    team.released_before_held = {};
     team.orphaned_tasks = orphaned_tasks;
   }
 }
--- a/core/scheduler/task_starter.cc
+++ b/core/scheduler/task_starter.cc
@@ -27,6 +27,8 @@
   task_attempt.attempt = attempt;
   task_attempt.start_progress = StartProgress::kQueued;
   task_attempt.started = now;
+  task_attempt.beside_held_quota =
+      job.team() >= 0 && cluster_.quota(job.team()).holds_for_waiting_jobs();
 
   machine.idle_since = 0;
   tiers_.Take(machine.zone, spec.need);
