Delegated lease: an unanswered write of its record is found by its lease

Symptom: while no write is answered, a controller's record of its delegated lease is written anew for ever, and it never has the right to renew its zone's workers. Cause: after a write without an answer only the key's mod revision was read, which does not tell a controller's own write from an older one. Mend: the key is attached to the lease that the write was made with, and nobody else writes under that lease: a read that finds it there proves that the write stands. A right granted before that read does not count, as after an answer.

--- a/app/delegated_lease_record_writer.cc
+++ b/app/delegated_lease_record_writer.cc
@@ -61,7 +61,10 @@
 
 net::Task<void> DelegatedLeaseRecordWriter::ReadRecord() {
   const StoreResult read = co_await store_.Get(key_, Urgency::kLease);
-  if (read.ok()) record_.WasRead(read.items[0].mod_revision);
+  if (read.ok()) {
+    const clients::KeyValue& found = read.items[0];
+    record_.WasReadWithLease(found.mod_revision, found.lease, loop_.Refresh());
+  }
   if (read.status == StoreStatus::kNotFound) record_.WasRead(0);
 }
 
--- a/core/lease/delegated_lease_record.cc
+++ b/core/lease/delegated_lease_record.cc
@@ -13,7 +13,7 @@
 constexpr std::array kChanges = {
     std::pair{kRead, kLease},  std::pair{kLease, kWrite},
     std::pair{kWrite, kRenew}, std::pair{kWrite, kRead},
-    std::pair{kRenew, kRead},
+    std::pair{kRenew, kRead},  std::pair{kRead, kRenew},
 };
 
 }  // namespace
@@ -27,6 +27,15 @@
   mod_revision_ = mod_revision;
 }
 
+void DelegatedLeaseRecord::WasReadWithLease(uint64_t mod_revision,
+                                            uint64_t key_lease, Time now) {
+  if (lease_id_ != 0 && key_lease == lease_id_) {
+    Written(now);
+  } else {
+    WasRead(mod_revision);
+  }
+}
+
 void DelegatedLeaseRecord::LeaseGranted(uint64_t lease_id, Time sent) {
   Change(kWrite);
   lease_id_ = lease_id;
@@ -44,6 +53,9 @@
   if (step_ == kRenew) delegated_lease_.Recorded(sent);
 }
 
-void DelegatedLeaseRecord::LeaseEnded() { Change(kRead); }
+void DelegatedLeaseRecord::LeaseEnded() {
+  Change(kRead);
+  lease_id_ = 0;
+}
 
 }  // namespace oxbow
--- a/core/lease/delegated_lease_record.h
+++ b/core/lease/delegated_lease_record.h
@@ -23,7 +23,9 @@
 // and attach the key to a lease that nobody renews: the key would expire while
 // its owner relies on it, and a new leader would treat as expired what the
 // owner renews. With the mod revision as precondition, of two such writes one
-// is refused, and whoever is refused reads again.
+// is refused, and whoever is refused reads again. A write without an answer is
+// known to stand if the key is found attached to the lease it was made with:
+// nobody else writes under that.
 class DelegatedLeaseRecord {
  public:
   explicit DelegatedLeaseRecord(DelegatedLease& lease)
@@ -36,6 +38,8 @@
   uint64_t lease_id() const { return lease_id_; }
 
   void WasRead(uint64_t mod_revision);
+  // As above. `key_lease`: that the key is attached to; 0 for none.
+  void WasReadWithLease(uint64_t mod_revision, uint64_t key_lease, Time now);
   // `sent`: when the lease was asked for; it counts from then.
   void LeaseGranted(uint64_t lease_id, Time sent);
   void Written(Time now);
--- a/tests/delegated_lease_test.cc
+++ b/tests/delegated_lease_test.cc
@@ -132,6 +132,30 @@
   EXPECT_THROW(record.WasRead(41), IllegalTransition);
 }
 
+// Where no write was ever answered, the record was written anew for ever, and
+// its controller never had the right to renew its zone's workers.
+TEST(DelegatedLeaseRecord, AnUnansweredWriteIsFoundByItsLease) {
+  DelegatedLease lease(Deployment().workers);
+  DelegatedLeaseRecord record(lease);
+  record.WasReadWithLease(0, 0, 0);
+  record.LeaseGranted(7, 0);
+  record.NotWritten();
+  record.WasReadWithLease(40, 6, 0.4);  // a former process's, or an older try's
+  EXPECT_EQ(record.step(), RecordStep::kLease);
+  record.LeaseGranted(8, 0.5);
+  record.NotWritten();
+  lease.Granted(0.6);  // not known to be recorded
+  record.WasReadWithLease(41, 8, 0.7);
+  EXPECT_EQ(record.step(), RecordStep::kRenew);
+  EXPECT_FALSE(lease.Renew(0.8));
+  lease.Granted(0.9);
+  EXPECT_TRUE(lease.Renew(1));
+  // A lease that has ended proves nothing any more.
+  record.LeaseEnded();
+  record.WasReadWithLease(42, 8, 1.1);
+  EXPECT_EQ(record.step(), RecordStep::kLease);
+}
+
 TEST(DelegatedLeaseRecord, KeepsBeyondItsRecord) {
   DelegatedLease lease(Deployment().workers);
   DelegatedLeaseRecord record(lease);
