Reproduction: one event of a takeover of 4,000 machines outlasts the right to lead

Counted, before behaviour changes: SchedulingCounters says how many machines the passes of a leadership have considered.

--- a/core/leader/leader.h
+++ b/core/leader/leader.h
@@ -130,6 +130,9 @@
   const Rollout* FindRollout(const std::string& id) const;
   const TierPolicy& tiers() const { return modules_.tiers; }
   const HeartbeatsReceived& heartbeats_received() const;
+  const SchedulingCounters& scheduling() const {
+    return modules_.scheduler.counters();
+  }
   const ClusterState::Jobs& jobs() const { return modules_.cluster.jobs(); }
   const ClusterState::Machines& machines() const;
   // Null unless the operators' settings allow replicas to be moved.
--- a/core/scheduler/gang_scheduler.cc
+++ b/core/scheduler/gang_scheduler.cc
@@ -87,6 +87,9 @@
   if (job.holding() > 0) return;
   if (!Admitted(job, pass)) return;
   const Assignment assignment = ChooseMachines(job, pass);
+  // One that finds no place is counted first, then looks for what to preempt.
+  const size_t searches = std::max<size_t>(assignment.machines.size(), 2);
+  pass.work.Add(searches * pass.usable_machines.size());
   if (assignment.machines.empty()) {
     ReserveByPreemption(job, pass);
   } else {
--- a/core/scheduler/scheduler.cc
+++ b/core/scheduler/scheduler.cc
@@ -99,6 +99,7 @@
   RecordLargeWaiting(queue);
   for (Machine* machine : pass.usable_machines)
     dispatcher_.DispatchCommands(*machine, now);
+  counters_.OnPass(pass.work);
 }
 
 // A job is within its team's guarantee if it fits into it together with the
--- a/core/scheduler/scheduler.h
+++ b/core/scheduler/scheduler.h
@@ -14,6 +14,7 @@
 #include "core/scheduler/preemption_planner.h"
 #include "core/scheduler/reservations.h"
 #include "core/scheduler/scheduling_pass.h"
+#include "core/scheduler/scheduling_work.h"
 #include "core/scheduler/task_scheduler.h"
 #include "core/scheduler/task_starter.h"
 
@@ -50,6 +51,7 @@
   const std::vector<std::string>& large_waiting() const {
     return large_waiting_;
   }
+  const SchedulingCounters& counters() const { return counters_; }
 
  private:
   struct QueuedJob {
@@ -89,6 +91,7 @@
   TaskScheduler task_scheduler_;
   std::vector<std::string> large_waiting_;
   Time next_pass_ = 0;
+  SchedulingCounters counters_;
 };
 
 }  // namespace oxbow
--- a/core/scheduler/scheduling_pass.h
+++ b/core/scheduler/scheduling_pass.h
@@ -7,6 +7,7 @@
 
 #include "core/model/job.h"
 #include "core/model/machine.h"
+#include "core/scheduler/scheduling_work.h"
 
 namespace oxbow {
 
@@ -27,6 +28,7 @@
   // Capacity for a part of a gang has been reserved. Only one gang may have a
   // partial reservation, or gangs could wait for one another for ever.
   bool partial_gang_reserved = false;
+  SchedulingWork work;
 };
 
 }  // namespace oxbow
--- a/core/scheduler/task_scheduler.cc
+++ b/core/scheduler/task_scheduler.cc
@@ -33,9 +33,11 @@
   while (left > 0 && rollout_manager_.StartableTasks(job) > 0 &&
          job.PeekPending() >= 0) {
     if (!Admitted(job, pass)) return;
+    pass.work.Add(pass.usable_machines.size());
     const MachineChoice choice = ChooseMachine(job, spread, pass);
     if (choice.preemption_in_progress) return;
     if (choice.machine == nullptr) {
+      pass.work.Add(pass.usable_machines.size());
       reservations_.ReserveByPreemption(job, pass.usable_machines, pass.now);
       return;
     }
--- a/tests/budget_test.cc
+++ b/tests/budget_test.cc
@@ -31,5 +31,27 @@
   EXPECT_TRUE(budget.Take(Urgency::kLease, 1, 1));  // renewals always pass
 }
 
+TEST(Budget, ReadsByUsersBeyondTheShareDoNotStarveTheLeader) {
+  constexpr double kShare = 180;  // requests a second
+  constexpr double kStepSeconds = 0.001;
+  constexpr int kSteps = 10'000;
+  constexpr int kBurstSteps = 2'000;  // what was saved up is used by then
+  Budget budget(kShare, 1.0);
+  int by_users = 0;
+  int by_leader = 0;
+  for (int step = 0; step < kBurstSteps + kSteps; ++step) {
+    const net::Time now = step * kStepSeconds;
+    const bool user = budget.Take(Urgency::kUser, 1, now);
+    const bool leader = budget.Take(Urgency::kLeader, 1, now);
+    if (step < kBurstSteps) continue;
+    by_users += user ? 1 : 0;
+    by_leader += leader ? 1 : 0;
+  }
+  const double of_share = kShare * kSteps * kStepSeconds;
+  EXPECT_GT(by_leader, 0.1 * of_share);
+  EXPECT_GT(by_users, 0.5 * of_share);
+  EXPECT_LE(by_leader + by_users, of_share + 1);
+}
+
 }  // namespace
 }  // namespace oxbow::clients
