Store requests: a part of a controller's share is the leader's own

Callers saw: questions refused for as long as they were asked, after all faults were over.

Cause: a user's read could take the last request of this controller's share of state.rps, while the leader's writes, the listing of a controller that is out of step and the checks of a suspected loss had to leave 15 % for users. Without a leader that answers, each question is a read, so their number grows with the fleet and the share does not. Reads beyond the share kept the bucket empty, and nothing that would have ended the need for them was sent.

A quarter of the rate now goes to the leader's own tokens first; what these have no room for is everybody's, so users lose nothing while the leader asks for little.

--- a/clients/budget.h
+++ b/clients/budget.h
@@ -1,5 +1,7 @@
 // A token bucket over a share of a service's request rate. The more urgent a
-// request, the more of the bucket it may take.
+// request, the more of the bucket it may take. A part of the rate is the
+// leader's own: what users ask for has no limit, and would otherwise hold up
+// the writes and reads after which they need not ask any more.
 #pragma once
 
 #include <algorithm>
@@ -18,7 +20,9 @@
   // `burst_seconds`: for how long unused requests are saved up.
   Budget(double per_second, double burst_seconds)
       : rate_(per_second),
-        capacity_(per_second * burst_seconds),
+        leader_capacity_(kLeaderShare * per_second * burst_seconds),
+        capacity_(per_second * burst_seconds - leader_capacity_),
+        leader_tokens_(leader_capacity_),
         tokens_(capacity_) {}
 
   // Whether the request may be sent now; takes its tokens if so. An amount
@@ -27,8 +31,11 @@
   // changes is such an amount for a controller whose share of `write_rps` is
   // less.
   bool Take(Urgency urgency, double amount, net::Time now) {
-    tokens_ = std::min(capacity_, tokens_ + (now - refilled_at_) * rate_);
-    refilled_at_ = now;
+    Refill(now);
+    if (urgency == Urgency::kLeader && amount <= leader_tokens_) {
+      leader_tokens_ -= amount;
+      return true;
+    }
     if (urgency != Urgency::kLease && tokens_ < Required(urgency, amount)) {
       return false;
     }
@@ -37,6 +44,18 @@
   }
 
  private:
+  static constexpr double kLeaderShare = 0.25;
+
+  // The leader's own tokens first, up to their share of the rate; what they
+  // have no room for is everybody's.
+  void Refill(net::Time now) {
+    const double refill = (now - refilled_at_) * rate_;
+    refilled_at_ = now;
+    const double for_leader =
+        std::min(kLeaderShare * refill, leader_capacity_ - leader_tokens_);
+    leader_tokens_ += for_leader;
+    tokens_ = std::min(capacity_, tokens_ + refill - for_leader);
+  }
   // The tokens that have to be there: the less urgent a request, the more it
   // has to leave for others.
   double Required(Urgency urgency, double amount) const {
@@ -48,8 +67,10 @@
   }
 
   double rate_;  // tokens a second
-  double capacity_;
-  double tokens_;  // negative while an amount is paid back
+  double leader_capacity_;
+  double capacity_;       // without the leader's own
+  double leader_tokens_;  // for the leader alone
+  double tokens_;         // negative while an amount is paid back
   net::Time refilled_at_ = 0;
 };
 
