Questions that are not answered are counted by reason; the event loop's longest stall

No logs were kept of the incident, and none would have told why a question was answered "try again": overload, a read beyond the share of state.rps, and a store that may have lost data look the same to a user. Each cause is a WithheldReason now. Every controller counts them, times the job that has waited longest, logs both once a heartbeat interval while there is anything to say, and shows them with its longest stall under /v2/leader and in `status`.

--- a/api/api.cc
+++ b/api/api.cc
@@ -59,6 +59,22 @@
   writer.EndArray();
 }
 
+void WriteCounters(json::Writer& writer, const ControllerCounters& counters) {
+  writer.Key("answered");
+  writer.Uint64(counters.answered);
+  writer.Key("withheld");
+  writer.StartObject();
+  for (size_t i = 0; i < kWithheldReasons; ++i) {
+    writer.Key(kWithheldReasonNames.at(i).data());
+    writer.Uint64(counters.withheld.at(i));
+  }
+  writer.EndObject();
+  writer.Key("oldest_withheld_s");
+  writer.Double(counters.oldest_withheld_seconds);
+  writer.Key("longest_stall_s");
+  writer.Double(counters.longest_stall_seconds);
+}
+
 net::HttpResponse Response(int status, std::string body) {
   net::HttpResponse response;
   response.status = status;
@@ -223,6 +239,7 @@
     WriteStrings(writer, "alarms", view.alarms);
     WriteStrings(writer, "waiting", view.waiting);
   }
+  WriteCounters(writer, service_.Counters());
   writer.EndObject();
   return Response(200, json::Text(buffer));
 }
--- a/api/api.h
+++ b/api/api.h
@@ -2,9 +2,11 @@
 // answers the requests is a Service.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +15,7 @@
 #include "api/rollout_routes.h"
 #include "core/leader/leader.h"
 #include "core/model/job.h"
+#include "core/read_consistency/withheld_reason.h"
 #include "net/http.h"
 #include "net/task.h"
 
@@ -25,6 +28,8 @@
   std::string status;    // a word of the protocol
   uint32_t done = 0;     // tasks
   uint32_t running = 0;  // tasks
+  // Set where the presence is unknown and the reason is not just the time.
+  std::optional<WithheldReason> withheld;
 };
 
 // What became of a submission.
@@ -60,6 +65,14 @@
   std::vector<std::string> waiting;  // jobs, and which others they wait for
 };
 
+// What this controller has done since its start, for a person on call.
+struct ControllerCounters {
+  uint64_t answered = 0;  // questions about jobs
+  std::array<uint64_t, kWithheldReasons> withheld{};
+  double oldest_withheld_seconds = 0;
+  double longest_stall_seconds = 0;  // of the event loop
+};
+
 // What answers the requests. Its coroutines may outlive the call that started
 // them; the service must outlive the event loop's run.
 class Service {
@@ -81,6 +94,7 @@
   virtual net::Task<HeartbeatAnswer> OnHeartbeat(Heartbeat heartbeat,
                                                  std::string body) = 0;
   virtual LeaderView CurrentLeader() = 0;
+  virtual ControllerCounters Counters() = 0;
 };
 
 // Routes requests, parses them and renders the answers.
--- a/app/job_request_handler.cc
+++ b/app/job_request_handler.cc
@@ -18,6 +18,9 @@
 // Requests in progress for each connection: one whose user has stopped waiting
 // goes on.
 constexpr size_t kMaxRequestsPerConnection = 4;
+// Between two log lines about questions that were not answered, in heartbeat
+// intervals.
+constexpr double kMetricsLogHeartbeats = 1;
 
 }  // namespace
 
@@ -33,7 +36,9 @@
       canceller_(context_, status_reader_),
       heartbeat_handler_(context_),
       peer_requests_(context_, status_reader_, submitter_, canceller_,
-                     heartbeat_handler_) {}
+                     heartbeat_handler_),
+      metrics_(kMetricsLogHeartbeats *
+               context.settings.workers.heartbeat_interval_seconds) {}
 
 bool JobRequestHandler::IsReady() {
   return context_.watcher.ever_synced() && !context_.watcher.types().empty() &&
@@ -88,7 +93,9 @@
     const clients::PeerMessage answer = co_await context_.forwarder.AskPeers(
         MakeJobMessage(request.relay_kind, std::move(id)),
         request.peer_interval_seconds, left_seconds);
+    const std::optional<WithheldReason> withheld_here = status.withheld;
     status = StatusFromPeer(answer);
+    status.withheld = withheld_here;
   }
   co_return status;
 }
@@ -96,15 +103,45 @@
 net::Task<api::JobStatus> JobRequestHandler::GetStatus(std::string id) {
   ResolvedStatus resolved = status_reader_.Resolve(id, RecordRead::kNone);
   if (resolved.decision != StatusDecision::kReadFirst) {
-    co_return std::move(resolved.status);
+    co_return Counted(id, std::move(resolved.status));
+  }
+  api::JobStatus status = co_await AskForStatus(id);
+  co_return Counted(id, std::move(status));
+}
+
+net::Task<api::JobStatus> JobRequestHandler::AskForStatus(std::string id) {
+  if (!MayStartRequest()) {
+    api::JobStatus refused;
+    refused.withheld = WithheldReason::kTooManyRequests;
+    co_return refused;
   }
-  if (!MayStartRequest()) co_return api::JobStatus{};
   net::Task<api::JobStatus> work =
       AnswerOrForward(kStatusRequest, status_reader_.Read(id), id);
   co_return co_await AnswerWithin(std::move(work),
                                   kStatusRequest.timeout_seconds);
 }
 
+api::JobStatus JobRequestHandler::Counted(const std::string& id,
+                                          api::JobStatus status) {
+  if (status.presence == api::JobStatus::Presence::kUnknown) {
+    metrics_.OnWithheld(id, status.withheld.value_or(WithheldReason::kTimedOut),
+                        context_.loop.Now());
+  } else {
+    metrics_.OnAnswered(id);
+  }
+  return status;
+}
+
+api::ControllerCounters JobRequestHandler::Counters() {
+  api::ControllerCounters counters;
+  counters.answered = metrics_.answered();
+  counters.withheld = metrics_.withheld();
+  counters.oldest_withheld_seconds =
+      metrics_.OldestWithheldSeconds(context_.loop.Now());
+  counters.longest_stall_seconds = context_.loop.longest_stall();
+  return counters;
+}
+
 net::Task<api::JobStatus> JobRequestHandler::Cancel(std::string id) {
   std::optional<api::JobStatus> terminated = status_reader_.TerminalStatus(id);
   if (terminated) co_return *std::move(terminated);
--- a/app/job_request_handler.h
+++ b/app/job_request_handler.h
@@ -20,6 +20,7 @@
 #include "app/job_submitter.h"
 #include "app/peer_request_handler.h"
 #include "app/request_context.h"
+#include "app/status_metrics.h"
 #include "app/worker_heartbeat_handler.h"
 #include "net/loop.h"
 #include "net/task.h"
@@ -43,6 +44,7 @@
   net::Task<api::HeartbeatAnswer> OnHeartbeat(Heartbeat heartbeat,
                                               std::string body) override;
   api::LeaderView CurrentLeader() override;
+  api::ControllerCounters Counters() override;
 
   // What other controllers ask.
   PeerRequestHandler& peer_requests() { return peer_requests_; }
@@ -80,6 +82,10 @@
                                             net::Task<api::JobStatus> local,
                                             std::string id);
 
+  // The status of a job whose status is not known without asking.
+  net::Task<api::JobStatus> AskForStatus(std::string id);
+  api::JobStatus Counted(const std::string& id, api::JobStatus status);
+
   const RequestContext context_;
   JobStatusReader status_reader_;
   JobSubmitter submitter_;
@@ -87,6 +93,7 @@
   WorkerHeartbeatHandler heartbeat_handler_;
   PeerRequestHandler peer_requests_;
   size_t requests_in_progress_ = 0;
+  StatusMetrics metrics_;
 };
 
 }  // namespace oxbow::app
--- a/app/job_status_reader.cc
+++ b/app/job_status_reader.cc
@@ -23,6 +23,17 @@
 // user waits a second.
 constexpr double kMaxLeaderTimeoutSeconds = 0.4;
 
+WithheldReason ReasonOf(const StoreResult& read) {
+  return read.beyond_share ? WithheldReason::kBeyondStoreShare
+                           : WithheldReason::kReadFailed;
+}
+
+api::JobStatus WithheldStatus(WithheldReason reason) {
+  api::JobStatus status;
+  status.withheld = reason;
+  return status;
+}
+
 }  // namespace
 
 PeerMessage MakeJobMessage(PeerKind kind, std::string id) {
@@ -138,6 +149,13 @@
   return Resolve(id, read).status;
 }
 
+api::JobStatus JobStatusReader::Withhold(const std::string& id,
+                                         WithheldReason reason) {
+  api::JobStatus status = StatusAfter(id, RecordRead::kUnclear);
+  if (status.presence == Presence::kUnknown) status.withheld = reason;
+  return status;
+}
+
 net::Task<api::JobStatus> JobStatusReader::Read(std::string id) {
   ResolvedStatus resolved = Resolve(id, RecordRead::kNone);
   if (resolved.decision != StatusDecision::kReadFirst) {
@@ -146,7 +164,7 @@
   // Nobody can be asked: answered at once, so that the user asks another
   // controller.
   if (context_.zone_coordinator.IsIsolated()) {
-    co_return StatusAfter(id, RecordRead::kUnclear);
+    co_return Withhold(id, WithheldReason::kIsolated);
   }
   PeerMessage question = MakeJobMessage(PeerKind::kPoll, id);
   const auto answer = co_await context_.forwarder.AskLeader(
@@ -166,15 +184,17 @@
 
 net::Task<api::JobStatus> JobStatusReader::ReadFresh(
     std::string id, LeaderAnswer leader_answer) {
-  if (!MayWaitForStore()) co_return StatusAfter(id, RecordRead::kUnclear);
+  if (!MayWaitForStore()) {
+    co_return Withhold(id, WithheldReason::kStoreUnreachable);
+  }
   // The records are read in the order in which a job gets them: waiting, live,
   // terminal.
   if (context_.catalog.FindJob(id) == nullptr) {
-    const RecordPresence waiting = co_await ReadWaitingRecord(id);
-    if (waiting == RecordPresence::kUnknown) {
-      co_return StatusAfter(id, RecordRead::kUnclear);
+    const WaitingRead waiting = co_await ReadWaitingRecord(id);
+    if (waiting.presence == RecordPresence::kUnknown) {
+      co_return Withhold(id, waiting.reason);
     }
-    if (waiting == RecordPresence::kPresent) {
+    if (waiting.presence == RecordPresence::kPresent) {
       co_return StatusAfter(id, RecordRead::kLive);
     }
   }
@@ -182,7 +202,7 @@
       co_await context_.store.Get(keys::Of(keys::kJob, id), Urgency::kUser);
   if (live.ok()) co_return StatusOfLiveRecord(id, live.items[0]);
   if (live.status != StoreStatus::kNotFound) {
-    co_return StatusAfter(id, RecordRead::kUnclear);
+    co_return Withhold(id, ReasonOf(live));
   }
   // A job changes from one record to the next in one transaction, so one that
   // is missing in all of them, read in this order, was not accepted when the
@@ -190,20 +210,27 @@
   co_return co_await ReadTerminalRecord(std::move(id), leader_answer);
 }
 
-net::Task<RecordPresence> JobStatusReader::ReadWaitingRecord(std::string id) {
+net::Task<JobStatusReader::WaitingRead> JobStatusReader::ReadWaitingRecord(
+    std::string id) {
   const std::string key = keys::Of(keys::kWaiting, id);
   const StoreResult read = co_await context_.store.Get(key, Urgency::kUser);
-  if (read.status == StoreStatus::kNotFound) co_return RecordPresence::kMissing;
-  if (!read.ok()) co_return RecordPresence::kUnknown;
+  WaitingRead waiting;
+  waiting.reason = ReasonOf(read);
+  if (read.status == StoreStatus::kNotFound) {
+    waiting.presence = RecordPresence::kMissing;
+  }
+  if (!read.ok()) co_return waiting;
   context_.watcher.Apply(key, read.items[0].record, read.items[0].mod_revision);
   context_.leader_runtime.ExecuteActions();
   // Released or terminated since, by what is known here.
   if (context_.catalog.FindWaiting(id) == nullptr) {
-    co_return RecordPresence::kMissing;
+    waiting.presence = RecordPresence::kMissing;
+  } else if (context_.recovery.MayReportLive(read.items[0].mod_revision)) {
+    waiting.presence = RecordPresence::kPresent;
+  } else {
+    waiting.reason = WithheldReason::kStoreUnverified;
   }
-  co_return context_.recovery.MayReportLive(read.items[0].mod_revision)
-      ? RecordPresence::kPresent
-      : RecordPresence::kUnknown;
+  co_return waiting;
 }
 
 api::JobStatus JobStatusReader::StatusOfLiveRecord(
@@ -211,7 +238,7 @@
   context_.watcher.Apply(item.key, item.record, item.mod_revision);
   context_.leader_runtime.ExecuteActions();
   const auto* job = std::get_if<JobRecord>(&item.record);
-  if (job == nullptr) return StatusAfter(id, RecordRead::kUnclear);
+  if (job == nullptr) return Withhold(id, WithheldReason::kReadFailed);
   // A terminal state known here overrides the record.
   if (context_.catalog.FindTerminalState(id) == TerminalState::kNone) {
     RecoveryCoordinator& recovery = context_.recovery;
@@ -219,9 +246,11 @@
       // The watch has passed this revision and seen the record deleted: the
       // store serves an older copy of its data.
       recovery.ReportDataLoss(DataLossIndication::kStepBack);
-      return {};
+      return WithheldStatus(WithheldReason::kStoreUnverified);
+    }
+    if (!recovery.MayReportLive(item.mod_revision)) {
+      return WithheldStatus(WithheldReason::kStoreUnverified);
     }
-    if (!recovery.MayReportLive(item.mod_revision)) return {};
   }
   return StatusAfter(id, RecordRead::kLive);
 }
@@ -238,7 +267,7 @@
   } else if (read.status == StoreStatus::kNotFound) {
     co_return co_await StatusWithoutRecord(std::move(id), leader_answer);
   }
-  co_return StatusAfter(id, RecordRead::kUnclear);
+  co_return Withhold(id, ReasonOf(read));
 }
 
 // A missing record proves nothing once the key-value store may have lost data.
@@ -250,26 +279,29 @@
   RecoveryCoordinator& recovery = context_.recovery;
   ResolvedStatus resolved = Resolve(id, RecordRead::kMissing);
   if (!recovery.IsEnabled() || resolved.decision != StatusDecision::kDenial) {
+    if (resolved.decision == StatusDecision::kNothing) {
+      resolved.status.withheld = WithheldReason::kRecordMissing;
+    }
     co_return std::move(resolved.status);
   }
   if (context_.catalog.Accepted(id) || !recovery.MayDeny()) {
-    co_return api::JobStatus{};
+    co_return WithheldStatus(WithheldReason::kStoreUnverified);
   }
   const StoreCheck check = co_await recovery.CheckEpoch();
   if (check != StoreCheck::kIntact || !recovery.MayDeny()) {
-    co_return api::JobStatus{};
+    co_return WithheldStatus(WithheldReason::kStoreUnverified);
   }
   const Known known = co_await recovery.AskPeersForJob(id);
   if (known == Known::kYes || !recovery.MayDeny()) {
     recovery.ReportDataLoss(DataLossIndication::kRecordMissing,
                             keys::Of(keys::kJob, id));
-    co_return api::JobStatus{};
+    co_return WithheldStatus(WithheldReason::kRecordMissing);
   }
   // After an incomplete recovery the leader may still observe a task of the
   // job, or a controller that retains its record may be unreachable.
   if (recovery.MayBeKnownElsewhere() &&
       (leader_answer != LeaderAnswer::kJobUnknown || known != Known::kNobody)) {
-    co_return api::JobStatus{};
+    co_return WithheldStatus(WithheldReason::kStoreUnverified);
   }
   co_return StatusAfter(id, RecordRead::kMissing);
 }
--- a/app/job_status_reader.h
+++ b/app/job_status_reader.h
@@ -67,9 +67,16 @@
   std::optional<api::JobStatus> TerminalStatusWithoutCounts(
       const std::string& id) const;
   api::JobStatus StatusAfter(const std::string& id, RecordRead read);
+  // The status if it can be told without a reliable read; otherwise none, for
+  // that reason.
+  api::JobStatus Withhold(const std::string& id, WithheldReason reason);
   api::JobStatus StatusOfLiveRecord(const std::string& id,
                                     const clients::KeyValue& item);
-  net::Task<RecordPresence> ReadWaitingRecord(std::string id);
+  struct WaitingRead {
+    RecordPresence presence = RecordPresence::kUnknown;
+    WithheldReason reason = WithheldReason::kReadFailed;  // if unknown
+  };
+  net::Task<WaitingRead> ReadWaitingRecord(std::string id);
   net::Task<api::JobStatus> ReadTerminalRecord(std::string id,
                                                LeaderAnswer leader_answer);
   net::Task<api::JobStatus> StatusWithoutRecord(std::string id,
--- a/app/main.cc
+++ b/app/main.cc
@@ -65,6 +65,22 @@
   return 0;
 }
 
+// What the controller has counted since its start.
+void PrintCounters(const rapidjson::Document& doc) {
+  std::printf("questions answered: %llu, withheld for %.1f s at the longest\n",
+              static_cast<unsigned long long>(json::GetUint(doc, "answered")),
+              json::GetDouble(doc, "oldest_withheld_s"));
+  std::printf("longest stall: %.3f s\n",
+              json::GetDouble(doc, "longest_stall_s"));
+  const auto* withheld = json::Find(doc, "withheld");
+  if (withheld == nullptr || !withheld->IsObject()) return;
+  for (const auto& reason : withheld->GetObject()) {
+    if (!reason.value.IsUint64() || reason.value.GetUint64() == 0) continue;
+    std::printf("withheld, %s: %llu\n", reason.name.GetString(),
+                static_cast<unsigned long long>(reason.value.GetUint64()));
+  }
+}
+
 // Who leads, and what the leader holds back. Not an error when an older
 // controller does not know the question.
 net::Task<void> PrintLeader(net::HttpClient& client) {
@@ -77,6 +93,7 @@
   }
   const std::string leader = json::GetString(doc, "leader");
   std::printf("leader: %s\n", leader.empty() ? "none" : leader.c_str());
+  PrintCounters(doc);
   if (!json::GetBool(doc, "here")) co_return;
   std::printf("machines: %llu recorded, %llu silent\n",
               static_cast<unsigned long long>(json::GetUint(doc, "machines")),
--- a/clients/key_value_store.cc
+++ b/clients/key_value_store.cc
@@ -247,7 +247,11 @@
 
 net::Task<StoreResult> KeyValueStoreClient::Get(std::string key,
                                                 Urgency urgency) {
-  if (!requests_.Take(urgency, 1, loop_.Now())) co_return StoreResult{};
+  if (!requests_.Take(urgency, 1, loop_.Now())) {
+    StoreResult not_sent;
+    not_sent.beyond_share = true;
+    co_return not_sent;
+  }
   Request request{"GET", "/kv/" + key, "", timeout_seconds_};
   Response response = co_await Call(std::move(request));
   StoreResult& result = response.result;
--- a/clients/key_value_store.h
+++ b/clients/key_value_store.h
@@ -45,6 +45,8 @@
   // sent: from a store that has lost data, or from a stale copy. Its status is
   // then kUnknown or kNotExecuted.
   bool stepped_back = false;
+  // Not sent: it is beyond this controller's share of the store's limits.
+  bool beyond_share = false;
 
   bool ok() const { return status == StoreStatus::kOk; }
 };
--- a/net/loop.cc
+++ b/net/loop.cc
@@ -114,6 +114,7 @@
   // is urgent: behind three hundred reports the answer to a renewal came after
   // the lease had run out.
   constexpr int kAtOnce = 16;
+  Time woke_at = Refresh();
   while (!stopped_) {
     Refresh();
     RunTimers();
@@ -127,8 +128,9 @@
       wait_ms =
           static_cast<int>(std::clamp(std::ceil(left * 1000.0), 0.0, 1000.0));
     }
+    longest_stall_ = std::max(longest_stall_, Refresh() - woke_at);
     Collect(wait_ms);
-    Refresh();
+    woke_at = Refresh();
     while (!urgent_.empty()) Resume(urgent_);
     for (int i = 0; i < kAtOnce && !ready_.empty(); ++i) Resume(ready_);
   }
--- a/net/loop.h
+++ b/net/loop.h
@@ -47,6 +47,10 @@
   void Run();
   void Stop() { stopped_ = true; }
 
+  // The longest time that callbacks have taken between two looks at the
+  // sockets.
+  Time longest_stall() const { return longest_stall_; }
+
   // Time at the latest wake-up or call of Refresh(); cheap.
   Time Now() const { return now_; }
   Time Refresh() { return now_ = SteadyNow(); }
@@ -81,6 +85,7 @@
   int epoll_fd_;
   bool stopped_ = false;
   Time now_;
+  Time longest_stall_ = 0;
   TimerMap timers_;
   std::deque<std::function<void()>> posted_;
   // Descriptors with news, in the order of its coming.
