--- a/core/read_consistency/withheld_reason.h
+++ b/core/read_consistency/withheld_reason.h
@@ -10,6 +10,7 @@
 
 namespace oxbow {
 
+// The names below are in the same order.
 enum class WithheldReason : uint8_t {
   kTooManyRequests,   // as many in progress as this controller takes
   kIsolated,          // neither the store nor any controller is reached
