--- a/review/platform.h
+++ b/review/platform.h
@@ -122,6 +122,7 @@
   uint64_t started = 0;
   uint64_t completed = 0;
   uint64_t killed_by_lease = 0;
+  uint64_t failed = 0;  // exits with `error`
 };
 
 // One worker at 127.0.0.1 with a port of its own.
@@ -142,12 +143,15 @@
   std::string endpoint() const { return Local(server_.port()).ToString(); }
   uint64_t tenure() const { return tenure_; }
   size_t present() const;
+  double free_cores() const { return machine_.cores - used_cores_; }
   // The largest report so far, in bytes.
   size_t largest_report() const { return largest_report_; }
   // How often a controller refused a report with this status.
   const std::map<int, int>& statuses() const { return statuses_; }
   // The cloud takes the machine away.
   void Remove();
+  // While it is faulty, every task that starts here fails.
+  void set_faulty(bool faulty) { faulty_ = faulty; }
 
  private:
   struct Leg {
@@ -157,6 +161,7 @@
     double runs_from = 0;
     bool on_machine = false;
     bool exited = false;
+    bool fails = false;
     std::string reason;
   };
 
@@ -195,6 +200,7 @@
   bool changed_ = false;
   bool reporting_ = false;
   bool removed_ = false;
+  bool faulty_ = false;
   size_t largest_report_ = 0;
   std::map<int, int> statuses_;
   std::mt19937 random_;
--- a/review/worker.cc
+++ b/review/worker.cc
@@ -17,6 +17,7 @@
 constexpr double kNextNodePause = 1;    // protocol, "Workers"
 constexpr double kLeastInterval = 0.5;  // protocol, "Workers"
 constexpr double kFetchSeconds = 0.5;
+constexpr double kFailsAfter = 0.3;  // of a faulty machine
 constexpr size_t kAnswerLimit = 1024 * 1024;
 
 }  // namespace
@@ -120,6 +121,13 @@
       EnterMachine(leg);
       changed_ = true;
     }
+    if (leg.on_machine && leg.fails && now >= leg.runs_from + kFailsAfter) {
+      ++account_.failed;
+      record_.Line(fmt::format("{} {}/{} exits with error", machine_.host,
+                               leg.job, leg.task));
+      Exit(leg, "error");
+      continue;
+    }
     const bool is_kept = job.done.contains(leg.task);
     if (!leg.on_machine || job.form == "service" ||
         (!is_kept && now < leg.runs_from + job.run_s)) {
@@ -276,6 +284,7 @@
         loop_.Now() + (images_.contains(it->second.build) ? 0 : kFetchSeconds);
   }
   leg.exited = !leg.reason.empty();
+  leg.fails = faulty_;
   changed_ = true;
   legs_[Key(leg)] = leg;
 }
