Tests: a direct command that was carried out and answered arrives once more

Scenarios use 'repeat HOST start|stop|forget S'. The simulated worker reports a violation when it starts an attempt that it was told to forget.

--- a/tests/scenario/commands.cc
+++ b/tests/scenario/commands.cc
@@ -151,6 +151,16 @@
                  : word == "lost-answer" ? Fate::kLostAnswer
                                          : Fate::kRefusedConnection,
                  late);
+  } else if (verb == "repeat") {
+    // repeat HOST start | stop | forget S: the last answered direct batch with
+    // such a command arrives once more S from now
+    double after = 0;
+    words >> name >> word >> after;
+    sim_.RepeatCommands(name,
+                        word == "start"  ? CommandKind::kStart
+                        : word == "stop" ? CommandKind::kStop
+                                         : CommandKind::kForget,
+                        after);
   } else if (verb == "write") {
     // write late [S] | again S | lost: the leader's next transaction is
     // carried out S later without an answer, once more S later, or unanswered
--- a/tests/scenario/expectations.cc
+++ b/tests/scenario/expectations.cc
@@ -98,6 +98,10 @@
     actual = sim_.CountUp();
   } else if (what == "starts") {
     actual = sim_.starts();
+  } else if (what == "repeats-executed") {  // batches that came once more
+    actual = sim_.repeats_executed();
+  } else if (what == "repeats-refused") {
+    actual = sim_.repeats_refused();
   } else if (what == "deletions") {
     actual = sim_.deletions();
   } else if (what == "starts-on-deaf") {
--- a/tests/scenario/faults.cc
+++ b/tests/scenario/faults.cc
@@ -44,6 +44,8 @@
     worker.faulty = false;
   else if (word == "faulty")
     worker.faulty = true;
+  else if (word == "refuses-starts" || word == "accepts-starts")
+    worker.refuses_starts = word == "refuses-starts";
   else if (word == "notice") {
     double seconds = 0;
     words >> seconds;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -49,8 +49,9 @@
       5.25;               // then, until its next heartbeat comes to the leader
   double copy_after = 0;  // each heartbeat comes again so much later; 0: none
   bool faulty = false;    // every task errs
-  bool kept = false;      // another controller answers, without commands
-  std::string by_way;     // its heartbeats come by way of that controller
+  bool refuses_starts = false;  // every start is refused for want of capacity
+  bool kept = false;            // another controller answers, without commands
+  std::string by_way;           // its heartbeats come by way of that controller
   std::optional<double> notice;
   uint64_t incarnation = 1;
   uint64_t seq = 0;
@@ -66,6 +67,7 @@
   Time reachable_from = 0;  // by a controller that can be asked
   std::set<std::string> images;
   std::map<std::string, SimTask> tasks;  // by "job/task#attempt"
+  std::set<std::string> forgotten;  // attempts of this incarnation, likewise
 
   bool Hangs(Time now) const { return hung || now < hangs_until; }
   // Alive, with every message to and from it getting through.
@@ -142,6 +144,15 @@
   double longest_seconds = 12;
 };
 
+// Direct commands that were carried out and answered, and that arrive at the
+// worker once more.
+struct RepeatedCommands {
+  std::mt19937_64 random;
+  double share = 0;  // of the answered commands, and of their copies
+  double least_seconds = 2;
+  double longest_seconds = 0;
+};
+
 // Faults of users and of heartbeats, drawn from a seed.
 struct Troubles {
   std::mt19937_64 random;
@@ -172,6 +183,7 @@
   bool delegated = false;
   std::optional<RandomFaults> faults;
   std::optional<LateWrites> late_writes;
+  std::optional<RepeatedCommands> repeated_commands;
   Troubles troubles;
   Fate next_write = Fate::kNormal;
   double next_write_late_seconds = 30;  // if its fate is kLate
@@ -182,6 +194,12 @@
                  const std::string& zone, bool spot);
   SimWorker& worker(const std::string& host) { return workers_.at(host); }
   void SetFate(const std::string& host, Fate fate, double late_seconds);
+  // The last answered direct batch with a command of that kind arrives at the
+  // worker once more, so many seconds from now.
+  void RepeatCommands(const std::string& host, CommandKind kind, double after);
+  // Repeated batches that the worker carried out, and those that it refused.
+  int repeats_executed() const { return repeats_executed_; }
+  int repeats_refused() const { return repeats_refused_; }
   // Starts a leader; the one before is gone.
   void Lead() { Lead(leading_); }
   void Lead(const std::string& name);
@@ -346,6 +364,12 @@
   void ExecuteActions();
   void DeliverCommands(const SendCommands& commands);
   void DeliverCommandsWithFaults(const SendCommands& commands);
+  // Carries out the commands if the worker still accepts their token and
+  // incarnation, and returns whether it does.
+  bool ExecuteDirect(SimWorker& worker, const SendCommands& commands);
+  // The leader receives the response to commands that were carried out.
+  void OnCommandsAnswered(const SendCommands& commands);
+  void DeliverAgain(const SendCommands& commands, double after);
   void SendHeartbeatWithFaults(SimWorker& worker);
   void AcceptReply(SimWorker& worker, const HeartbeatResponse& reply,
                    uint64_t incarnation, Time sent);
@@ -441,6 +465,8 @@
   Time fit_at_ = 100;
   std::map<std::string, SimWorker> workers_;
   std::map<std::string, std::pair<Fate, double>> fates_;
+  // The last answered direct batch with a command of that kind, by host.
+  std::map<std::pair<std::string, CommandKind>, SendCommands> answered_;
   std::map<std::string, std::vector<std::string>> scaled_out_hosts_;
   std::map<std::string, StoredJob> jobs_;
   std::map<std::string, std::set<uint32_t>> completed_;
@@ -459,6 +485,8 @@
   int transactions_ = 0;
   Time capacity_recorded_at_ = 0;
   int late_writes_tried_ = 0;
+  int repeats_executed_ = 0;
+  int repeats_refused_ = 0;
   std::vector<std::string> late_changes_;  // keys
   int deletions_ = 0;
   int leadership_transfers_ = 0;
--- a/tests/simulation/network.cc
+++ b/tests/simulation/network.cc
@@ -189,6 +189,47 @@
   });
 }
 
+bool Sim::ExecuteDirect(SimWorker& worker, const SendCommands& commands) {
+  if (commands.token < worker.token ||
+      commands.incarnation != worker.incarnation) {
+    return false;
+  }
+  worker.token = commands.token;
+  Execute(worker, commands.commands);
+  return true;
+}
+
+void Sim::OnCommandsAnswered(const SendCommands& commands) {
+  for (const WorkerCommand& command : commands.commands) {
+    answered_[{commands.host, command.kind}] = commands;
+  }
+  if (!repeated_commands || commands.commands.empty()) return;
+  RepeatedCommands& repeated = *repeated_commands;
+  std::bernoulli_distribution happens(repeated.share);
+  std::uniform_real_distribution<double> after(repeated.least_seconds,
+                                               repeated.longest_seconds);
+  while (happens(repeated.random)) {
+    DeliverAgain(commands, after(repeated.random));
+  }
+}
+
+void Sim::RepeatCommands(const std::string& host, CommandKind kind,
+                         double after) {
+  DeliverAgain(answered_.at({host, kind}), after);
+}
+
+void Sim::DeliverAgain(const SendCommands& commands, double after) {
+  After(after, [this, commands] {
+    OnWorker(commands.host, [this, commands](SimWorker& worker) {
+      if (ExecuteDirect(worker, commands)) {
+        ++repeats_executed_;
+      } else {
+        ++repeats_refused_;
+      }
+    });
+  });
+}
+
 void Sim::DeliverCommandsWithFaults(const SendCommands& commands) {
   constexpr double kTimeout = 1.5;
   const uint64_t revision = leader_->revision();
@@ -216,14 +257,11 @@
   if (cut || !there) return;
   After(*there, [this, commands, answer, back] {
     OnWorker(commands.host, [this, commands, answer, back](SimWorker& worker) {
-      const bool good = commands.token >= worker.token &&
-                        commands.incarnation == worker.incarnation;
-      if (good) {
-        worker.token = commands.token;
-        Execute(worker, commands.commands);
-      }
+      const bool good = ExecuteDirect(worker, commands);
       if (!back) return;
-      After(*back, [answer, good, heartbeat = HeartbeatOf(worker)] {
+      After(*back, [this, commands, answer, good,
+                    heartbeat = HeartbeatOf(worker)] {
+        if (good) OnCommandsAnswered(commands);
         answer(good ? CommandOutcome::kExecuted : CommandOutcome::kRefused,
                heartbeat);
       });
@@ -251,13 +289,7 @@
         it->second.commands_cut || !LeaderNode().Sends(commands.host)) {
       return {};
     }
-    SimWorker& worker = it->second;
-    if (commands.token < worker.token ||
-        commands.incarnation != worker.incarnation)
-      return false;
-    worker.token = commands.token;
-    Execute(worker, commands.commands);
-    return true;
+    return ExecuteDirect(it->second, commands);
   };
   const auto it = workers_.find(commands.host);
   const bool silent = it == workers_.end() || it->second.dead ||
@@ -279,6 +311,7 @@
     const std::optional<bool> done = execute();
     if (!done) return answer(CommandOutcome::kUnknown, nullptr);
     const Heartbeat heartbeat = HeartbeatOf(workers_.at(commands.host));
+    if (*done) OnCommandsAnswered(commands);
     answer(*done ? CommandOutcome::kExecuted : CommandOutcome::kRefused,
            &heartbeat);
   });
--- a/tests/simulation/workers.cc
+++ b/tests/simulation/workers.cc
@@ -93,6 +93,7 @@
   // its lease has expired.
   if (now_ - worker.lease_from > settings.workers.lease_seconds) {
     worker.tasks.clear();
+    worker.forgotten.clear();
     ++worker.incarnation;
     worker.lease_from = now_;
   }
@@ -250,6 +251,7 @@
         if (it != worker.tasks.end() &&
             it->second.phase == TaskPhase::kExited) {
           worker.tasks.erase(it);
+          worker.forgotten.insert(name);
         }
         break;
     }
@@ -266,12 +268,21 @@
   task.attempt = command.attempt;
   const MachineType& type = types.at(worker.type);
   Resources used = spec.need;
-  for (const auto& [name, other] : worker.tasks) {
+  for (const auto& [other_name, other] : worker.tasks) {
     if (other.phase != TaskPhase::kExited) {
       used += jobs_.at(other.job).spec.need;
     }
   }
-  if (!used.FitsIn(type.total)) {
+  const std::string name =
+      AttemptName(command.job_id, command.task, command.attempt);
+  if (worker.forgotten.contains(name)) {
+    RecordViolation("started again after it was forgotten: " + name + " on " +
+                    worker.host);
+  }
+  if (worker.refuses_starts) {
+    task.phase = TaskPhase::kExited;
+    task.reason = ExitReason::kNoCapacity;
+  } else if (!used.FitsIn(type.total)) {
     task.phase = TaskPhase::kExited;
     task.reason = ExitReason::kNoCapacity;
     RecordViolation("refused: " + command.job_id + " does not fit on " +
@@ -319,8 +330,7 @@
                       worker.zone);
     }
   }
-  worker.tasks[AttemptName(command.job_id, command.task, command.attempt)] =
-      task;
+  worker.tasks[name] = task;
 }
 
 int Sim::CountRunning(const std::string& job) const {
