Command dispatch: exits are forgotten under a token above that of the start

A start command that had been carried out and answered arrived once more, after its attempt's exit was cleared.

Cause: a repeated start is harmless only while the worker remembers the attempt. The forget command ended that memory under the same fencing token, so a copy of the start still matched token and incarnation. QueueForget took an acknowledged batch for one that cannot arrive again.

Why it works: StartFence notes for each attempt the highest token under which its start may have been sent directly. Before a batch with forget commands leaves, directly or in a response, the machine's token is raised if one of them needs it. The worker takes the token from the message that makes it forget, so there is no moment in which it has forgotten the attempt and still accepts the start's token. Exits need not wait for a confirmation, one raise serves all forget commands of a batch, and the raise uses a number that was already issued in the term where one is high enough, so the numbers of a term last as long as before under load. Machines stay usable for new work meanwhile: only tokens that must be confirmed (lost batches, delivery checks) count for that.

For people on call: each direct batch and its outcome at debug; refused batches, two attempts of a task and, as an error, an attempt that its leader knows as ended, with counters in status; the first token in 'leadership begins'. The last counter is fatal in the simulations.

--- a/api/api.cc
+++ b/api/api.cc
@@ -64,6 +64,23 @@
   writer.Uint64(count);
 }
 
+void WriteCommandCounters(json::Writer& writer,
+                          const CommandCounters& counters) {
+  writer.Key("commands");
+  writer.StartObject();
+  writer.Key("tokens_raised");
+  writer.StartObject();
+  for (size_t i = 0; i < kTokenRaiseReasons; ++i) {
+    WriteCount(writer, kTokenRaiseReasonNames.at(i),
+               counters.tokens_raised.at(i));
+  }
+  writer.EndObject();
+  WriteCount(writer, "batches_refused", counters.batches_refused);
+  WriteCount(writer, "unexpected_attempts", counters.unexpected_attempts);
+  WriteCount(writer, "duplicate_attempts", counters.duplicate_attempts);
+  writer.EndObject();
+}
+
 void WriteCounters(json::Writer& writer, const ControllerCounters& counters) {
   WriteCount(writer, "answered", counters.answered);
   writer.Key("withheld");
@@ -270,6 +287,7 @@
     writer.Key("silent");
     writer.Int(view.silent);
     WriteCount(writer, "expired_leases", view.expired_leases);
+    WriteCommandCounters(writer, view.commands);
     WriteStrings(writer, "alarms", view.alarms);
     WriteStrings(writer, "waiting", view.waiting);
   }
--- a/api/api.h
+++ b/api/api.h
@@ -16,6 +16,7 @@
 #include "api/record_routes.h"
 #include "api/rollout_routes.h"
 #include "core/leader/leader.h"
+#include "core/leader_context/command_counters.h"
 #include "core/model/job.h"
 #include "core/read_consistency/withheld_reason.h"
 #include "net/http.h"
@@ -67,6 +68,7 @@
   int silent = 0;      // machines that send no heartbeats
   // Counts only workers that sent a heartbeat again later in this leadership.
   uint64_t expired_leases = 0;
+  CommandCounters commands;
   std::vector<std::string> alarms;
   std::vector<std::string> waiting;  // jobs and the jobs that they depend on
 };
--- a/app/job_request_handler.cc
+++ b/app/job_request_handler.cc
@@ -185,6 +185,7 @@
   view.machines = leader->heartbeats_received().recorded;
   view.silent = leader->heartbeats_received().silent;
   view.expired_leases = leader->expired_leases();
+  view.commands = leader->command_counters();
   view.alarms = leader->Alarms();
   view.waiting = leader->DescribeWaitingJobs();
   return view;
--- a/app/main.cc
+++ b/app/main.cc
@@ -91,6 +91,25 @@
   }
 }
 
+// Prints the leader's counters about commands to workers; nothing if it is of a
+// version that has none.
+void PrintCommandCounters(const rapidjson::Value& doc) {
+  const auto* commands = json::Find(doc, "commands");
+  if (commands == nullptr || !commands->IsObject()) return;
+  const auto print = [](const rapidjson::Value& counts, const char* prefix) {
+    for (const auto& count : counts.GetObject()) {
+      if (!count.value.IsUint64()) continue;
+      std::printf("%s%s: %llu\n", prefix, count.name.GetString(),
+                  static_cast<unsigned long long>(count.value.GetUint64()));
+    }
+  };
+  print(*commands, "commands, ");
+  const auto* raised = json::Find(*commands, "tokens_raised");
+  if (raised != nullptr && raised->IsObject()) {
+    print(*raised, "fencing tokens raised, ");
+  }
+}
+
 // Prints which controller leads and, if the controller that was asked is the
 // leader, its alarms and what it delays. Prints nothing if there is no valid
 // answer, because a controller of an older version does not have this path.
@@ -112,6 +131,7 @@
   std::printf(
       "leases expired of workers that were alive: %llu\n",
       static_cast<unsigned long long>(json::GetUint(doc, "expired_leases")));
+  PrintCommandCounters(doc);
   const auto print = [&doc](const char* field, const char* prefix) {
     const auto* lines = json::Find(doc, field);
     if (lines == nullptr || !lines->IsArray()) return;
--- a/core/command_dispatch/command_dispatcher.cc
+++ b/core/command_dispatch/command_dispatcher.cc
@@ -1,8 +1,10 @@
 #include "core/command_dispatch/command_dispatcher.h"
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 #include "core/maintenance/maintenance_manager.h"
@@ -22,6 +24,20 @@
   return it == machine.task_attempts.end() ? nullptr : &it->second;
 }
 
+std::string_view NameOf(CommandOutcome outcome) {
+  switch (outcome) {
+    case CommandOutcome::kExecuted:
+      return "executed";
+    case CommandOutcome::kRefused:
+      return "refused";
+    case CommandOutcome::kNotSent:
+      return "not_sent";
+    case CommandOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 CommandDispatcher::CommandDispatcher(LeaderContext& context,
@@ -30,7 +46,9 @@
       settings_(context.settings),
       cluster_(context.cluster),
       actions_(context.actions),
-      maintenance_(modules.maintenance) {}
+      maintenance_(modules.maintenance),
+      start_fence_(context),
+      refusals_log_(context.settings.workers.heartbeat_interval_seconds) {}
 
 void CommandDispatcher::QueueStop(Machine& machine, TaskAttempt& attempt,
                                   double grace_seconds, Time now) {
@@ -49,9 +67,9 @@
 }
 
 void CommandDispatcher::QueueForget(Machine& machine, TaskAttempt& attempt) {
-  // A start command for this attempt that is still in flight would be executed
-  // again once the worker has forgotten the attempt. So the batch with that
-  // command must be acknowledged first.
+  // A start command for this attempt whose outcome is unknown would be executed
+  // once the worker has forgotten the attempt. So that batch must be settled
+  // first. StartFence guards against copies of an acknowledged one.
   if (attempt.forgetting || attempt.phase != TaskPhase::kExited) return;
   if (!machine.confirmed() || machine.batch_lost)
     return;  // MachineLifecycle::TickMachine tries again.
@@ -95,9 +113,10 @@
   machine.batch_lost = false;
 }
 
-void CommandDispatcher::RaiseFencingToken(Machine& machine) {
-  const FencingToken next = context_.NextToken();
-  if (next > machine.token) machine.token = next;
+void CommandDispatcher::RaiseFencingToken(Machine& machine,
+                                          TokenRaiseReason reason) {
+  RaiseToken(context_, machine, reason);
+  machine.token_to_confirm = machine.token;
 }
 
 bool CommandDispatcher::MayDispatch(const Machine& machine, Time now) const {
@@ -130,15 +149,35 @@
 
 void CommandDispatcher::DispatchCommands(Machine& machine, Time now) {
   if (!MayDispatch(machine, now) || !HasDirectCommands(machine)) return;
+  if (!start_fence_.RaiseForQueuedForgets(machine)) return;
   Batch batch{next_batch_++, TakeDirectCommands(machine),
               /*in_response=*/false};
   machine.reachability.OnCommandsSent(machine.token);
   actions_.push_back(SendCommands{machine.host(), machine.endpoint, batch.id,
                                   machine.token, machine.incarnation.number(),
                                   batch.commands});
+  LogBatchSent(machine, batch);
   machine.batch = std::move(batch);
 }
 
+void CommandDispatcher::LogBatchSent(const Machine& machine,
+                                     const Batch& batch) {
+  context_.LogDetail([&] {
+    std::array<size_t, 3> counts{};  // by kind
+    for (const WorkerCommand& command : batch.commands) {
+      ++counts.at(static_cast<size_t>(command.kind));
+    }
+    return LogEvent{"commands sent",
+                    {{"host", machine.host()},
+                     {"batch", batch.id},
+                     {"incarnation", machine.incarnation.number()},
+                     {"token", machine.token},
+                     {"starts", counts[0]},
+                     {"stops", counts[1]},
+                     {"forgets", counts[2]}}};
+  });
+}
+
 std::vector<WorkerCommand> CommandDispatcher::TakeDirectCommands(
     Machine& machine) {
   const bool some_wait_for_response = maintenance_.HasWindowedStart(machine);
@@ -156,6 +195,7 @@
       TaskAttempt* attempt = FindAttempt(machine, command);
       if (attempt == nullptr) continue;
       attempt->start_progress = StartProgress::kSent;
+      StartFence::OnDirectStart(machine, *attempt);
     }
     commands.push_back(std::move(command));
   }
@@ -187,6 +227,7 @@
       machine.batch || !machine.confirmed() || machine.queue.empty()) {
     return;
   }
+  if (!start_fence_.RaiseForQueuedForgets(machine)) return;
   Batch batch{next_batch_++, {}, /*in_response=*/true};
   batch.commands.assign(machine.queue.begin(), machine.queue.end());
   machine.queue.clear();
@@ -199,8 +240,16 @@
   machine.batch = std::move(batch);
 }
 
-void CommandDispatcher::OnCommandResponse(Machine& machine, uint64_t batch,
-                                          CommandOutcome outcome, Time now) {
+void CommandDispatcher::OnCommandResponse(
+    Machine& machine, uint64_t batch, CommandOutcome outcome,
+    std::optional<FencingToken> shown_token, Time now) {
+  context_.LogDetail([&] {
+    return LogEvent{"commands answered",
+                    {{"host", machine.host()},
+                     {"batch", batch},
+                     {"outcome", NameOf(outcome)},
+                     {"shown_token", shown_token.value_or(0)}}};
+  });
   if (!machine.batch || machine.batch->id != batch || machine.batch_lost) {
     return;  // The outcome of this batch has been settled by other means.
   }
@@ -210,7 +259,7 @@
       AcknowledgeBatch(machine);
       break;
     case CommandOutcome::kRefused:
-      OnBatchRefused(machine);
+      OnBatchRefused(machine, shown_token, now);
       break;
     case CommandOutcome::kNotSent:
       OnBatchNotSent(machine, now);
@@ -221,7 +270,19 @@
   }
 }
 
-void CommandDispatcher::OnBatchRefused(Machine& machine) {
+void CommandDispatcher::OnBatchRefused(Machine& machine,
+                                       std::optional<FencingToken> shown_token,
+                                       Time now) {
+  ++context_.counters.batches_refused;
+  if (const auto suppressed = refusals_log_.Admit(now)) {
+    context_.Log("commands refused by a worker",
+                 {{"host", machine.host()},
+                  {"batch", machine.batch->id},
+                  {"token", machine.token},
+                  {"shown_token", shown_token.value_or(0)},
+                  {"incarnation", machine.incarnation.number()},
+                  {"suppressed", *suppressed}});
+  }
   const std::vector<WorkerCommand> commands = machine.batch->commands;
   machine.direct_failures = 0;
   AcknowledgeBatch(machine);
@@ -250,9 +311,9 @@
   machine.batch_lost = true;
   OnDirectCommandFailed(machine, now);
   AllowRequeue(machine, machine.batch->commands);
-  RaiseFencingToken(machine);
+  RaiseFencingToken(machine, TokenRaiseReason::kCommandsUnanswered);
   context_.Log("commands unanswered, fencing token raised",
-               {{"host", machine.host()}});
+               {{"host", machine.host()}, {"token", machine.token}});
 }
 
 void CommandDispatcher::AllowRequeue(
--- a/core/command_dispatch/command_dispatcher.h
+++ b/core/command_dispatch/command_dispatcher.h
@@ -7,9 +7,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
+#include "core/command_dispatch/start_fence.h"
 #include "core/leader_context/leader_context.h"
+#include "core/leader_context/log_limiter.h"
 
 namespace oxbow {
 
@@ -47,15 +50,18 @@
   // still be executed.
   void DispatchCommands(Machine& machine, Time now);
   // Handles the outcome of a batch that was sent to the worker's address.
-  // `batch` is its id.
+  // `batch` is its id, `shown_token` the token in the worker's response if it
+  // has sent one.
   void OnCommandResponse(Machine& machine, uint64_t batch,
-                         CommandOutcome outcome, Time now);
+                         CommandOutcome outcome,
+                         std::optional<FencingToken> shown_token, Time now);
   // The worker has shown the effects of the batch in flight, so the next one
   // may be sent. The machine must have a batch in flight.
   void AcknowledgeBatch(Machine& machine);
-  // Gives the machine a new, higher fencing token. Once the worker has seen it,
-  // the worker refuses all commands that carry a lower one.
-  void RaiseFencingToken(Machine& machine);
+  // Gives the machine a higher fencing token that the worker has to confirm.
+  // Once the worker has seen it, the worker refuses all commands that carry a
+  // lower one.
+  void RaiseFencingToken(Machine& machine, TokenRaiseReason reason);
 
   // Says whose heartbeat is being answered at the moment; null: none. Starts
   // that may only be sent in a heartbeat response then wait for this response.
@@ -76,9 +82,11 @@
   std::vector<WorkerCommand> TakeDirectCommands(Machine& machine);
   // Delays the next batch to the worker's address, longer with each failure.
   void OnDirectCommandFailed(Machine& machine, Time now);
-  void OnBatchRefused(Machine& machine);
+  void OnBatchRefused(Machine& machine, std::optional<FencingToken> shown_token,
+                      Time now);
   void OnBatchNotSent(Machine& machine, Time now);
   void OnBatchOutcomeUnknown(Machine& machine, Time now);
+  void LogBatchSent(const Machine& machine, const Batch& batch);
   // Lets the stop and forget commands of a batch that may have had no effect be
   // queued again.
   void AllowRequeue(Machine& machine,
@@ -89,6 +97,8 @@
   ClusterState& cluster_;
   std::vector<Action>& actions_;
   MaintenanceManager& maintenance_;
+  StartFence start_fence_;
+  LogLimiter refusals_log_;
   uint64_t next_batch_ = 1;
   const Machine* responding_to_ = nullptr;  // its heartbeat is being answered
 };
--- a/core/leader/leader.cc
+++ b/core/leader/leader.cc
@@ -91,6 +91,7 @@
   modules_.context.Log(
       "leadership begins",
       {{"revision", modules_.context.revision},
+       {"first_token", FirstFencingToken(modules_.context.term)},
        {"jobs", modules_.cluster.jobs().size()},
        {"machines", modules_.cluster.machines().size()},
        {"open_scale_outs", modules_.autoscaler.open_scale_outs()}});
@@ -114,7 +115,10 @@
                                const Heartbeat* heartbeat, Time now) {
   Machine* machine = modules_.cluster.FindMachine(host);
   if (machine == nullptr) return;
-  modules_.dispatcher.OnCommandResponse(*machine, batch, outcome, now);
+  const std::optional<FencingToken> shown_token =
+      heartbeat == nullptr ? std::nullopt : std::optional(heartbeat->token);
+  modules_.dispatcher.OnCommandResponse(*machine, batch, outcome, shown_token,
+                                        now);
   if (heartbeat != nullptr) {
     modules_.worker_sessions.ApplyHeartbeat(
         *machine, *heartbeat, HeartbeatChannel::kWorkerResponse, now);
--- a/core/leader/leader.h
+++ b/core/leader/leader.h
@@ -162,6 +162,9 @@
   uint64_t expired_leases() const {
     return modules_.worker_sessions.expired_leases();
   }
+  const CommandCounters& command_counters() const {
+    return modules_.context.counters;
+  }
   const SchedulingCounters& scheduling() const {
     return modules_.scheduler.counters();
   }
--- a/core/leader_context/leader_context.h
+++ b/core/leader_context/leader_context.h
@@ -14,6 +14,7 @@
 #include "core/catalog/catalog.h"
 #include "core/cluster_state/cluster_state.h"
 #include "core/leader_context/actions.h"
+#include "core/leader_context/command_counters.h"
 #include "core/leader_context/run_time_estimates.h"
 #include "core/lease/fencing_token_source.h"
 #include "core/model/settings.h"
@@ -55,10 +56,11 @@
   std::function<void(Time now)> schedule_if_needed;
 
   FencingTokenSource token_source;
+  CommandCounters counters;
   // Whether this leadership is over. If so, nothing may be started or sent any
   // more.
   bool resigned = false;
-  // Whether log events with LogEvent::detail are logged.
+  // Whether debug events are logged.
   bool log_detail = false;
 
   // The next fencing token, which also serves as an attempt number. Returns 0,
@@ -83,9 +85,14 @@
   void LogDetail(const Event& event) {
     if (!log_detail) return;
     LogEvent detail{event()};
-    detail.detail = true;
+    detail.level = LogLevel::kDebug;
     actions.push_back(std::move(detail));
   }
+  // Logs a violated invariant.
+  void LogError(std::string message, LogFields fields) {
+    actions.push_back(
+        LogEvent{std::move(message), std::move(fields), LogLevel::kError});
+  }
 };
 
 }  // namespace oxbow
--- a/core/lease/fencing_token_source.h
+++ b/core/lease/fencing_token_source.h
@@ -25,8 +25,10 @@
   return token >> kSequenceBits;
 }
 
-// Issues the numbers of one term in ascending order. A number serves as a
-// fencing token or as the number of a task attempt, never as both.
+// Issues the numbers of one term in ascending order. A number is issued once,
+// as a fencing token or as the number of a task attempt. An issued number may
+// serve as the token of further machines: a worker compares only the tokens
+// that it has been sent itself.
 class FencingTokenSource {
  public:
   explicit FencingTokenSource(uint64_t term)
@@ -39,6 +41,8 @@
     if (next_ >= end_) return std::nullopt;
     return next_++;
   }
+  // The number issued last, or the lowest of the term if none has been.
+  FencingToken Latest() const { return next_ - 1; }
 
  private:
   FencingToken next_;
--- a/core/model/log_event.h
+++ b/core/model/log_event.h
@@ -3,6 +3,7 @@
 // them.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -30,11 +31,18 @@
 
 using LogFields = std::vector<LogField>;
 
+// How severe an event of the core is.
+enum class LogLevel : uint8_t {
+  kDebug,  // frequent, and useful only for debugging
+  kInfo,
+  kError,  // an invariant is violated
+};
+
 // One line of the log.
 struct LogEvent {
   std::string message;  // constant text; variable parts go into `fields`
   LogFields fields = {};
-  bool detail = false;  // frequent event that is useful only for debugging
+  LogLevel level = LogLevel::kInfo;
 };
 
 // The text of the event, such as
--- a/core/model/machine.cc
+++ b/core/model/machine.cc
@@ -24,6 +24,7 @@
       spot(record.spot),
       endpoint(record.endpoint),
       token(initial_token),
+      token_to_confirm(initial_token),
       host_(std::move(host)),
       index_(index),
       state_(record.endpoint.empty() ? kBooting : kUp) {}
--- a/core/model/machine.h
+++ b/core/model/machine.h
@@ -101,6 +101,9 @@
   double stop_grace = 0;  // time to save its state before it is killed, s
   Time stop_sent = 0;
   bool forgetting = false;  // the worker is told to stop reporting its exit
+  // The highest token under which this leader may have sent the start command
+  // to the worker's address; 0 if it has not.
+  FencingToken start_token = 0;
 };
 
 // Identifies an attempt among those on its machine.
@@ -154,9 +157,9 @@
   Resources free() const { return total() - used; }
   // Free capacity for a job of this priority, less what is reserved for others.
   Resources CapacityFor(const Job* job, Priority priority) const;
-  // Whether the worker has shown the current token. Then it no longer executes
-  // commands with an older one, from this leader or another.
-  bool confirmed() const { return seen_fencing_token >= token; }
+  // Whether the worker has shown the token that it has to confirm. Then it no
+  // longer executes commands with an older one, from this leader or another.
+  bool confirmed() const { return seen_fencing_token >= token_to_confirm; }
 
   // Images. An image is queued from the time when the start of a task that
   // needs it is sent until it is known to be in the worker's cache.
@@ -184,8 +187,14 @@
   // and LivenessMonitor.
   WorkerIncarnation incarnation;
   Reachability reachability;
-  uint64_t seq = 0;                     // number of the latest message
-  FencingToken token;                   // the one this leader uses for it
+  uint64_t seq = 0;    // number of the latest message
+  FencingToken token;  // the one this leader uses for it
+  // The token from which on no command of unknown outcome can be executed, at
+  // most `token`.
+  FencingToken token_to_confirm;
+  // The highest token under which this leader has sent a start command to the
+  // worker's address; 0 if it has not.
+  FencingToken last_start_token = 0;
   FencingToken seen_fencing_token = 0;  // the highest the worker has shown
   Time last_heard = -1e9;               // when the last message arrived
   // When the last heartbeat arrived; only heartbeats renew the worker's lease.
--- a/core/worker_sessions/task_attempt_tracker.cc
+++ b/core/worker_sessions/task_attempt_tracker.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/command_dispatch/command_dispatcher.h"
+#include "core/command_dispatch/start_fence.h"
 #include "core/job_lifecycle/job_lifecycle.h"
 #include "core/reconciliation/reconciler.h"
 #include "core/worker_sessions/machine_lifecycle.h"
@@ -74,7 +75,9 @@
       dispatcher_(modules.dispatcher),
       job_lifecycle_(modules.job_lifecycle),
       reconciler_(modules.reconciler),
-      machine_lifecycle_(modules.machine_lifecycle) {}
+      machine_lifecycle_(modules.machine_lifecycle),
+      unexpected_log_(context.settings.workers.heartbeat_interval_seconds),
+      duplicates_log_(context.settings.workers.heartbeat_interval_seconds) {}
 
 void TaskAttemptTracker::ApplyTaskStatuses(Machine& machine,
                                            const Heartbeat& heartbeat,
@@ -115,6 +118,7 @@
   attempt.last_seq = machine.seq;
   attempt.phase = TaskPhase::kFetching;
   attempt.started = now;
+  StartFence::OnAdopted(machine, attempt);
   Job* job = cluster_.FindJob(status.job_id);
   if (job != nullptr && status.task < job->size()) {
     attempt.job = job;
@@ -125,9 +129,54 @@
   }
   TaskAttempt& added =
       cluster_.AddAttempt(machine, std::move(attempt), present);
+  if (present) {
+    ReportUnexpected(machine, added, now);
+    ReportDuplicate(machine, added, now);
+  }
   UpdateAttempt(machine, added, status, now);
 }
 
+// A leader knows each attempt that it has numbered until the attempt has ended
+// and the worker has forgotten it.
+void TaskAttemptTracker::ReportUnexpected(const Machine& machine,
+                                          const TaskAttempt& attempt,
+                                          Time now) {
+  if (TermOfToken(attempt.attempt) != context_.term) return;
+  ++context_.counters.unexpected_attempts;
+  const std::optional<uint64_t> suppressed = unexpected_log_.Admit(now);
+  if (!suppressed) return;
+  context_.LogError("a worker shows an attempt that has ended",
+                    {{"host", machine.host()},
+                     {"job", attempt.job_id},
+                     {"task", attempt.task},
+                     {"attempt", attempt.attempt},
+                     {"token", machine.token},
+                     {"suppressed", *suppressed}});
+}
+
+void TaskAttemptTracker::ReportDuplicate(const Machine& machine,
+                                         const TaskAttempt& attempt, Time now) {
+  if (attempt.job == nullptr || ClusterState::IsCurrent(machine, attempt)) {
+    return;
+  }
+  const TaskSlot& slot = attempt.job->task(attempt.task);
+  if (slot.machine < 0 || slot.machine == machine.index() ||
+      slot.state == TaskState::kPending || slot.state == TaskState::kDone) {
+    return;
+  }
+  ++context_.counters.duplicate_attempts;
+  const std::optional<uint64_t> suppressed = duplicates_log_.Admit(now);
+  if (!suppressed) return;
+  context_.Log("two attempts of a task are shown",
+               {{"job", attempt.job_id},
+                {"task", attempt.task},
+                {"host", machine.host()},
+                {"attempt", attempt.attempt},
+                {"current_host", cluster_.machine(slot.machine).host()},
+                {"current_attempt", slot.attempt},
+                {"suppressed", *suppressed}});
+}
+
 void TaskAttemptTracker::UpdateAttempt(Machine& machine, TaskAttempt& attempt,
                                        const TaskStatus& status, Time now) {
   attempt.start_progress = StartProgress::kSettled;
--- a/core/worker_sessions/task_attempt_tracker.h
+++ b/core/worker_sessions/task_attempt_tracker.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/leader_context/leader_context.h"
+#include "core/leader_context/log_limiter.h"
 
 namespace oxbow {
 
@@ -37,6 +38,12 @@
   // started it, or a command that this leader no longer expected to be
   // executed.
   void AdoptRunningTask(Machine& machine, const TaskStatus& status, Time now);
+  // Counts and logs an added attempt that this leader has numbered itself.
+  void ReportUnexpected(const Machine& machine, const TaskAttempt& attempt,
+                        Time now);
+  // Counts and logs an added attempt whose task is present on another machine.
+  void ReportDuplicate(const Machine& machine, const TaskAttempt& attempt,
+                       Time now);
   void UpdateAttempt(Machine& machine, TaskAttempt& attempt,
                      const TaskStatus& status, Time now);
   void UpdatePhase(Machine& machine, TaskAttempt& attempt, TaskPhase phase,
@@ -74,6 +81,8 @@
   JobLifecycle& job_lifecycle_;
   Reconciler& reconciler_;
   MachineLifecycle& machine_lifecycle_;
+  LogLimiter unexpected_log_;
+  LogLimiter duplicates_log_;
 };
 
 }  // namespace oxbow
--- a/core/worker_sessions/worker_sessions.cc
+++ b/core/worker_sessions/worker_sessions.cc
@@ -156,7 +156,7 @@
     machine.forwarded = heartbeat.forwarded;
   }
   if (machine.reachability.NeedsDeliveryCheck(now)) {
-    dispatcher_.RaiseFencingToken(machine);
+    dispatcher_.RaiseFencingToken(machine, TokenRaiseReason::kDeliveryCheck);
     machine.reachability.OnDeliveryCheckSent(machine.token);
   }
   HeartbeatResponse response;
--- a/logging/structured_log.cc
+++ b/logging/structured_log.cc
@@ -11,6 +11,18 @@
   if (spdlog::should_log(level)) spdlog::log(level, "{}", Render(event));
 }
 
+spdlog::level::level_enum LevelOf(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return spdlog::level::debug;
+    case LogLevel::kInfo:
+      return spdlog::level::info;
+    case LogLevel::kError:
+      return spdlog::level::err;
+  }
+  return spdlog::level::err;
+}
+
 }  // namespace
 
 void Error(std::string message, LogFields fields) {
@@ -29,9 +41,7 @@
   WriteAt(spdlog::level::debug, {std::move(message), std::move(fields)});
 }
 
-void Write(const LogEvent& event) {
-  WriteAt(event.detail ? spdlog::level::debug : spdlog::level::info, event);
-}
+void Write(const LogEvent& event) { WriteAt(LevelOf(event.level), event); }
 
 bool DebugEnabled() { return spdlog::should_log(spdlog::level::debug); }
 
--- a/logging/structured_log.h
+++ b/logging/structured_log.h
@@ -16,7 +16,7 @@
 void Info(std::string message, LogFields fields = {});
 void Debug(std::string message, LogFields fields = {});
 
-// Logs an event of the core, at level info, or at debug if it is a detail.
+// Logs an event of the core at its level.
 void Write(const LogEvent& event);
 
 // Whether debug lines are written.
--- a/tests/combined_faults_test.cc
+++ b/tests/combined_faults_test.cc
@@ -54,9 +54,14 @@
                                     "state out",
                                     "zone cut"};
 
+// Whether direct commands that were answered also arrive once more.
+enum class CommandFate : uint8_t { kArrivesOnce, kMayArriveAgain };
+
 class CombinedFaults {
  public:
-  explicit CombinedFaults(uint64_t seed) : random_(seed) {
+  explicit CombinedFaults(uint64_t seed,
+                          CommandFate commands = CommandFate::kArrivesOnce)
+      : random_(seed) {
     constexpr int kAll = static_cast<int>(Fault::kLast) + 1;
     first_ = static_cast<Fault>(seed % kAll);
     second_ = static_cast<Fault>(IntBetween(0, kAll - 1));
@@ -91,6 +96,13 @@
       if (Has(Fault::kLateWrites)) sim_.late_writes->unanswered = 0.25;
       if (Has(Fault::kAnswersOfWritesLost)) sim_.late_writes->answer_lost = 0.3;
     }
+    if (commands == CommandFate::kMayArriveAgain) {
+      sim_.repeated_commands.emplace();
+      sim_.repeated_commands->random.seed(seed ^ 0x8cb92ba72f3d8dd7);
+      sim_.repeated_commands->share = 0.4;
+      sim_.repeated_commands->longest_seconds =
+          2.5 * sim_.settings.workers.lease_seconds;
+    }
     sim_.Lead("a");
   }
 
@@ -203,6 +215,7 @@
   void EndAllFaults() {
     sim_.state_down = false;
     sim_.late_writes.reset();
+    sim_.repeated_commands.reset();
     sim_.troubles = Troubles();
     sim_.controller("b").refused = false;
     for (auto& [host, w] : sim_.workers()) {
@@ -300,14 +313,14 @@
                          });
 
 // OXBOW_SEEDS is the number of seeds to run, and OXBOW_SEED is the first.
-TEST(CombinedFaults, EveryPairComesRightAgain) {
+void PlayPairs(const std::string& trail, CommandFate commands) {
   const int seeds = FromEnvironment("OXBOW_SEEDS", 16);
   const int first = FromEnvironment("OXBOW_SEED", 0);
   int starts = 0;
   for (int i = 0; i < seeds; ++i) {
     const auto seed = static_cast<uint64_t>(first + i);
-    const TrailedRun trailed("combined-faults", seed);
-    CombinedFaults run(seed);
+    const TrailedRun trailed(trail, seed);
+    CombinedFaults run(seed, commands);
     ASSERT_EQ(run.Play(), "")
         << "seed " << first + i << ", after " << i << " others";
     starts += run.starts();
@@ -316,5 +329,13 @@
   EXPECT_GT(starts, 20 * seeds);
 }
 
+TEST(CombinedFaults, EveryPairComesRightAgain) {
+  PlayPairs("combined-faults", CommandFate::kArrivesOnce);
+}
+
+TEST(CombinedFaults, EveryPairComesRightAgainWithRepeatedCommands) {
+  PlayPairs("combined-faults-repeated-commands", CommandFate::kMayArriveAgain);
+}
+
 }  // namespace
 }  // namespace oxbow::test
--- a/tests/random_simulation_test.cc
+++ b/tests/random_simulation_test.cc
@@ -25,6 +25,8 @@
 constexpr double kMaxUnfitSeconds = 9;
 // The longest delay of a duplicated heartbeat, in seconds.
 constexpr double kLatestCopySeconds = 80;
+// The longest delay of a repeated command, in worker leases.
+constexpr double kLatestRepeatLeases = 2.5;
 // The longest time in seconds that the tasks of a dead machine count as running
 // after its death, the start of the leader's term and the last new report of
 // it: 4 s, a lease, and the stall of a leader.
@@ -34,7 +36,16 @@
 // simulations. kOutages: the key-value store is unavailable for up to twice the
 // time limit of a cancellation, often with the end of the leader; the other
 // controllers answer the workers meanwhile, without commands.
-enum class Kind { kPlain, kDeaf, kCopies, kLateWrites, kOutages };
+// kRepeatedCommands: direct commands that were carried out and answered arrive
+// once more.
+enum class Kind {
+  kPlain,
+  kDeaf,
+  kCopies,
+  kLateWrites,
+  kOutages,
+  kRepeatedCommands
+};
 
 class RandomRun {
  public:
@@ -83,6 +94,13 @@
       sim_.late_writes->unanswered = Between(0.05, 0.5);
       sim_.late_writes->copied = Between(0.0, 0.3);
     }
+    if (kind_ == Kind::kRepeatedCommands) {
+      sim_.repeated_commands.emplace();
+      sim_.repeated_commands->random.seed(seed ^ 0x8cb92ba72f3d8dd7);
+      sim_.repeated_commands->share = Between(0.1, 0.6);
+      sim_.repeated_commands->longest_seconds =
+          kLatestRepeatLeases * sim_.settings.workers.lease_seconds;
+    }
     for (const std::string& name : names_) {
       sim_.AddController(name);
       // A controller inside a zone may keep the zone's workers alive when the
@@ -125,6 +143,7 @@
   int starts() const { return sim_.starts(); }
   int leadership_transfers() const { return sim_.leadership_transfers(); }
   int late_writes_tried() const { return sim_.late_writes_tried(); }
+  int repeats_refused() const { return sim_.repeats_refused(); }
 
  private:
   struct WorkerFaults;
@@ -314,6 +333,8 @@
       return "random-late-writes";
     case Kind::kOutages:
       return "random-outages";
+    case Kind::kRepeatedCommands:
+      return "random-repeated-commands";
   }
   return "random";
 }
@@ -346,12 +367,14 @@
 class DeafSimulations : public testing::TestWithParam<int> {};
 class OutageSimulations : public testing::TestWithParam<int> {};
 class CopySimulations : public testing::TestWithParam<int> {};
+class RepeatedCommandSimulations : public testing::TestWithParam<int> {};
 class LateWriteSimulations : public testing::TestWithParam<int> {};
 
 void PlayAll(Kind kind, int part, int seeds) {
   const char* only = std::getenv("OXBOW_SEED");
   int starts = 0;
   int late_writes = 0;
+  int repeats_refused = 0;
   for (int i = 0; i < seeds; ++i) {
     const auto seed = static_cast<uint64_t>(part + kParts * i);
     if (only != nullptr && std::to_string(seed) != only) continue;
@@ -361,11 +384,15 @@
     ASSERT_EQ(wrong, "") << "seed " << seed << ", after " << i << " others";
     starts += day.starts();
     late_writes += day.late_writes_tried();
+    repeats_refused += day.repeats_refused();
   }
   EXPECT_GT(starts, seeds);
   if (kind == Kind::kLateWrites) {
     EXPECT_GT(late_writes, seeds);
   }
+  if (kind == Kind::kRepeatedCommands) {
+    EXPECT_GT(repeats_refused, seeds);
+  }
 }
 
 TEST_P(DeafSimulations, AnswersAreLostWhileReportsArrive) {
@@ -380,6 +407,12 @@
   PlayAll(Kind::kOutages, GetParam(), SeedsFromEnvironment(40));
 }
 
+TEST_P(RepeatedCommandSimulations, NoStartIsCarriedOutAfterItWasForgotten) {
+  PlayAll(Kind::kRepeatedCommands, GetParam(), SeedsFromEnvironment(40));
+}
+
+INSTANTIATE_TEST_SUITE_P(Parts, RepeatedCommandSimulations,
+                         testing::Range(0, kParts));
 INSTANTIATE_TEST_SUITE_P(Parts, OutageSimulations, testing::Range(0, kParts));
 
 TEST_P(LateWriteSimulations, TransactionsAreCarriedOutLateOrTwice) {
--- a/tests/simulation/rules.cc
+++ b/tests/simulation/rules.cc
@@ -86,6 +86,9 @@
 
 void Sim::CheckRules() {
   CheckOrphanedTasks();
+  if (leader_ && leader_->command_counters().unexpected_attempts > 0) {
+    RecordViolation("a worker shows an attempt that its leader knows as ended");
+  }
   std::map<std::string, Resources> teams;
   for (const auto& [host, worker] : workers_) {
     if (worker.dead) continue;
