Command dispatch: a forget command in a lost response is repeated

What callers saw: a machine whose direct commands do not get through is told in a heartbeat response to forget an exit; if that response is lost, the exit stays listed for the rest of the leadership, and the idle machine is never returned.

Cause: the next heartbeat acknowledges the batch of a response whether the response arrived or not. Starts and stops are checked against what the worker shows, forget commands were not: the attempt stayed marked as being forgotten, and QueueForget then does nothing.

Why it works: acknowledging a batch takes the mark off its forget commands. An exit that was forgotten is not listed any more and goes away with the same message; one that is still listed is forgotten again by the next review.

--- a/core/command_dispatch/command_dispatcher.cc
+++ b/core/command_dispatch/command_dispatcher.cc
@@ -105,9 +105,14 @@
 
 void CommandDispatcher::AcknowledgeBatch(Machine& machine) {
   for (const WorkerCommand& command : machine.batch->commands) {
-    if (command.kind != CommandKind::kStart) continue;
     TaskAttempt* attempt = FindAttempt(machine, command);
-    if (attempt != nullptr) attempt->start_progress = StartProgress::kSettled;
+    if (attempt == nullptr) continue;
+    if (command.kind == CommandKind::kStart) {
+      attempt->start_progress = StartProgress::kSettled;
+    }
+    // An exit that the worker still lists was not forgotten: the response with
+    // the command was lost.
+    if (command.kind == CommandKind::kForget) attempt->forgetting = false;
   }
   machine.batch.reset();
   machine.batch_lost = false;
