Tests: real controllers whose workers get answered commands once more

The stand-in worker keeps the calls that it has answered and can deliver them again, in any order; it counts starts of attempts that it was told to forget.

--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -141,6 +141,16 @@
   bool dead() const { return dead_; }
   // Behind a cut: nothing it says or is told gets through; it lives on.
   void Cut(bool cut) { cut_ = cut; }
+  // Its next starts fail, so many of them.
+  void FailStarts(int count) { starts_to_fail_ = count; }
+  // The answered calls with commands arrive once more, in the given order of
+  // their numbers; those whose token and session match are carried out.
+  void RepeatCalls(const std::vector<size_t>& numbers);
+  size_t answered_calls() const { return answered_calls_.size(); }
+  // Repeated calls that were refused, and starts of attempts that the worker
+  // was told to forget.
+  int repeats_refused() const { return repeats_refused_; }
+  int started_again() const { return started_again_; }
   // Its reports no longer get to that controller; commands still come.
   void Avoid(std::string controller) { avoided_ = std::move(controller); }
   int sessions_lost() const { return static_cast<int>(session_) - 1; }
@@ -166,12 +176,16 @@
     bool exited = false;
     double running_from = 0;
     bool done = false;  // how it exited
+    bool failed = false;
   };
 
   net::Task<void> UntilOpen();
   net::Task<void> Live();
   net::Task<bool> Report();
   net::Task<net::HttpResponse> Handle(net::HttpRequest request);
+  // Carries out the commands if the worker accepts their token and session.
+  bool ExecuteCall(const std::string& body);
+  void Start(const std::string& leg, uint64_t attempt);
   net::Task<net::HttpResponse> Health(net::HttpRequest request);
   std::string Message();
   void CompleteTasks(double now);
@@ -191,6 +205,11 @@
   net::HttpServer health_;
   std::map<std::string, Instance> instances_;
   std::map<std::string, std::set<uint32_t>> completed_;  // tasks by job
+  std::vector<std::string> answered_calls_;              // bodies
+  std::set<std::string> forgotten_;  // attempts of this session
+  int starts_to_fail_ = 0;
+  int repeats_refused_ = 0;
+  int started_again_ = 0;
   uint64_t session_ = 1;
   uint64_t seq_ = 0;
   uint64_t token_ = 0;
--- a/tests/stand_ins/worker.cc
+++ b/tests/stand_ins/worker.cc
@@ -61,6 +61,7 @@
     const double now = loop_.Now();
     if (now - lease_from_ > timing_.lease_seconds) {
       instances_.clear();
+      forgotten_.clear();
       ++session_;
       lease_from_ = now;
     }
@@ -131,6 +132,7 @@
     legs += fmt::format(R"({{"leg":"{}/{}","try_no":{},"status":"{}"{}}})",
                         i.job, i.task, i.attempt, status,
                         i.done     ? R"(,"exit_reason":"done")"
+                        : i.failed ? R"(,"exit_reason":"error")"
                         : i.exited ? R"(,"exit_reason":"halted")"
                                    : "");
   }
@@ -153,19 +155,49 @@
     const auto it = instances_.find(key);
     changed_ = true;
     if (kind == "run" && it == instances_.end()) {
-      const size_t slash = leg.rfind('/');
-      instances_[key] = {
-          leg.substr(0, slash),
-          static_cast<uint32_t>(std::stoul(leg.substr(slash + 1))), attempt,
-          false, loop_.Now() + 0.05};
+      started_again_ += static_cast<int>(forgotten_.count(key));
+      Start(leg, attempt);
     } else if (kind == "kill" && it != instances_.end()) {
       it->second.exited = true;
     } else if (kind == "clear" && it != instances_.end() && it->second.exited) {
       instances_.erase(it);
+      forgotten_.insert(key);
     }
   }
 }
 
+void FakeWorker::Start(const std::string& leg, uint64_t attempt) {
+  const size_t slash = leg.rfind('/');
+  Instance instance;
+  instance.job = leg.substr(0, slash);
+  instance.task = static_cast<uint32_t>(std::stoul(leg.substr(slash + 1)));
+  instance.attempt = attempt;
+  instance.running_from = loop_.Now() + 0.05;
+  if (starts_to_fail_ > 0) {
+    --starts_to_fail_;
+    instance.exited = instance.failed = true;
+  }
+  instances_[fmt::format("{}#{}", leg, attempt)] = instance;
+}
+
+bool FakeWorker::ExecuteCall(const std::string& body) {
+  rapidjson::Document doc;
+  doc.Parse(body.c_str());
+  const uint64_t token = json::GetUint(doc, "fence");
+  if (token < token_ || json::GetUint(doc, "tenure") != session_) return false;
+  if (token > token_) changed_ = true;
+  token_ = token;
+  Execute(body);
+  return true;
+}
+
+void FakeWorker::RepeatCalls(const std::vector<size_t>& numbers) {
+  if (dead_ || cut_) return;
+  for (const size_t number : numbers) {
+    if (!ExecuteCall(answered_calls_.at(number))) ++repeats_refused_;
+  }
+}
+
 Task<HttpResponse> FakeWorker::Handle(HttpRequest request) {
   HttpResponse response;
   if (dead_) {
@@ -175,15 +207,10 @@
   // What was on its way is delivered late.
   co_await UntilOpen();
   if (request.path() == "/do") {
-    rapidjson::Document doc;
-    doc.Parse(request.body.c_str());
-    const uint64_t token = json::GetUint(doc, "fence");
-    if (token < token_ || json::GetUint(doc, "tenure") != session_) {
-      response.status = 409;
+    if (ExecuteCall(request.body)) {
+      answered_calls_.push_back(request.body);
     } else {
-      if (token > token_) changed_ = true;
-      token_ = token;
-      Execute(request.body);
+      response.status = 409;
     }
   }
   response.body = Message();
