Worker leases: a module of their own

core/worker_sessions/worker_sessions.cc had grown to 437 lines that served two purposes: applying heartbeats, and deciding when a lease has expired. The second is WorkerLeases now, with the delegated leases and the expired-lease count; the leader calls it directly in its ticks.

--- a/core/leader/leader.cc
+++ b/core/leader/leader.cc
@@ -273,13 +273,13 @@
 
 void Leader::Tick(Time now, bool by_lease) {
   modules_.liveness.CountSilentMachines(now);
-  modules_.worker_sessions.BeginTick();
+  modules_.worker_leases.BeginTick();
   for (const auto& machine : modules_.cluster.machines()) {
     if (machine->state() == MachineState::kDeleted) continue;
-    if (by_lease) modules_.worker_sessions.ExpireIfLeaseEnded(*machine, now);
+    if (by_lease) modules_.worker_leases.ExpireIfLeaseEnded(*machine, now);
     modules_.machine_lifecycle.TickMachine(*machine, now);
   }
-  modules_.worker_sessions.EndTick(now);
+  modules_.worker_leases.EndTick(now);
   modules_.liveness.StartSurveys(now);
   modules_.autoscaler.TickRequests(now);
   modules_.rollout_manager.TickRollouts(now);
@@ -395,21 +395,20 @@
 bool Leader::OnDelegationRequested(const std::string& peer,
                                    const std::string& process_incarnation,
                                    double age, Time now) {
-  return modules_.worker_sessions.OnDelegationRequested(
-      peer, process_incarnation, age, now);
+  return modules_.worker_leases.OnDelegationRequested(peer, process_incarnation,
+                                                      age, now);
 }
 
 void Leader::OnLeaseYielded(const std::string& peer,
                             const std::string& process_incarnation, double age,
                             double renewed_ago, Time sent, Time now) {
-  modules_.worker_sessions.delegated_leases().LeaseYielded(
+  modules_.worker_leases.delegated_leases().LeaseYielded(
       peer, process_incarnation, age, renewed_ago, sent, now);
 }
 
 void Leader::OnDelegatesRead(const std::set<std::string>& recorded, Time sent,
                              Time now) {
-  modules_.worker_sessions.delegated_leases().OnRecordsRead(recorded, sent,
-                                                            now);
+  modules_.worker_leases.delegated_leases().OnRecordsRead(recorded, sent, now);
 }
 
 bool Leader::Cancel(const std::string& id, Time now) {
@@ -426,7 +425,7 @@
 }
 
 bool Leader::ZoneMayBeDelegated(const std::string& zone, Time now) const {
-  return modules_.worker_sessions.ZoneMayBeDelegated(zone, now);
+  return modules_.worker_leases.ZoneMayBeDelegated(zone, now);
 }
 
 std::optional<AdmissionDecision> Leader::CalendarAdmission(
--- a/core/leader/leader.h
+++ b/core/leader/leader.h
@@ -160,7 +160,7 @@
   const HeartbeatsReceived& heartbeats_received() const;
   // The number of expired leases whose workers sent a heartbeat afterwards.
   uint64_t expired_leases() const {
-    return modules_.worker_sessions.expired_leases();
+    return modules_.worker_leases.expired_leases();
   }
   const CommandCounters& command_counters() const {
     return modules_.context.counters;
--- a/core/leader/leader_modules.cc
+++ b/core/leader/leader_modules.cc
@@ -70,10 +70,9 @@
       reconciler(context, {dependencies, job_lifecycle}),
       machine_lifecycle(
           context, {machine_health, dispatcher, rollout_manager, reconciler}),
-      worker_sessions(context,
-                      {dispatcher, job_lifecycle, maintenance, reconciler,
-                       machine_lifecycle},
-                      delegates),
+      worker_leases(context, {machine_lifecycle}, delegates),
+      worker_sessions(context, {dispatcher, job_lifecycle, maintenance,
+                                reconciler, machine_lifecycle, worker_leases}),
       rebalancing(context, {machine_health, dispatcher, rollout_manager}),
       autoscaler(context, {machine_health, dependencies, rollout_manager,
                            maintenance, tier_manager, machine_lifecycle}),
--- a/core/leader/leader_modules.h
+++ b/core/leader/leader_modules.h
@@ -26,6 +26,7 @@
 #include "core/store_writes/write_queue.h"
 #include "core/worker_sessions/machine_health.h"
 #include "core/worker_sessions/machine_lifecycle.h"
+#include "core/worker_sessions/worker_leases.h"
 #include "core/worker_sessions/worker_sessions.h"
 
 namespace oxbow {
@@ -65,6 +66,7 @@
   TierManager tier_manager;
   Reconciler reconciler;
   MachineLifecycle machine_lifecycle;
+  WorkerLeases worker_leases;
   WorkerSessions worker_sessions;
   RebalancingManager rebalancing;
   Autoscaler autoscaler;
--- a/core/worker_sessions/worker_sessions.cc
+++ b/core/worker_sessions/worker_sessions.cc
@@ -11,12 +11,11 @@
 #include "core/worker_sessions/machine_lifecycle.h"
 #include "core/worker_sessions/machine_limits.h"
 #include "core/worker_sessions/machine_record_operations.h"
+#include "core/worker_sessions/worker_leases.h"
 
 namespace oxbow {
 
-WorkerSessions::WorkerSessions(
-    LeaderContext& context, const Modules& modules,
-    const std::optional<std::set<std::string>>& delegates)
+WorkerSessions::WorkerSessions(LeaderContext& context, const Modules& modules)
     : context_(context),
       settings_(context.settings),
       catalog_(context.catalog),
@@ -26,11 +25,10 @@
       dispatcher_(modules.dispatcher),
       maintenance_(modules.maintenance),
       machine_lifecycle_(modules.machine_lifecycle),
+      leases_(modules.leases),
       task_attempts_(context, {modules.dispatcher, modules.job_lifecycle,
-                               modules.reconciler, modules.machine_lifecycle}),
-      delegated_leases_(context.settings, context.started, delegates) {}
-
-// --- heartbeats
+                               modules.reconciler, modules.machine_lifecycle}) {
+}
 
 Machine& WorkerSessions::AddUnexpectedMachine(const Heartbeat& heartbeat,
                                               Time now) {
@@ -94,7 +92,7 @@
   return heartbeat.seq > machine.seq &&
          !machine.reachability.IsStaleHeartbeat(
              heartbeat.token, settings_.workers.lease_seconds,
-             delegated_leases_.MayBeRenewed(machine.zone, now), now);
+             leases_.MayBeRenewedByDelegate(machine, now), now);
 }
 
 // Whether the worker may still be waiting for the answer to this heartbeat. If
@@ -129,7 +127,7 @@
     return refusal;
   }
   Machine& machine = MachineForHeartbeat(heartbeat, now);
-  if (MustLetLeaseExpire(machine, heartbeat.token, now)) {
+  if (leases_.MustLetExpire(machine, heartbeat.token, now)) {
     ApplyHeartbeat(machine, heartbeat, HeartbeatChannel::kWorkerResponse, now);
     HeartbeatResponse withheld;
     withheld.withheld = true;
@@ -169,7 +167,7 @@
          .sent_token = machine.token,
          .shown_token = heartbeat.token,
          .may_be_renewed_by_delegate =
-             delegated_leases_.MayBeRenewed(machine.zone, now)},
+             leases_.MayBeRenewedByDelegate(machine, now)},
         settings_.workers.lease_seconds, now);
   }
   return response;
@@ -246,7 +244,7 @@
                                                 heartbeat.incarnation, now);
   if (!begun) return;
   if (known_before) {
-    ++expired_leases_;
+    leases_.CountExpired();
     machine.reachability.OnIncarnationEnded(settings_.workers, now);
   }
   machine_lifecycle_.MarkTasksLost(machine,
@@ -315,123 +313,4 @@
   machine.notice_until = std::min(*machine.notice_until, until);
 }
 
-// --- lease expiry
-
-// Whether to leave the machine's heartbeats unanswered so that its worker's
-// lease expires. This is the case when no response and no command of this
-// leader has had an effect there for a whole lease. Once the lease that was
-// renewed last has expired, all tasks and commands of earlier leaders are void
-// there, whatever the worker reports. If such machines were answered instead,
-// every job from before the failover, and every job of a team with a quota,
-// would wait for them forever.
-bool WorkerSessions::MustLetLeaseExpire(const Machine& machine,
-                                        FencingToken shown, Time now) const {
-  const FencingToken highest_shown =
-      std::max(machine.seen_fencing_token, shown);
-  return machine.recorded_up && !machine.reported &&
-         machine.first_answer >= context_.started &&
-         TermOfToken(highest_shown) < context_.term &&
-         now > TasksMayLiveUntil(machine.first_answer,
-                                 settings_.workers.lease_seconds) +
-                   kHeartbeatTimeoutSeconds;
-}
-
-bool WorkerSessions::LeaseExpired(const Machine& machine, Time now) const {
-  return MustLetLeaseExpire(machine, machine.seen_fencing_token, now) &&
-         !delegated_leases_.MayBeRenewed(machine.zone, now) &&
-         now > TasksMayLiveUntil(machine.last_answer,
-                                 settings_.workers.lease_seconds);
-}
-
-bool WorkerSessions::IncarnationExpired(const Machine& machine, Time now) {
-  const double lease = settings_.workers.lease_seconds;
-  const Time expires_at = machine.incarnation.MayLiveUntil(lease);
-  // The delegates are asked to yield a little before the lease ends, so that
-  // the expiry need not wait for their answers.
-  const double early = 2 * LeaseYieldSeconds(settings_.workers);
-  if (now <= expires_at - early) return false;
-  const std::vector<std::string> asked =
-      delegated_leases_.PeersToAskToYield(machine.zone, now);
-  if (!asked.empty()) actions_.push_back(RequestLeaseYield{asked});
-  return now > expires_at && !delegated_leases_.MayBeRenewed(machine.zone, now);
-}
-
-void WorkerSessions::Expire(Machine& machine, Time now) {
-  machine.incarnation.Change(IncarnationEvent::kExpire, 0, now);
-  machine_lifecycle_.MarkTasksLost(machine,
-                                   "lease expired, no heartbeat answered");
-  machine.reported = true;  // The machine's tasks are known now: none is left.
-  machine.idle_since = now;
-  cluster_.MarkChanged();
-}
-
-void WorkerSessions::BeginTick() { delegates_may_have_renewed_ = false; }
-
-void WorkerSessions::ExpireIfLeaseEnded(Machine& machine, Time now) {
-  const bool may_have_tasks = !machine.task_attempts.empty() || machine.batch ||
-                              (machine.recorded_up && !machine.reported);
-  if (!may_have_tasks ||
-      machine.incarnation.state() == IncarnationState::kExpired) {
-    return;
-  }
-  const double silent_seconds =
-      now - std::max(machine.last_heard, context_.started);
-  delegates_may_have_renewed_ =
-      delegates_may_have_renewed_ || silent_seconds > context_.timeouts.suspect;
-  if (IncarnationExpired(machine, now)) {
-    Expire(machine, now);
-  } else if (LeaseExpired(machine, now)) {
-    context_.Log("lease expired on a machine that receives no responses",
-                 {{"host", machine.host()}});
-    machine_lifecycle_.MarkTasksLost(machine,
-                                     "lease expired, no response received");
-    machine.reported = true;
-  }
-}
-
-void WorkerSessions::EndTick(Time now) {
-  if (!delegates_may_have_renewed_ || now < next_delegates_read_) return;
-  next_delegates_read_ = now + LeaseYieldSeconds(settings_.workers);
-  actions_.push_back(ReadDelegates{});
-}
-
-// --- delegated leases
-
-bool WorkerSessions::ZoneMayBeDelegated(const std::string& zone,
-                                        Time now) const {
-  for (const auto& machine : cluster_.machines()) {
-    // A machine that has not reported to this leader may have any tasks.
-    if (machine->zone == zone && machine->recorded_up && !machine->reported &&
-        machine->state() != MachineState::kDeleted) {
-      return false;
-    }
-  }
-  const double margin = CancellationMargin(settings_.workers) / 2;
-  for (const auto& [id, job] : cluster_.jobs()) {
-    if (job->state() != JobState::kAborted || job->charged_attempts() == 0 ||
-        now - job->ended_at < margin) {
-      continue;
-    }
-    for (const auto& [index, presence] : job->presence()) {
-      if (presence.charged_attempts > 0 &&
-          cluster_.machine(index).zone == zone) {
-        return false;
-      }
-    }
-  }
-  return true;
-}
-
-bool WorkerSessions::OnDelegationRequested(
-    const std::string& peer, const std::string& process_incarnation, double age,
-    Time now) {
-  for (const PeerSettings& settings : settings_.peers) {
-    if (settings.name != peer) continue;
-    if (!ZoneMayBeDelegated(settings.zone, now)) return false;
-    delegated_leases_.Grant(peer, process_incarnation, age, now);
-    return true;
-  }
-  return false;
-}
-
 }  // namespace oxbow
--- a/core/worker_sessions/worker_sessions.h
+++ b/core/worker_sessions/worker_sessions.h
@@ -1,17 +1,14 @@
 // The leader's sessions with the workers. A heartbeat updates the incarnation,
 // fencing token, lease and reachability of its worker and, through
 // TaskAttemptTracker, the task attempts on its machine. This module decides
-// which heartbeats are new, which of them are answered, and when the lease of a
-// silent worker has certainly expired. Owns the delegated leases.
+// which heartbeats are new and which of them are answered.
 #pragma once
 
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "core/leader_context/leader_context.h"
-#include "core/lease/delegated_lease.h"
 #include "core/worker_sessions/task_attempt_tracker.h"
 
 namespace oxbow {
@@ -21,6 +18,7 @@
 class MaintenanceManager;
 class Reconciler;
 class MachineLifecycle;
+class WorkerLeases;
 
 // The way in which the content of a heartbeat has reached the leader.
 enum class HeartbeatChannel : uint8_t {
@@ -33,7 +31,7 @@
   kWorkerResponse,
 };
 
-// One per leadership. Called by the leader for each heartbeat and in each tick.
+// One per leadership. Called by the leader for each heartbeat.
 class WorkerSessions {
  public:
   // The modules that it calls.
@@ -43,13 +41,10 @@
     MaintenanceManager& maintenance;
     Reconciler& reconciler;
     MachineLifecycle& machine_lifecycle;
+    WorkerLeases& leases;
   };
-  // `delegates`: the controllers that had a recorded delegated lease when this
-  // leadership began; nullopt if that is not known.
-  WorkerSessions(LeaderContext& context, const Modules& modules,
-                 const std::optional<std::set<std::string>>& delegates);
+  WorkerSessions(LeaderContext& context, const Modules& modules);
 
-  // --- heartbeats
   // Applies a worker's heartbeat and returns the answer to it.
   HeartbeatResponse OnHeartbeat(const Heartbeat& heartbeat, Time now);
   // Applies a worker's answer to a probe. Returns false if the machine has been
@@ -59,33 +54,7 @@
   void ApplyHeartbeat(Machine& machine, const Heartbeat& heartbeat,
                       HeartbeatChannel channel, Time now);
 
-  // --- lease expiry
-  // BeginTick, ExpireIfLeaseEnded for each machine and EndTick, in this order,
-  // once in each tick of the leader.
-  void BeginTick();
-  // Marks the tasks on the machine as lost once its worker's lease has
-  // certainly expired. To be called only while this controller leads by the
-  // lease of the leader key.
-  void ExpireIfLeaseEnded(Machine& machine, Time now);
-  void EndTick(Time now);
-  // How many leases have expired of workers that were heard again afterwards,
-  // in a new incarnation.
-  uint64_t expired_leases() const { return expired_leases_; }
-
-  // --- delegated leases
-  DelegatedLeases& delegated_leases() { return delegated_leases_; }
-  // Whether a delegated lease may be granted for the zone: false if it has, or
-  // may have, tasks that must have ended before such a lease would expire.
-  bool ZoneMayBeDelegated(const std::string& zone, Time now) const;
-  // The controller `peer` asks for a delegated lease for the workers in its
-  // zone. Returns whether it is granted. `process_incarnation` and `age`, in
-  // seconds, are those of that controller's process.
-  bool OnDelegationRequested(const std::string& peer,
-                             const std::string& process_incarnation, double age,
-                             Time now);
-
  private:
-  // --- heartbeats
   // Returns the machine that has sent the heartbeat, in the up state if it was
   // booting. Adds the machine if it is unknown.
   Machine& MachineForHeartbeat(const Heartbeat& heartbeat, Time now);
@@ -112,19 +81,6 @@
   void LogReachabilityChange(const Machine& machine, ReachabilityState before);
   void ApplyPreemptionNotice(Machine& machine, double notice_seconds, Time now);
 
-  // --- lease expiry
-  bool MustLetLeaseExpire(const Machine& machine, FencingToken shown,
-                          Time now) const;
-  // Whether the lease has expired of a worker whose heartbeats have been left
-  // unanswered for that purpose.
-  bool LeaseExpired(const Machine& machine, Time now) const;
-  // Whether the lease of the machine's incarnation has expired. False while a
-  // delegate in its zone may have renewed that lease; to rule this out, asks
-  // the delegates to yield shortly before the lease ends.
-  bool IncarnationExpired(const Machine& machine, Time now);
-  // Ends the incarnation and marks its tasks as lost.
-  void Expire(Machine& machine, Time now);
-
   LeaderContext& context_;
   const Settings& settings_;
   Catalog& catalog_;
@@ -134,13 +90,8 @@
   CommandDispatcher& dispatcher_;
   MaintenanceManager& maintenance_;
   MachineLifecycle& machine_lifecycle_;
+  WorkerLeases& leases_;
   TaskAttemptTracker task_attempts_;
-  DelegatedLeases delegated_leases_;
-  // Whether this tick has found a silent machine whose lease a delegate may
-  // have renewed, so that the records of the delegates are to be read again.
-  bool delegates_may_have_renewed_ = false;
-  uint64_t expired_leases_ = 0;
-  Time next_delegates_read_ = 0;
 };
 
 }  // namespace oxbow
