--- a/core/worker_sessions/worker_sessions.cc
+++ b/core/worker_sessions/worker_sessions.cc
@@ -21,7 +21,6 @@
       catalog_(context.catalog),
       cluster_(context.cluster),
       writes_(context.writes),
-      actions_(context.actions),
       dispatcher_(modules.dispatcher),
       maintenance_(modules.maintenance),
       machine_lifecycle_(modules.machine_lifecycle),
--- a/core/worker_sessions/worker_sessions.h
+++ b/core/worker_sessions/worker_sessions.h
@@ -86,7 +86,6 @@
   Catalog& catalog_;
   ClusterState& cluster_;
   WriteQueue& writes_;
-  std::vector<Action>& actions_;
   CommandDispatcher& dispatcher_;
   MaintenanceManager& maintenance_;
   MachineLifecycle& machine_lifecycle_;
