--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -17,7 +17,7 @@
 done
 for pid in "${pids[@]}"; do wait "$pid"; done
 pids=()
-for source in review/[4-8]/case.cc; do
+for source in review/[4-8]/scenario.cc; do
   name=case-$(basename "$(dirname "$source")")
   g++ "${flags[@]}" "$source" "${objects[@]}" target/liboxbow_shell.a \
     target/liboxbow_core.a -lfmt -o "$out/$name" &
--- a/review/second/job.h
+++ b/review/second/job.h
@@ -22,6 +22,7 @@
   double image_gb = 1;
   std::string zone;  // the only allowed one; empty: any
   bool in_one_zone = false;
+  bool spread = false;     // over zones: at most half of the tasks in one
   double run_seconds = 0;  // 0 for a service
   double checkpoint_seconds = 0;
   double save_seconds = 0;
